Lay the foundation: results, clocks, events, metrics, kernel, platform adapters

Cause: an empty repository; every later part needs the same results, times, numbered events and adapter types. Before: nothing. Conclusion: other parts can go on side by side on these interfaces.

--- /dev/null
+++ b/modules/admission/admission.cpp
@@ -0,0 +1,1 @@
+#include "admission/admission.hpp"
--- /dev/null
+++ b/modules/authority/authority.cpp
@@ -0,0 +1,1 @@
+#include "authority/authority.hpp"
--- /dev/null
+++ b/modules/claims/claims.cpp
@@ -0,0 +1,1 @@
+#include "claims/claims.hpp"
--- /dev/null
+++ b/modules/configuration/configuration.cpp
@@ -0,0 +1,1 @@
+#include "configuration/configuration.hpp"
--- /dev/null
+++ b/modules/document/document.cpp
@@ -0,0 +1,1 @@
+#include "document/document.hpp"
--- /dev/null
+++ b/modules/document/document.hpp
@@ -0,0 +1,14 @@
+/** @file
+    The document module: what a team says of its service.
+
+    The service document as a value, its reading and checking from TOML, and
+    the difference between two of them. Depends on foundation.
+*/
+#ifndef HIBISCUSFERRY_DOCUMENT_DOCUMENT_HPP
+#define HIBISCUSFERRY_DOCUMENT_DOCUMENT_HPP
+
+#include "foundation/foundation.hpp"
+
+#include "document/model/service_document.hpp"
+
+#endif
--- /dev/null
+++ b/modules/foundation/foundation.cpp
@@ -0,0 +1,10 @@
+#include "foundation/foundation.hpp"
+
+#include "foundation/events/event_catalogue.cpp"
+#include "foundation/events/event_journal.cpp"
+#include "foundation/identity/identifier.cpp"
+#include "foundation/identity/stable_hash.cpp"
+#include "foundation/kernel/kernel.cpp"
+#include "foundation/metrics/metrics_registry.cpp"
+#include "foundation/time/clock.cpp"
+#include "foundation/time/hybrid_logical_clock.cpp"
--- /dev/null
+++ b/modules/foundation/kernel/kernel.cpp
@@ -0,0 +1,109 @@
+#include "foundation/kernel/kernel.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+class kernel_category final : public std::error_category
+{
+public:
+    const char* name() const noexcept override
+    {
+        return "kernel";
+    }
+
+    std::string message(int code) const override
+    {
+        switch (static_cast<kernel_error>(code))
+        {
+        case kernel_error::name_taken:
+            return "a service of that name is already there";
+        case kernel_error::not_found:
+            return "no service of that name and type";
+        case kernel_error::start_failed:
+            return "a service did not start";
+        }
+        return "unknown kernel error";
+    }
+};
+
+} // namespace
+
+const std::error_category& kernel_error_category()
+{
+    static const kernel_category category;
+    return category;
+}
+
+std::error_code make_error_code(kernel_error error)
+{
+    return {static_cast<int>(error), kernel_error_category()};
+}
+
+void kernel_service::drain(std::function<void()> finished)
+{
+    finished();
+}
+
+result<void> kernel::add(const std::string& name,
+                         std::unique_ptr<kernel_service> service)
+{
+    if (find_any(name) != nullptr)
+        return make_error_code(kernel_error::name_taken);
+    entries_.push_back({name, std::move(service)});
+    return outcome::success();
+}
+
+result<void> kernel::start()
+{
+    for (const entry& candidate : entries_)
+    {
+        if (!candidate.service->start())
+        {
+            failed_service_ = candidate.name;
+            stop();
+            return make_error_code(kernel_error::start_failed);
+        }
+        ++started_;
+    }
+    return outcome::success();
+}
+
+void kernel::drain(std::function<void()> finished)
+{
+    const std::shared_ptr<std::size_t> left =
+        std::make_shared<std::size_t>(started_ + 1);
+    const std::function<void()> one_done = [left, finished]
+    {
+        if (--*left == 0)
+            finished();
+    };
+    for (std::size_t index = started_; index > 0; --index)
+        entries_[index - 1].service->drain(one_done);
+    one_done();
+}
+
+void kernel::stop()
+{
+    while (started_ > 0)
+        entries_[--started_].service->stop();
+}
+
+const std::string& kernel::failed_service() const
+{
+    return failed_service_;
+}
+
+kernel_service* kernel::find_any(const std::string& name) const
+{
+    const auto found = std::find_if(entries_.begin(), entries_.end(),
+                                    [&name](const entry& candidate)
+                                    { return candidate.name == name; });
+    return found == entries_.end() ? nullptr : found->service.get();
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/membership/membership.cpp
@@ -0,0 +1,1 @@
+#include "membership/membership.hpp"
--- /dev/null
+++ b/modules/membership/membership.hpp
@@ -0,0 +1,12 @@
+/** @file
+    The membership module: which entry hosts are up.
+
+    Decisions only, no I/O. Depends on foundation and platform.
+*/
+#ifndef HIBISCUSFERRY_MEMBERSHIP_MEMBERSHIP_HPP
+#define HIBISCUSFERRY_MEMBERSHIP_MEMBERSHIP_HPP
+
+#include "foundation/foundation.hpp"
+#include "platform/platform.hpp"
+
+#endif
--- /dev/null
+++ b/modules/roles/roles.cpp
@@ -0,0 +1,1 @@
+#include "roles/roles.hpp"
--- /dev/null
+++ b/modules/routing/routing.cpp
@@ -0,0 +1,1 @@
+#include "routing/routing.hpp"
