Add the http module: servers and client connections on Boost.Beast

Cause: router, controller, adapters and stand-ins all need HTTP, streamed and whole, with limits and time-outs. Change: a thin layer in stackful coroutines; Beast is parsed in one translation unit only. A connection whose exchange did not end is not reusable; a stream that is not ended looks cut to the client. Found on the way: Boost 1.74's parser treats an absent body limit as zero when a Content-Length is given; the limit is now set to the greatest number.

--- /dev/null
+++ b/modules/http/client/http_connection.cpp
@@ -0,0 +1,187 @@
+#include "http/client/http_connection.hpp"
+
+#include "http/server/beast_support.hpp"
+#include <limits>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::size_t response_header_limit_bytes = 32U << 10;
+constexpr std::size_t response_piece_bytes = 16U << 10;
+
+} // namespace
+
+struct http_connection::implementation
+{
+    implementation(boost::asio::io_context& context, http_endpoint where)
+        : stream(context)
+        , endpoint(std::move(where))
+    {
+    }
+
+    using response_parser =
+        beast_http::response_parser<beast_http::buffer_body>;
+
+    boost::beast::tcp_stream stream;
+    http_endpoint endpoint;
+    boost::beast::flat_buffer buffer;
+    std::unique_ptr<response_parser> parser;
+    bool is_reusable = true;
+};
+
+http_connection::http_connection(std::unique_ptr<implementation> parts)
+    : implementation_(std::move(parts))
+{
+}
+
+http_connection::~http_connection() = default;
+
+result<std::unique_ptr<http_connection>> http_connection::connect(
+    boost::asio::io_context& context, const http_endpoint& endpoint,
+    std::chrono::milliseconds time_limit, boost::asio::yield_context yield)
+{
+    const result<boost::asio::ip::tcp::endpoint> address =
+        to_tcp_endpoint(endpoint);
+    if (!address)
+        return address.error();
+
+    std::unique_ptr<implementation> parts =
+        std::make_unique<implementation>(context, endpoint);
+    boost::system::error_code error;
+    parts->stream.expires_after(time_limit);
+    parts->stream.async_connect(address.value(), yield[error]);
+    if (error)
+        return make_error_code(http_error::connect_failed);
+    set_socket_options(parts->stream.socket());
+    return std::unique_ptr<http_connection>(
+        new http_connection(std::move(parts)));
+}
+
+result<void> http_connection::send(const http_request& request,
+                                   std::chrono::milliseconds time_limit,
+                                   boost::asio::yield_context yield)
+{
+    beast_http::request<beast_http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (const http_header& field : request.headers.fields())
+        message.insert(field.name, field.value);
+    if (!request.headers.has("Host"))
+        message.set(beast_http::field::host, endpoint().text());
+    message.body() = request.body;
+    message.prepare_payload();
+
+    implementation_->is_reusable = false;
+    implementation_->parser =
+        std::make_unique<implementation::response_parser>();
+    implementation_->parser->header_limit(response_header_limit_bytes);
+    implementation_->parser->body_limit(
+        std::numeric_limits<std::uint64_t>::max());
+
+    boost::system::error_code error;
+    implementation_->stream.expires_after(time_limit);
+    beast_http::async_write(implementation_->stream, message, yield[error]);
+    if (error)
+        return to_http_error(error);
+    return outcome::success();
+}
+
+result<http_response_head>
+http_connection::read_head(std::chrono::milliseconds time_limit,
+                           boost::asio::yield_context yield)
+{
+    if (!implementation_->parser)
+        return make_error_code(http_error::not_open);
+    boost::system::error_code error;
+    implementation_->stream.expires_after(time_limit);
+    beast_http::async_read_header(implementation_->stream,
+                                  implementation_->buffer,
+                                  *implementation_->parser, yield[error]);
+    if (error)
+        return to_http_error(error);
+
+    const implementation::response_parser::value_type& message =
+        implementation_->parser->get();
+    http_response_head head;
+    head.status = message.result_int();
+    for (const beast_http::fields::value_type& field : message)
+        head.headers.add(std::string(field.name_string()),
+                         std::string(field.value()));
+    return head;
+}
+
+result<std::string>
+http_connection::read_some(std::chrono::milliseconds time_limit,
+                           boost::asio::yield_context yield)
+{
+    if (!implementation_->parser)
+        return make_error_code(http_error::not_open);
+
+    implementation::response_parser& parser = *implementation_->parser;
+    std::string piece;
+    while (piece.empty() && !parser.is_done())
+    {
+        piece.resize(response_piece_bytes);
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        boost::system::error_code error;
+        implementation_->stream.expires_after(time_limit);
+        beast_http::async_read_some(implementation_->stream,
+                                    implementation_->buffer, parser,
+                                    yield[error]);
+        const bool is_buffer_full = error == beast_http::error::need_buffer;
+        if (error && !is_buffer_full)
+            return to_http_error(error);
+        piece.resize(piece.size() - parser.get().body().size);
+    }
+    if (parser.is_done())
+        implementation_->is_reusable = parser.keep_alive();
+    return piece;
+}
+
+result<std::string>
+http_connection::read_rest(std::size_t byte_limit,
+                           std::chrono::milliseconds time_limit,
+                           boost::asio::yield_context yield)
+{
+    const time_point deadline = boot_clock::now() + time_limit;
+    std::string body;
+    for (;;)
+    {
+        const std::chrono::milliseconds left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                deadline - boot_clock::now());
+        if (left <= std::chrono::milliseconds(0))
+            return make_error_code(http_error::timed_out);
+        const result<std::string> piece = read_some(left, yield);
+        if (!piece)
+            return piece.error();
+        if (piece.value().empty())
+            return body;
+        body += piece.value();
+        if (body.size() > byte_limit)
+            return make_error_code(http_error::too_large);
+    }
+}
+
+bool http_connection::is_reusable() const
+{
+    return implementation_->is_reusable;
+}
+
+const http_endpoint& http_connection::endpoint() const
+{
+    return implementation_->endpoint;
+}
+
+void http_connection::close()
+{
+    implementation_->is_reusable = false;
+    implementation_->stream.close();
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/http/http.cpp
@@ -0,0 +1,11 @@
+#include "http/http.hpp"
+
+#include "http/client/http_call.cpp"
+#include "http/client/http_connection.cpp"
+#include "http/client/http_connection_pool.cpp"
+#include "http/errors/http_error.cpp"
+#include "http/message/http_message.cpp"
+#include "http/message/url_encoding.cpp"
+#include "http/server/http_exchange.cpp"
+#include "http/server/http_server.cpp"
+#include "http/server/task.cpp"
--- /dev/null
+++ b/modules/http/http.hpp
@@ -0,0 +1,23 @@
+/** @file
+    The http module: HTTP/1.1 servers and client connections.
+
+    A thin layer over Boost.Beast in stackful coroutines of Boost.Asio; Beast
+    itself stays inside the module's one translation unit. All classes are
+    used from the one thread that runs the io_context. Depends on foundation.
+*/
+#ifndef HIBISCUSFERRY_HTTP_HTTP_HPP
+#define HIBISCUSFERRY_HTTP_HTTP_HPP
+
+#include "foundation/foundation.hpp"
+
+#include "http/client/http_call.hpp"
+#include "http/client/http_connection.hpp"
+#include "http/client/http_connection_pool.hpp"
+#include "http/errors/http_error.hpp"
+#include "http/message/http_message.hpp"
+#include "http/message/url_encoding.hpp"
+#include "http/server/http_exchange.hpp"
+#include "http/server/http_server.hpp"
+#include "http/server/task.hpp"
+
+#endif
--- /dev/null
+++ b/modules/http/server/beast_support.hpp
@@ -0,0 +1,64 @@
+#ifndef HIBISCUSFERRY_HTTP_SERVER_BEAST_SUPPORT_HPP
+#define HIBISCUSFERRY_HTTP_SERVER_BEAST_SUPPORT_HPP
+
+#include "foundation/foundation.hpp"
+#include "http/errors/http_error.hpp"
+#include "http/message/http_message.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+// Private to the module: what its sources share of Boost.Beast.
+
+namespace hibiscusferry
+{
+
+namespace beast_http = boost::beast::http;
+
+/** Turns an error of Asio or Beast into the module's own. */
+inline std::error_code to_http_error(const boost::system::error_code& error)
+{
+    if (error == boost::beast::error::timeout)
+        return make_error_code(http_error::timed_out);
+    if (error == beast_http::error::body_limit ||
+        error == beast_http::error::header_limit ||
+        error == beast_http::error::buffer_overflow)
+        return make_error_code(http_error::too_large);
+    const bool is_end = error == beast_http::error::end_of_stream ||
+                        error == beast_http::error::partial_message;
+    if (!is_end &&
+        error.category() ==
+            make_error_code(beast_http::error::bad_method).category())
+        return make_error_code(http_error::bad_message);
+    return make_error_code(http_error::broken);
+}
+
+/** An endpoint given by IP number, or http_error::bad_address. */
+inline result<boost::asio::ip::tcp::endpoint>
+to_tcp_endpoint(const http_endpoint& endpoint)
+{
+    boost::system::error_code error;
+    const boost::asio::ip::address address =
+        boost::asio::ip::make_address(endpoint.address, error);
+    if (error)
+        return make_error_code(http_error::bad_address);
+    return boost::asio::ip::tcp::endpoint(address, endpoint.port);
+}
+
+/** Sends small pieces at once, and has the kernel give up a connection on
+    which sent data stays unacknowledged. */
+inline void set_socket_options(boost::asio::ip::tcp::socket& socket)
+{
+    constexpr int unacknowledged_limit_milliseconds = 10000;
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &unacknowledged_limit_milliseconds,
+                 sizeof(unacknowledged_limit_milliseconds));
+}
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/http/server/http_exchange.cpp
@@ -0,0 +1,152 @@
+#include "http/server/http_exchange.hpp"
+
+#include "http/server/server_connection.hpp"
+#include <sys/socket.h>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+void copy_headers(const http_headers& source, beast_http::fields& destination)
+{
+    for (const http_header& field : source.fields())
+        destination.insert(field.name, field.value);
+}
+
+bool has_body(unsigned status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+} // namespace
+
+server_exchange::server_exchange(server_connection& connection,
+                                 http_request request, bool keeps_alive)
+    : connection_(connection)
+    , request_(std::move(request))
+    , keeps_alive_(keeps_alive)
+{
+}
+
+const http_request& server_exchange::request() const
+{
+    return request_;
+}
+
+http_endpoint server_exchange::client() const
+{
+    boost::system::error_code error;
+    const boost::asio::ip::tcp::endpoint remote =
+        connection_.stream.socket().remote_endpoint(error);
+    if (error)
+        return {};
+    return {remote.address().to_string(), remote.port()};
+}
+
+result<void> server_exchange::respond(const http_response& response,
+                                      boost::asio::yield_context yield)
+{
+    if (has_begun_)
+        return make_error_code(http_error::not_open);
+    has_begun_ = true;
+
+    beast_http::response<beast_http::string_body> message;
+    message.version(11);
+    message.result(response.status);
+    copy_headers(response.headers, message);
+    message.keep_alive(keeps_alive());
+    if (has_body(response.status))
+    {
+        message.body() = response.body;
+        message.prepare_payload();
+    }
+
+    boost::system::error_code error;
+    connection_.stream.expires_after(connection_.limits.write_time);
+    beast_http::async_write(connection_.stream, message, yield[error]);
+    if (error)
+        return to_http_error(error);
+    is_complete_ = true;
+    return outcome::success();
+}
+
+result<void> server_exchange::begin_stream(const http_response_head& head,
+                                           boost::asio::yield_context yield)
+{
+    if (has_begun_)
+        return make_error_code(http_error::not_open);
+    has_begun_ = true;
+
+    beast_http::response<beast_http::empty_body> message;
+    message.version(11);
+    message.result(head.status);
+    copy_headers(head.headers, message);
+    message.keep_alive(keeps_alive());
+    message.chunked(true);
+    beast_http::response_serializer<beast_http::empty_body> serializer(message);
+
+    boost::system::error_code error;
+    connection_.stream.expires_after(connection_.limits.write_time);
+    beast_http::async_write_header(connection_.stream, serializer,
+                                   yield[error]);
+    if (error)
+        return to_http_error(error);
+    return outcome::success();
+}
+
+result<void> server_exchange::write_piece(std::string_view piece,
+                                          boost::asio::yield_context yield)
+{
+    if (piece.empty())
+        return outcome::success();
+    boost::system::error_code error;
+    connection_.stream.expires_after(connection_.limits.write_time);
+    boost::asio::async_write(
+        connection_.stream,
+        beast_http::make_chunk(boost::asio::buffer(piece.data(), piece.size())),
+        yield[error]);
+    if (error)
+        return to_http_error(error);
+    return outcome::success();
+}
+
+result<void> server_exchange::end_stream(boost::asio::yield_context yield)
+{
+    boost::system::error_code error;
+    connection_.stream.expires_after(connection_.limits.write_time);
+    boost::asio::async_write(connection_.stream, beast_http::make_chunk_last(),
+                             yield[error]);
+    if (error)
+        return to_http_error(error);
+    is_complete_ = true;
+    return outcome::success();
+}
+
+bool server_exchange::has_begun() const
+{
+    return has_begun_;
+}
+
+bool server_exchange::is_client_gone()
+{
+    char peeked = 0;
+    const ssize_t count = ::recv(connection_.stream.socket().native_handle(),
+                                 &peeked, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool is_waiting =
+        count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return count == 0 || (count < 0 && !is_waiting);
+}
+
+bool server_exchange::is_complete() const
+{
+    return is_complete_;
+}
+
+bool server_exchange::keeps_alive() const
+{
+    return keeps_alive_ && !connection_.closes_after_answers;
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/http/server/http_server_test.cpp
@@ -0,0 +1,167 @@
+#include "http/http.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusferry;
+using boost::asio::yield_context;
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{5};
+
+/** A server that echoes bodies, and a client's coroutine run against it. */
+void run_with_server(
+    const http_server_limits& limits,
+    const std::function<void(boost::asio::io_context&, const http_endpoint&,
+                             yield_context)>& client)
+{
+    boost::asio::io_context context;
+    const http_server::handler echo =
+        [](http_exchange& exchange, yield_context yield)
+    {
+        if (exchange.request().path() == "/cut")
+        {
+            exchange.begin_stream({}, yield).value();
+            exchange.write_piece("half", yield).value();
+            return;
+        }
+        if (exchange.request().path() == "/stream")
+        {
+            exchange.begin_stream({}, yield).value();
+            exchange.write_piece("one ", yield).value();
+            exchange.write_piece("two", yield).value();
+            exchange.end_stream(yield).value();
+            return;
+        }
+        exchange.respond({200, {}, exchange.request().body}, yield).value();
+    };
+    const std::unique_ptr<http_server> server = std::move(
+        http_server::listen(context, {"127.0.0.1", 0}, limits, echo).value());
+    const http_endpoint endpoint = server->endpoint();
+    bool is_finished = false;
+    start_task(context,
+               [&](yield_context yield)
+               {
+                   client(context, endpoint, yield);
+                   is_finished = true;
+                   server->close();
+               });
+    context.run_for(std::chrono::seconds(20));
+    BOOST_TEST(is_finished);
+}
+
+/** Sends raw bytes and returns what the server answers before closing. */
+std::string raw_exchange(boost::asio::io_context& context,
+                         const http_endpoint& endpoint,
+                         const std::string& bytes, yield_context yield)
+{
+    boost::asio::ip::tcp::socket socket(context);
+    boost::system::error_code error;
+    socket.async_connect(
+        {boost::asio::ip::make_address(endpoint.address), endpoint.port},
+        yield[error]);
+    boost::asio::async_write(socket, boost::asio::buffer(bytes), yield[error]);
+    std::string answer;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer),
+                            yield[error]);
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_server_test)
+
+BOOST_AUTO_TEST_CASE(a_connection_is_used_again_after_a_whole_exchange)
+{
+    run_with_server({},
+                    [](boost::asio::io_context& context,
+                       const http_endpoint& endpoint, yield_context yield)
+                    {
+                        http_connection_pool pool(context);
+                        for (const char* text : {"first", "second"})
+                        {
+                            const http_request request{"POST", "/", {}, text};
+                            const result<http_response> answer = http_call(
+                                pool, endpoint, request, patience, 1000, yield);
+                            BOOST_TEST(answer.value().body == text);
+                            BOOST_TEST(pool.idle_connections() == 1U);
+                        }
+                    });
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_stream_does_not_look_complete)
+{
+    run_with_server({},
+                    [](boost::asio::io_context& context,
+                       const http_endpoint& endpoint, yield_context yield)
+                    {
+                        http_connection_pool pool(context);
+                        const result<http_response> whole =
+                            http_call(pool, endpoint, {"GET", "/stream"},
+                                      patience, 1000, yield);
+                        BOOST_TEST(whole.value().body == "one two");
+                        pool.forget(endpoint);
+                        const result<http_response> cut =
+                            http_call(pool, endpoint, {"GET", "/cut"}, patience,
+                                      1000, yield);
+                        BOOST_TEST(cut.error() == http_error::broken);
+                        BOOST_TEST(pool.idle_connections() == 0U);
+                    });
+}
+
+BOOST_AUTO_TEST_CASE(no_listener_is_connect_failed)
+{
+    boost::asio::io_context context;
+    start_task(context,
+               [&context](yield_context yield)
+               {
+                   http_connection_pool pool(context);
+                   const result<http_response> answer = http_call(
+                       pool, {"127.0.0.1", 1}, {}, patience, 1000, yield);
+                   BOOST_TEST(answer.error() == http_error::connect_failed);
+               });
+    context.run();
+}
+
+BOOST_AUTO_TEST_CASE(bad_requests_get_a_clear_error)
+{
+    http_server_limits limits;
+    limits.body_bytes = 100;
+    limits.request_time = std::chrono::milliseconds(200);
+    run_with_server(
+        limits,
+        [](boost::asio::io_context& context, const http_endpoint& endpoint,
+           yield_context yield)
+        {
+            const std::string large_header =
+                "GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n";
+            const std::string large_body =
+                "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n";
+            BOOST_TEST(raw_exchange(context, endpoint, "garbage\r\n\r\n", yield)
+                           .find(" 400 ") != std::string::npos);
+            BOOST_TEST(raw_exchange(context, endpoint, large_header, yield)
+                           .find(" 413 ") != std::string::npos);
+            BOOST_TEST(raw_exchange(context, endpoint, large_body, yield)
+                           .find(" 413 ") != std::string::npos);
+            // A sender that stops in the middle is cut off.
+            BOOST_TEST(
+                raw_exchange(context, endpoint, "GET / HT", yield).empty());
+        });
+}
+
+BOOST_AUTO_TEST_CASE(query_values_are_decoded)
+{
+    const std::string text = "a b/c?&=%ü";
+    const http_request request{"GET", "/rows?x=1&key=" + url_encode(text)};
+    BOOST_TEST(request.path() == "/rows");
+    BOOST_TEST(request.query("key") == text);
+    BOOST_TEST(request.query("absent").empty());
+    BOOST_TEST(url_decode("%zz%4") == "%zz%4");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/http/server/server_connection.hpp
@@ -0,0 +1,64 @@
+#ifndef HIBISCUSFERRY_HTTP_SERVER_SERVER_CONNECTION_HPP
+#define HIBISCUSFERRY_HTTP_SERVER_SERVER_CONNECTION_HPP
+
+#include "http/server/beast_support.hpp"
+#include "http/server/http_exchange.hpp"
+#include "http/server/http_server.hpp"
+
+// Private to the module: a server's connection and its exchanges.
+
+namespace hibiscusferry
+{
+
+/** A client's connection at a server. */
+struct server_connection
+{
+    server_connection(boost::asio::ip::tcp::socket socket,
+                      const http_server_limits& allowed)
+        : stream(std::move(socket))
+        , limits(allowed)
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    const http_server_limits limits;
+    bool closes_after_answers = false;
+};
+
+/** The exchange that a server's handler is given. */
+class server_exchange final : public http_exchange
+{
+public:
+    server_exchange(server_connection& connection, http_request request,
+                    bool keeps_alive);
+
+    const http_request& request() const override;
+    http_endpoint client() const override;
+    result<void> respond(const http_response& response,
+                         boost::asio::yield_context yield) override;
+    result<void> begin_stream(const http_response_head& head,
+                              boost::asio::yield_context yield) override;
+    result<void> write_piece(std::string_view piece,
+                             boost::asio::yield_context yield) override;
+    result<void> end_stream(boost::asio::yield_context yield) override;
+    bool has_begun() const override;
+    bool is_client_gone() override;
+
+    /** Whether the whole answer was handed to the connection. */
+    bool is_complete() const;
+
+    /** Whether the connection serves another request after this one. */
+    bool keeps_alive() const;
+
+private:
+    server_connection& connection_;
+    http_request request_;
+    bool keeps_alive_;
+    bool has_begun_ = false;
+    bool is_complete_ = false;
+};
+
+} // namespace hibiscusferry
+
+#endif
