--- /dev/null
+++ b/extras/stand_ins/support/stand_in_program.cpp
@@ -0,0 +1,121 @@
+#include "stand_ins/support/stand_in_program.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+#include <iostream>
+
+DEFINE_string(address, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(port, 0, "port to listen on; 0 takes a free one");
+DEFINE_int32(stop_limit_ms, 2000,
+             "how long open requests may go on after SIGTERM");
+
+namespace hibiscusferry::stand_ins
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds poll_interval{20};
+constexpr std::size_t largest_body_bytes = 32U << 20;
+
+/** Waits for open requests, then ends the process. */
+void finish(boost::asio::io_context& context, const http_server& server,
+            boost::asio::yield_context yield)
+{
+    const time_point limit =
+        boot_clock::now() + std::chrono::milliseconds(FLAGS_stop_limit_ms);
+    while (server.open_exchanges() > 0 && boot_clock::now() < limit)
+        sleep_for(context, poll_interval, yield);
+    // Connections that are still open end with the process.
+    std::quick_exit(EXIT_SUCCESS);
+}
+
+} // namespace
+
+void read_command_line(int& argument_count, char**& arguments,
+                       const std::string& usage)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(arguments[0]);
+}
+
+void run_stand_in(boost::asio::io_context& context,
+                  http_server::handler handler,
+                  std::function<void()> begin_stop)
+{
+    http_server_limits limits;
+    limits.body_bytes = largest_body_bytes;
+    const http_endpoint endpoint{FLAGS_address,
+                                 static_cast<std::uint16_t>(FLAGS_port)};
+    result<std::unique_ptr<http_server>> listening =
+        http_server::listen(context, endpoint, limits, std::move(handler));
+    if (!listening)
+    {
+        std::cerr << "cannot listen on " << endpoint.text() << "\n";
+        std::quick_exit(EXIT_FAILURE);
+    }
+    http_server& server = *listening.value();
+
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait(
+        [&](const boost::system::error_code& error, int)
+        {
+            if (error)
+                return;
+            if (begin_stop)
+                begin_stop();
+            server.close_after_answers();
+            start_task(context, [&](boost::asio::yield_context yield)
+                       { finish(context, server, yield); });
+        });
+
+    std::cout << "listening " << server.endpoint().text() << std::endl;
+    context.run();
+    std::quick_exit(EXIT_SUCCESS);
+}
+
+void stay_silent(boost::asio::io_context& context, http_exchange& exchange,
+                 boost::asio::yield_context yield)
+{
+    while (!exchange.is_client_gone())
+        sleep_for(context, poll_interval, yield);
+}
+
+void answer(http_exchange& exchange, const http_response& response,
+            boost::asio::yield_context yield)
+{
+    const result<void> ignored = exchange.respond(response, yield);
+    static_cast<void>(ignored);
+}
+
+void answer_json(http_exchange& exchange, unsigned status,
+                 const nlohmann::json& body, boost::asio::yield_context yield)
+{
+    const std::string text =
+        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    answer(exchange, json_response(status, text), yield);
+}
+
+http_response not_run_response(unsigned status, const std::string& code)
+{
+    const nlohmann::json body = {{"error", {{"code", code}}}};
+    http_response response = json_response(status, body.dump());
+    response.headers.set("X-Not-Run", "true");
+    return response;
+}
+
+nlohmann::json read_object(const http_request& request)
+{
+    nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    return body;
+}
+
+} // namespace hibiscusferry::stand_ins
