Add the stand-ins of model engines and application servers

Cause: routers and controllers need targets that batch, stream, resume, change and fail as the users' targets do. Change: engine_stand_in batches prefill and decode in real time from a cost model, keeps a prefix cache, obeys orders and fences, and answers text that follows from the prompt; application_stand_in counts each run of a key. Faults and counts are under /control. docs/INTERFACES.md says what was left open: the generation's id, the fate of a lost connection, the statuses that mean that nothing was done, an application's load report.

--- /dev/null
+++ b/extras/stand_ins/application/application_stand_in_main.cpp
@@ -0,0 +1,22 @@
+#include "stand_ins/application/application_stand_in.hpp"
+
+#include <gflags/gflags.h>
+
+DEFINE_int32(run_ms, 5, "how long a run takes");
+
+int main(int argument_count, char** arguments)
+{
+    using namespace hibiscusferry;
+    stand_ins::read_command_line(
+        argument_count, arguments,
+        "serves orders, lodgements and look-ups and counts each run");
+    boost::asio::io_context context;
+    stand_ins::application_stand_in application(
+        context, std::chrono::milliseconds(FLAGS_run_ms));
+    stand_ins::run_stand_in(
+        context,
+        [&application](http_exchange& exchange,
+                       boost::asio::yield_context yield)
+        { application.serve(exchange, yield); },
+        [&application] { application.leave(); });
+}
--- /dev/null
+++ b/extras/stand_ins/engine/batch_scheduler.hpp
@@ -0,0 +1,119 @@
+#ifndef HIBISCUSFERRY_EXTRAS_STAND_INS_ENGINE_BATCH_SCHEDULER_HPP
+#define HIBISCUSFERRY_EXTRAS_STAND_INS_ENGINE_BATCH_SCHEDULER_HPP
+
+#include "stand_ins/engine/prefix_cache.hpp"
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscusferry::stand_ins
+{
+
+/** How far a generation is. */
+enum class generation_state
+{
+    waiting,
+    running,
+    finished,
+    cancelled, ///< by the client
+    cut        ///< by a change of the engine
+};
+
+/** One answer being made. */
+struct generation
+{
+    std::string id;
+    std::string attempt_id;
+    std::string model;
+    bool is_chat = true;
+    /** 0 (urgent) to 9. */
+    unsigned priority = 5;
+    std::size_t prompt_tokens = 0;
+    std::size_t cached_tokens = 0;
+    std::size_t prefill_left = 0;
+    std::vector<std::string> prefixes;
+    /** All tokens of the answer; the first `produced` are there already. */
+    std::vector<std::string> tokens;
+    std::size_t produced = 0;
+    bool reached_limit = false;
+    generation_state state = generation_state::waiting;
+
+    bool is_active() const;
+};
+
+using generation_pointer = std::shared_ptr<generation>;
+
+/** The cost model of an engine. */
+struct engine_costs
+{
+    double prefill_tokens_per_second = 20000;
+    std::chrono::microseconds decode_step{20000};
+    std::size_t most_running = 64;
+    std::size_t kv_tokens = 200000;
+};
+
+/** Continuous batching: each step prefills a piece of the prompts and
+    decodes one token of every running answer. Urgent generations are
+    admitted and prefilled first. No I/O and no clock. */
+class batch_scheduler
+{
+public:
+    explicit batch_scheduler(const engine_costs& costs);
+
+    /** "prefill", "decode" or "mixed": how many prompt tokens fit into a
+        step, and how many answers run together. */
+    void set_role(const std::string& role);
+
+    void submit(const generation_pointer& item);
+
+    /** Ends a generation before its end. */
+    void end(generation& item, generation_state state);
+
+    bool has_work() const;
+
+    /** Plans the next step.
+        @returns how long it takes */
+    std::chrono::nanoseconds begin_step();
+
+    /** Applies the step.
+        @returns the generations that have a new token */
+    std::vector<generation_pointer> finish_step();
+
+    std::size_t waiting_prefill_tokens() const;
+    std::size_t active_streams() const;
+    std::size_t free_kv_tokens() const;
+    std::size_t waiting() const;
+
+    /** All that wait or run. */
+    std::vector<generation_pointer> active() const;
+
+    prefix_cache& cache();
+
+private:
+    struct planned_prefill
+    {
+        generation_pointer item;
+        std::size_t tokens = 0;
+    };
+
+    void admit_waiting();
+    void drop_ended();
+    std::size_t plan_prefill();
+    std::size_t reserved_tokens() const;
+
+    engine_costs costs_;
+    std::size_t prefill_budget_ = 0;
+    std::size_t most_running_ = 0;
+    /** In order of priority, then of arrival. */
+    std::vector<generation_pointer> waiting_;
+    std::vector<generation_pointer> running_;
+    std::vector<planned_prefill> planned_;
+    std::vector<generation_pointer> decoding_;
+    prefix_cache cache_;
+};
+
+} // namespace hibiscusferry::stand_ins
+
+#endif
--- /dev/null
+++ b/extras/stand_ins/engine/engine_stand_in.hpp
@@ -0,0 +1,176 @@
+#ifndef HIBISCUSFERRY_EXTRAS_STAND_INS_ENGINE_ENGINE_STAND_IN_HPP
+#define HIBISCUSFERRY_EXTRAS_STAND_INS_ENGINE_ENGINE_STAND_IN_HPP
+
+#include "stand_ins/engine/batch_scheduler.hpp"
+#include "stand_ins/engine/cache_event_log.hpp"
+#include "stand_ins/engine/order_book.hpp"
+#include "stand_ins/support/notifier.hpp"
+#include "stand_ins/support/silent_connections.hpp"
+#include "stand_ins/support/stand_in_program.hpp"
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace hibiscusferry::stand_ins
+{
+
+/** What an engine is and how it behaves. */
+struct engine_settings
+{
+    engine_costs costs;
+    std::string service;
+    std::string model;
+    std::string role = "mixed";
+    bool checks_fencing = true;
+    std::chrono::milliseconds change_duration{3000};
+    std::chrono::milliseconds load_report_lag{500};
+    std::chrono::milliseconds cache_event_lag{1000};
+    unsigned cache_event_loss_percent = 5;
+    /** Generations that wait; more are refused as not run. */
+    std::size_t most_waiting = 256;
+};
+
+/** What goes wrong on purpose. */
+struct engine_faults
+{
+    /** Exits in the middle of the next change. */
+    bool crash_on_change = false;
+    /** Steps take this many times as long. */
+    double slow_factor = 1;
+    /** Answers carry the attempt id of another request. */
+    bool cross_answers = false;
+    /** Added before an answer begins. */
+    std::chrono::milliseconds late_answers{0};
+    /** Cuts the connection of each stream after so many tokens; 0: never.
+        Resumed streams are not cut. */
+    std::size_t cut_stream_after = 0;
+    /** Forgets the generation whose stream was cut. */
+    bool lose_generation = false;
+    bool leaving = false;
+    /** Refuses as overloaded, not run. */
+    bool refuse = false;
+};
+
+/** A model engine that answers from a simple cost model in real time.
+
+    docs/INTERFACES.md gives the forms. Besides: POST /control/faults sets the
+    faults (fields left out go back to none; `"crash":true` exits at once,
+    `"silent":true` silences the connections open now) and GET /control/counts
+    tells what happened.
+*/
+class engine_stand_in
+{
+public:
+    engine_stand_in(boost::asio::io_context& context,
+                    const engine_settings& settings);
+
+    /** Starts the background work. */
+    void start();
+
+    /** Answers one request. */
+    void serve(http_exchange& exchange, boost::asio::yield_context yield);
+
+    /** Refuses new work from now on. */
+    void leave();
+
+private:
+    /** A generation and those who read it. */
+    struct kept_generation
+    {
+        generation_pointer item;
+        unsigned readers = 0;
+        time_point last_read;
+    };
+
+    using handler = void (engine_stand_in::*)(http_exchange&,
+                                              boost::asio::yield_context);
+
+    /** A call of the engine; a path that ends in '/' matches any rest. */
+    struct route
+    {
+        const char* method;
+        const char* path;
+        handler serve;
+    };
+
+    static const route routes[];
+
+    // Control.
+    void set_faults(http_exchange& exchange, boost::asio::yield_context yield);
+    void tell_counts(http_exchange& exchange, boost::asio::yield_context yield);
+
+    // Answers.
+    void complete(http_exchange& exchange, boost::asio::yield_context yield);
+    void resume(http_exchange& exchange, boost::asio::yield_context yield);
+    void cancel(http_exchange& exchange, boost::asio::yield_context yield);
+    void stream(http_exchange& exchange, const std::string& id,
+                std::size_t offset, bool is_resumed,
+                boost::asio::yield_context yield);
+    void answer_whole(http_exchange& exchange, const generation_pointer& item,
+                      boost::asio::yield_context yield);
+    /** Writes the tokens that are there; false when the stream is over. */
+    bool write_tokens(http_exchange& exchange, const generation& item,
+                      std::size_t& offset, bool is_resumed,
+                      boost::asio::yield_context yield);
+    std::string refusal_code() const;
+    void count_generation(const generation& item);
+    std::string attempt_id(const http_request& request);
+
+    // Reports.
+    void list_models(http_exchange& exchange, boost::asio::yield_context yield);
+    void tell_load(http_exchange& exchange, boost::asio::yield_context yield);
+    void tell_cache_events(http_exchange& exchange,
+                           boost::asio::yield_context yield);
+
+    // Orders.
+    void receive_order(http_exchange& exchange,
+                       boost::asio::yield_context yield);
+    void tell_order(http_exchange& exchange, boost::asio::yield_context yield);
+    void raise_fence(http_exchange& exchange, boost::asio::yield_context yield);
+    void carry_out(const engine_order& order, boost::asio::yield_context yield);
+    bool apply(const engine_order& order);
+    void cut_active();
+
+    // KV cache.
+    void export_cache(http_exchange& exchange,
+                      boost::asio::yield_context yield);
+    void import_cache(http_exchange& exchange,
+                      boost::asio::yield_context yield);
+
+    // Background work.
+    void run_batches(boost::asio::yield_context yield);
+    void report_load(boost::asio::yield_context yield);
+    void drop_old_generations();
+
+    boost::asio::io_context& context_;
+    engine_settings settings_;
+    engine_faults faults_;
+    batch_scheduler scheduler_;
+    notifier work_;
+    notifier progress_;
+    order_book orders_;
+    cache_event_log cache_events_;
+    silent_connections connections_;
+    identifier_source identifiers_;
+    std::map<std::string, kept_generation> generations_;
+    std::set<std::string> adapters_;
+    std::string role_;
+    std::string model_;
+    bool is_changing_ = false;
+    bool is_leaving_ = false;
+    nlohmann::json load_report_;
+    time_point load_reported_at_;
+    std::string last_attempt_id_;
+    std::map<std::string, unsigned> generations_by_attempt_;
+    std::uint64_t runs_ = 0;
+    std::uint64_t refusals_ = 0;
+    std::uint64_t cancelled_ = 0;
+    std::uint64_t changes_ = 0;
+    std::uint64_t streams_cut_by_change_ = 0;
+};
+
+} // namespace hibiscusferry::stand_ins
+
+#endif
--- /dev/null
+++ b/extras/stand_ins/engine/engine_stand_in_main.cpp
@@ -0,0 +1,61 @@
+#include "stand_ins/engine/engine_stand_in.hpp"
+
+#include <gflags/gflags.h>
+
+DEFINE_double(prefill_tokens_per_second, 20000, "speed of prefill");
+DEFINE_double(decode_step_ms, 20, "time of a step besides its prefill");
+DEFINE_uint32(max_batch, 64, "answers that run together");
+DEFINE_uint64(kv_tokens, 200000, "tokens that fit into KV cache");
+DEFINE_string(role, "mixed", "prefill, decode or mixed");
+DEFINE_string(model, "lunch-assistant", "the loaded model");
+DEFINE_string(service, "", "the service, told by /control/counts");
+DEFINE_bool(checks_fencing, true, "refuses orders with old fencing numbers");
+DEFINE_int32(change_ms, 3000, "how long a change takes the engine away");
+DEFINE_int32(load_report_lag_ms, 500, "how old the load report becomes");
+DEFINE_int32(cache_event_lag_ms, 1000, "how late cache events are");
+DEFINE_uint32(cache_event_loss_percent, 5, "cache events that are lost");
+DEFINE_uint64(max_waiting, 256, "waiting generations before refusing");
+
+namespace
+{
+
+hibiscusferry::stand_ins::engine_settings settings_from_flags()
+{
+    constexpr double microseconds_per_millisecond = 1000;
+    hibiscusferry::stand_ins::engine_settings settings;
+    settings.costs.prefill_tokens_per_second = FLAGS_prefill_tokens_per_second;
+    settings.costs.decode_step =
+        std::chrono::microseconds(static_cast<std::int64_t>(
+            FLAGS_decode_step_ms * microseconds_per_millisecond));
+    settings.costs.most_running = FLAGS_max_batch;
+    settings.costs.kv_tokens = FLAGS_kv_tokens;
+    settings.role = FLAGS_role;
+    settings.model = FLAGS_model;
+    settings.service = FLAGS_service;
+    settings.checks_fencing = FLAGS_checks_fencing;
+    settings.change_duration = std::chrono::milliseconds(FLAGS_change_ms);
+    settings.load_report_lag =
+        std::chrono::milliseconds(FLAGS_load_report_lag_ms);
+    settings.cache_event_lag =
+        std::chrono::milliseconds(FLAGS_cache_event_lag_ms);
+    settings.cache_event_loss_percent = FLAGS_cache_event_loss_percent;
+    settings.most_waiting = FLAGS_max_waiting;
+    return settings;
+}
+
+} // namespace
+
+int main(int argument_count, char** arguments)
+{
+    using namespace hibiscusferry;
+    stand_ins::read_command_line(argument_count, arguments,
+                                 "serves a model engine from a cost model");
+    boost::asio::io_context context;
+    stand_ins::engine_stand_in engine(context, settings_from_flags());
+    engine.start();
+    stand_ins::run_stand_in(
+        context,
+        [&engine](http_exchange& exchange, boost::asio::yield_context yield)
+        { engine.serve(exchange, yield); },
+        [&engine] { engine.leave(); });
+}
