--- a/extras/stand_ins/engine/engine_stand_in.cpp
+++ b/extras/stand_ins/engine/engine_stand_in.cpp
@@ -445,7 +445,9 @@
     try
     {
         order.order_id = body.at("order_id").get<std::string>();
-        order.fencing_number = body.at("fencing_number").get<std::uint64_t>();
+        order.fencing_number =
+            body.at("fencing_number")
+                .get_ref<const nlohmann::json::number_unsigned_t&>();
         order.action = body.at("action").get<std::string>();
         order.argument = body.at("argument").get<std::string>();
     }
--- a/extras/stand_ins/platform/platform_stand_in.cpp
+++ b/extras/stand_ins/platform/platform_stand_in.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::size_t largest_value_bytes = 256U << 10;
 constexpr std::size_t default_scan_rows = 100;
-constexpr std::size_t most_scan_rows = 1000;
 constexpr std::string_view objects_path = "/v1/objects/";
 
 nlohmann::json to_json(const table_row& row)
@@ -36,7 +35,9 @@
     {
         row_condition condition{item.at("key").get<std::string>(), {}};
         if (item.contains("version"))
-            condition.version = item.at("version").get<row_version>();
+            condition.version =
+                item.at("version")
+                    .get_ref<const nlohmann::json::number_unsigned_t&>();
         transaction.conditions.push_back(condition);
     }
     for (const nlohmann::json& item : body.at("writes"))
@@ -67,7 +68,7 @@
 {
     std::size_t limit = default_scan_rows;
     std::from_chars(text.data(), text.data() + text.size(), limit);
-    return std::min(limit, most_scan_rows);
+    return std::min(limit, http_table_store::most_rows_per_call);
 }
 
 } // namespace
