Read and check settings and service documents

Cause: daemons and operators need settings and documents that are checked whole, with file, line and what is allowed. Before: the document existed as a value only. Conclusion: a text is either read without a problem or not taken at all.

--- /dev/null
+++ b/modules/document/reading/document_reader.cpp
@@ -0,0 +1,200 @@
+#include "document/reading/document_reader.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr double greatest_rate_tokens_per_second = 1e9;
+constexpr std::chrono::milliseconds one_millisecond{1};
+constexpr std::chrono::milliseconds one_hour{3600000};
+
+bool is_name(const std::string& text)
+{
+    return !text.empty() && text.size() <= 64 &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char character)
+                       {
+                           return std::islower(character) != 0 ||
+                                  std::isdigit(character) != 0 ||
+                                  character == '-';
+                       });
+}
+
+std::string read_name(const checked_table& table, const std::string& key)
+{
+    const std::string name = table.required_text(key);
+    if (!name.empty() && !is_name(name))
+        table.note(key, "must be 1 to 64 of a-z, 0-9 and -");
+    return name;
+}
+
+std::string read_path(const checked_table& table, const std::string& key)
+{
+    const std::string path = table.text(key, "");
+    if (!path.empty() && path.front() != '/')
+        table.note(key, "must begin with /");
+    return path;
+}
+
+service_limits read_limits(const checked_table& table)
+{
+    service_limits limits;
+    limits.queue_length = static_cast<std::uint32_t>(
+        table.integer("queue_length", limits.queue_length, 1, 100000));
+    limits.body_bytes = static_cast<std::uint64_t>(table.integer(
+        "body_bytes", static_cast<std::int64_t>(limits.body_bytes), 1024,
+        8 << 20));
+    limits.retry_percent = static_cast<std::uint32_t>(
+        table.integer("retry_percent", limits.retry_percent, 0, 100));
+    limits.target_concurrency = static_cast<std::uint32_t>(table.integer(
+        "target_concurrency", limits.target_concurrency, 1, 10000));
+    return limits;
+}
+
+token_cost read_cost(const checked_table& table)
+{
+    token_cost cost;
+    cost.prefill = table.number("prefill", cost.prefill, 0.000001, 1000);
+    cost.decode = table.number("decode", cost.decode, 0.000001, 1000);
+    return cost;
+}
+
+latency_targets read_latency(const checked_table& table)
+{
+    latency_targets latency;
+    latency.first_token = table.milliseconds(
+        "first_token_ms", latency.first_token, one_millisecond, one_hour);
+    latency.between_tokens = table.milliseconds(
+        "between_tokens_ms", latency.between_tokens, one_millisecond, one_hour);
+    return latency;
+}
+
+role_rules read_roles(const checked_table& table)
+{
+    role_rules rules;
+    rules.goodput_weight =
+        table.number("goodput_weight", rules.goodput_weight, 0, 1);
+    rules.most_away = static_cast<std::uint32_t>(
+        table.integer("most_away", rules.most_away, 1, 1000));
+    rules.change_duration = table.milliseconds(
+        "change_duration_ms", rules.change_duration, one_millisecond, one_hour);
+    rules.least_mixed = static_cast<std::uint32_t>(
+        table.integer("least_mixed", rules.least_mixed, 0, 100000));
+    return rules;
+}
+
+request_class read_class(const checked_table& table)
+{
+    request_class entry;
+    entry.name = read_name(table, "name");
+    entry.urgent = table.boolean("urgent", false);
+    entry.method = table.text("method", "");
+    entry.path = read_path(table, "path");
+    entry.header = table.text("header", "");
+    entry.deadline = table.milliseconds("deadline_ms", entry.deadline,
+                                        one_millisecond, one_hour);
+    return entry;
+}
+
+not_repeatable_rule read_rule(const checked_table& table)
+{
+    not_repeatable_rule rule;
+    rule.method = table.required_text("method");
+    table.required_text("path");
+    rule.path = read_path(table, "path");
+    rule.status_path = read_path(table, "status_path");
+    const bool lacks_key = !rule.status_path.empty() &&
+                           rule.status_path.find("{key}") == std::string::npos;
+    if (lacks_key)
+        table.note("status_path", "must contain {key}");
+    return rule;
+}
+
+customer_entry read_customer(const checked_table& table)
+{
+    customer_entry customer;
+    customer.name = read_name(table, "name");
+    customer.key_sha256 = table.required_text("key_sha256");
+    const bool is_digest = customer.key_sha256.size() == 64 &&
+                           customer.key_sha256.find_first_not_of(
+                               "0123456789abcdef") == std::string::npos;
+    if (!is_digest)
+        table.note("key_sha256", "must be a SHA-256 digest of 64 lower-case "
+                                 "hexadecimal digits");
+    customer.weight = table.number("weight", customer.weight, 0.001, 1000);
+    customer.tokens_per_second = table.number("tokens_per_second", 0, 0,
+                                              greatest_rate_tokens_per_second);
+    customer.urgent_tokens_per_second = table.number(
+        "urgent_tokens_per_second", 0, 0, greatest_rate_tokens_per_second);
+    return customer;
+}
+
+void read_customers(const checked_table& root, service_document& document)
+{
+    std::set<std::string> names;
+    std::set<std::string> keys;
+    for (const checked_table& table : root.tables("customers"))
+    {
+        const customer_entry customer = read_customer(table);
+        if (!names.insert(customer.name).second)
+            table.note("name", "is used by another customer");
+        if (!keys.insert(customer.key_sha256).second)
+            table.note("key_sha256", "is used by another customer");
+        document.customers.push_back(customer);
+    }
+    if (document.customers.empty())
+        root.note("customers", "must name at least one customer");
+}
+
+} // namespace
+
+document_reading read_service_document(const std::string& text,
+                                       const std::string& file_name)
+{
+    document_reading reading;
+    if (text.size() > document_byte_limit)
+    {
+        reading.problems.push_back({file_name, 0,
+                                    "must have at most " +
+                                        std::to_string(document_byte_limit) +
+                                        " bytes"});
+        return reading;
+    }
+
+    const checked_table root = checked_table::parse(text, file_name);
+    service_document document;
+    document.schema =
+        static_cast<std::uint32_t>(root.integer("schema", 1, 1, 1));
+    document.service = read_name(root, "service");
+    document.owner = root.required_text("owner");
+    document.kind = static_cast<service_kind>(
+        root.choice("kind", 0, {"model", "application"}));
+    document.region = read_name(root, "region");
+    document.models = root.texts("models");
+    document.targets_check_orders = static_cast<order_check>(
+        root.choice("targets_check_orders", 0, {"fencing", "none"}));
+    document.limits = read_limits(root.table("limits"));
+    document.cost = read_cost(root.table("cost"));
+    document.latency = read_latency(root.table("latency"));
+    document.roles = read_roles(root.table("roles"));
+    for (const checked_table& table : root.tables("classes"))
+        document.classes.push_back(read_class(table));
+    for (const checked_table& table : root.tables("not_repeatable"))
+        document.not_repeatable.push_back(read_rule(table));
+    read_customers(root, document);
+    if (document.kind == service_kind::model && document.models.empty())
+        root.note("models", "must name at least one model");
+
+    reading.problems = root.finish();
+    if (reading.problems.empty())
+        reading.document = document;
+    return reading;
+}
+
+} // namespace hibiscusferry
