Publish the interfaces of admission and routing

The daemons are written against these headers: fair queue, cost estimate, customers' limits over all hosts, retry budget; target table, send permission, picker, attempt ledger, stream assembler, connection health.

--- a/modules/admission/admission.hpp
+++ b/modules/admission/admission.hpp
@@ -1,6 +1,9 @@
 /** @file
     The admission module: which request runs next, and which is refused.
 
+    Costs in weighted tokens, the fair queue of a service, customers' limits
+    over all entry hosts, the retry budget and the overload gate.
+
     Decisions only, no I/O. Depends on foundation and document.
 */
 #ifndef HIBISCUSFERRY_ADMISSION_ADMISSION_HPP
@@ -9,4 +12,18 @@
 #include "document/document.hpp"
 #include "foundation/foundation.hpp"
 
+#include "admission/cost/cost_estimator.hpp"
+#include "admission/cost/request_cost.hpp"
+#include "admission/limits/overload_gate.hpp"
+#include "admission/limits/retry_budget.hpp"
+#include "admission/limits/token_bucket.hpp"
+#include "admission/queue/customer_lane.hpp"
+#include "admission/queue/drain_rate.hpp"
+#include "admission/queue/fair_queue.hpp"
+#include "admission/queue/queued_request.hpp"
+#include "admission/queue/waiting_requests.hpp"
+#include "admission/share/customer_limits.hpp"
+#include "admission/share/share_home.hpp"
+#include "admission/share/share_messages.hpp"
+
 #endif
--- /dev/null
+++ b/modules/admission/cost/request_cost.hpp
@@ -0,0 +1,25 @@
+#ifndef HIBISCUSFERRY_ADMISSION_COST_REQUEST_COST_HPP
+#define HIBISCUSFERRY_ADMISSION_COST_REQUEST_COST_HPP
+
+#include "document/document.hpp"
+
+namespace hibiscusferry
+{
+
+/** The work of one request, in tokens, prefill and decode apart. */
+struct request_cost
+{
+    double prefill_tokens = 0;
+    double decode_tokens = 0;
+
+    /** The cost in weighted tokens: one decoded token costs `cost.decode`.
+        This is the unit of all shares, limits and queues. */
+    double weighted(const token_cost& cost) const
+    {
+        return prefill_tokens * cost.prefill + decode_tokens * cost.decode;
+    }
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/admission/queue/waiting_requests.hpp
@@ -0,0 +1,82 @@
+#ifndef HIBISCUSFERRY_ADMISSION_QUEUE_WAITING_REQUESTS_HPP
+#define HIBISCUSFERRY_ADMISSION_QUEUE_WAITING_REQUESTS_HPP
+
+#include "admission/queue/queued_request.hpp"
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** Holds the waiting requests of a fair_queue: one list for each customer
+    and lane, oldest first, an order by expiry, and a look-up by number.
+
+    Requests are in reused slots, so that memory follows the number of waiting
+    requests and not that of customers. Everything is O(1) but the order by
+    expiry, which is O(log n).
+*/
+class waiting_requests
+{
+public:
+    static constexpr std::uint32_t none = 0xffffffffU;
+
+    /** Adds a request at one end of its customer's list.
+        @returns its slot, which stays the same until it is removed */
+    std::uint32_t add(const queued_request& request, std::uint32_t customer,
+                      bool at_front);
+
+    void remove(std::uint32_t slot);
+
+    const queued_request& request(std::uint32_t slot) const;
+    std::uint32_t customer(std::uint32_t slot) const;
+
+    /** The slot of a request, or none. */
+    std::uint32_t find(request_number number) const;
+
+    /** The oldest and the newest request of a customer, or none. */
+    std::uint32_t first(std::uint32_t customer, queue_lane lane) const;
+    std::uint32_t last(std::uint32_t customer, queue_lane lane) const;
+
+    /** The request that expires first, or none. */
+    std::uint32_t first_to_expire() const;
+
+    /** When a request can no longer be answered by its deadline. */
+    time_point expiry(std::uint32_t slot) const;
+
+    std::size_t size() const;
+    std::size_t size(queue_lane lane) const;
+
+private:
+    struct slot_state
+    {
+        queued_request request;
+        std::uint32_t customer = 0;
+        std::uint32_t previous = none;
+        std::uint32_t next = none;
+    };
+
+    struct request_list
+    {
+        std::uint32_t first = none;
+        std::uint32_t last = none;
+    };
+
+    request_list& list_of(std::uint32_t customer, queue_lane lane);
+    void link(std::uint32_t slot, bool at_front);
+    void unlink(std::uint32_t slot);
+
+    std::vector<slot_state> slots_;
+    std::vector<std::uint32_t> free_slots_;
+    std::vector<request_list> lists_[2];
+    std::unordered_map<request_number, std::uint32_t> by_number_;
+    std::set<std::pair<time_point, std::uint32_t>> by_expiry_;
+    std::size_t sizes_[2] = {0, 0};
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/routing/choice/target_picker.hpp
@@ -0,0 +1,144 @@
+#ifndef HIBISCUSFERRY_ROUTING_CHOICE_TARGET_PICKER_HPP
+#define HIBISCUSFERRY_ROUTING_CHOICE_TARGET_PICKER_HPP
+
+#include "routing/choice/prefix_key.hpp"
+#include "routing/targets/send_permission.hpp"
+#include "routing/targets/target_table.hpp"
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** Errors of the routing module. */
+enum class routing_error
+{
+    no_target = 1, ///< no target is known that could take the work
+    targets_full,  ///< all that could are at their limit; wait in the queue
+    not_permitted  ///< new work may not be sent to those that could
+};
+
+const std::error_category& routing_error_category();
+std::error_code make_error_code(routing_error error);
+
+/** What a target is wanted for. */
+struct pick_request
+{
+    /** prefix_key() of the prompt, or 0 for no affinity. */
+    std::uint64_t prefix = 0;
+    double prefill_tokens = 0;
+    double decode_tokens = 0;
+    bool urgent = false;
+    /** Targets that must not be used: those already tried. */
+    std::vector<std::string> excluded;
+    /** Whether KV cache may be handed over from one target to another; not
+        under overload, nor for application servers. */
+    bool hand_over_allowed = true;
+};
+
+/** Where a request goes. */
+struct pick
+{
+    /** The target that prefills, and decodes too unless `decode_target` is
+        given. */
+    std::string target;
+    /** The target that decodes after hand-over; empty for the same one. */
+    std::string decode_target;
+    /** Pieces of KV cache to hand over. */
+    std::uint32_t kv_pieces = 0;
+    /** Whether the target is the one that prefix affinity prefers. */
+    bool by_affinity = false;
+};
+
+/** Weights of the choice, in time. */
+struct picker_settings
+{
+    /** This router's availability zone. */
+    std::string availability_zone;
+    /** Time that an engine takes to prefill one token. */
+    std::chrono::nanoseconds prefill_token{50000};
+    /** Time that each active stream of a target adds to a new request. */
+    std::chrono::nanoseconds stream_delay{4000000};
+    /** Time that another availability zone adds. */
+    std::chrono::nanoseconds zone_delay{3000000};
+    /** Time to hand over one piece of KV cache. */
+    std::chrono::nanoseconds kv_piece_transfer{12000000};
+    /** Slowing of a target's streams for each waiting prefill token, which
+        decode targets do not have. */
+    std::chrono::nanoseconds prefill_interference{20000};
+    /** A target may have this many times the mean load before affinity goes
+        to the next; 1.25 as in the cited paper. */
+    double load_bound = 1.25;
+    /** A hand-over must be better by this factor. */
+    double hand_over_gain = 1.2;
+};
+
+/** Chooses a target from a target_table.
+
+    With a prefix, the first target in the prefix's rendezvous order whose
+    load is within a bound of the mean: "Consistent Hashing with Bounded
+    Loads", Mirrokni, Thorup and Zadimoghaddam, SODA 2018, on rendezvous
+    hashing. Without one, the better of two drawn at random (Mitzenmacher,
+    "The Power of Two Choices in Randomized Load Balancing", 2001), or the
+    least loaded for urgent requests. Load is expected waiting time: prefill
+    tokens ahead, active streams, and the way to another availability zone.
+
+    A long prompt is prefilled at one target and decoded at another when the
+    time that its KV cache takes to be handed over is less than what is saved.
+
+    One pass over the table's targets, which the subset keeps few. Used from
+    one thread.
+*/
+class target_picker
+{
+public:
+    /** @param seed  of the draws; differs between routers */
+    target_picker(const picker_settings& settings, std::uint64_t seed);
+
+    /** Chooses where a request goes, or says why it cannot.
+        @param permission  null for services whose targets never change */
+    result<pick> choose(const target_table& table,
+                        const send_permission* permission,
+                        const pick_request& request, time_point now);
+
+    /** The expected wait at a target, for /status and benches. */
+    std::chrono::nanoseconds expected_wait(const target_entry& entry) const;
+
+private:
+    struct candidate
+    {
+        const target_entry* entry = nullptr;
+        double wait = 0;
+    };
+
+    std::error_code gather(const target_table& table,
+                           const send_permission* permission,
+                           const pick_request& request, time_point now);
+    const candidate* choose_for_prefill(const pick_request& request,
+                                        bool& by_affinity);
+    const candidate* by_affinity(const pick_request& request) const;
+    const candidate* by_two_choices();
+    const candidate* least_loaded() const;
+    const candidate* best_decoder(const candidate& prefiller) const;
+    bool hand_over_pays(const candidate& prefiller, const candidate& decoder,
+                        const pick_request& request) const;
+    std::uint64_t draw();
+
+    picker_settings settings_;
+    std::uint64_t random_state_;
+    /** Scratch space of choose(), kept to save allocations. */
+    std::vector<candidate> candidates_;
+    std::vector<candidate> decoders_;
+    double mean_wait_ = 0;
+};
+
+} // namespace hibiscusferry
+
+template <>
+struct std::is_error_code_enum<hibiscusferry::routing_error> : std::true_type
+{
+};
+
+#endif
--- a/modules/routing/routing.hpp
+++ b/modules/routing/routing.hpp
@@ -1,6 +1,10 @@
 /** @file
     The routing module: which target serves a request.
 
+    The targets that a router knows and its permission to send to them, the
+    choice among them, the attempts of each request, streams put together
+    over several connections, and the health of connections.
+
     Decisions only, no I/O. Depends on foundation and document.
 */
 #ifndef HIBISCUSFERRY_ROUTING_ROUTING_HPP
@@ -9,4 +13,15 @@
 #include "document/document.hpp"
 #include "foundation/foundation.hpp"
 
+#include "routing/attempts/attempt_ledger.hpp"
+#include "routing/choice/prefix_key.hpp"
+#include "routing/choice/target_picker.hpp"
+#include "routing/connections/connection_health.hpp"
+#include "routing/streams/stream_assembler.hpp"
+#include "routing/targets/in_flight_work.hpp"
+#include "routing/targets/send_permission.hpp"
+#include "routing/targets/target.hpp"
+#include "routing/targets/target_subset.hpp"
+#include "routing/targets/target_table.hpp"
+
 #endif
--- /dev/null
+++ b/modules/routing/targets/send_permission.hpp
@@ -0,0 +1,141 @@
+#ifndef HIBISCUSFERRY_ROUTING_TARGETS_SEND_PERMISSION_HPP
+#define HIBISCUSFERRY_ROUTING_TARGETS_SEND_PERMISSION_HPP
+
+#include "foundation/foundation.hpp"
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** Orders the announcements of a service; grows with each of them, also when
+    another controller takes over. */
+using routing_version = std::uint64_t;
+
+/** How long a router may send to targets after it asked for permission. A
+    controller that plans a change waits this long, from its announcement,
+    for a router that does not confirm. */
+constexpr std::chrono::milliseconds permission_term{6000};
+
+/** How long a peer's word that its permission has lapsed counts, from when
+    it was asked. Shorter than the term by more than any delay. */
+constexpr std::chrono::milliseconds peer_word_term{3000};
+
+/** The most routers without confirmation that a controller may wait out
+    instead of hearing; with more it plans no change. Part of the protocol:
+    both sides use it. */
+constexpr std::size_t tolerated_silent_routers(std::size_t routers)
+{
+    return routers / 10 > 1 ? routers / 10 : 1;
+}
+
+/** What the controllers of a service have announced: the whole list of
+    targets that get no new work, few at a time. From the controller, from
+    the store's rows of pending changes, or from a peer. */
+struct routing_announcement
+{
+    std::string service;
+    routing_version version = 0;
+    std::vector<std::string> stopped_targets;
+    /** How old the announcement's knowledge was when it was sent: 0 from
+        the controller that holds the service or from the store, more from
+        one that passes it on. */
+    std::chrono::milliseconds age{0};
+};
+
+/** From a router to a controller: no new work goes to the target any more. */
+struct stop_confirmation
+{
+    std::string router;
+    std::string service;
+    std::string target;
+    routing_version version = 0;
+    /** This router's attempts still running there. */
+    std::size_t in_flight = 0;
+};
+
+/** Why new work may not be sent to a target now. */
+enum class permission_verdict
+{
+    permitted,
+    stopped, ///< a change of the target is announced
+    lapsed   ///< no announcement has been heard for a whole term
+};
+
+/** Says whether this router may send new work to a service's targets, so
+    that a planned change of a target cuts no request.
+
+    The router asks any controller for the announcement every second or two;
+    if none answers it reads the store's rows of pending changes, which are
+    written before a change begins. Each answer permits new work, to all
+    targets that it does not stop, for a term that counts from before the
+    question was sent, less the age of the answer. When the term has lapsed:
+
+    - targets that never change their role (application servers, engines that
+      always stay mixed) stay permitted;
+    - if more routers have lapsed than a controller may wait out, this one
+      included, no change can have begun without one of them knowing: the
+      newest announcement among them holds, and all other targets stay
+      permitted as long as they go on saying so. So the loss of all
+      controllers and the store together does not stop the traffic;
+    - otherwise nothing new goes to the service's other targets.
+
+    Check right before the first byte leaves, on the thread that sends it.
+    Used from one thread.
+*/
+class send_permission
+{
+public:
+    send_permission(std::string router, std::string service);
+
+    /** A change can never be ordered for these targets. */
+    void set_fixed_targets(const std::vector<std::string>& targets);
+
+    /** An announcement arrived. Older versions renew nothing.
+        @param asked_at  when the question that it answers was sent
+        @returns true when the version is new: confirm its stopped targets */
+    bool heard(const routing_announcement& announcement, time_point asked_at);
+
+    /** A peer said that its permission has lapsed, with the last
+        announcement it has. @param router_count  listed entry hosts */
+    void heard_lapsed_peer(const std::string& peer,
+                           const routing_announcement& last,
+                           std::size_t router_count, time_point asked_at);
+
+    /** Whether new work may go to a target. */
+    permission_verdict check(const std::string& target, time_point now) const;
+
+    /** Whether the permission has lapsed: peers are told so when they ask. */
+    bool has_lapsed(time_point now) const;
+
+    /** When the permission lapses if nothing more is heard. */
+    time_point lapses_at() const;
+
+    /** The last announcement heard, for peers; age 0. */
+    const routing_announcement& last_announcement() const;
+
+    /** The confirmation for a stopped target; to be sent when the version is
+        new and again when `in_flight` reaches 0. */
+    stop_confirmation confirm(const std::string& target,
+                              std::size_t in_flight) const;
+
+private:
+    bool many_have_lapsed(time_point now) const;
+    bool take_over(const routing_announcement& announcement);
+
+    std::string router_;
+    routing_announcement last_;
+    std::vector<std::string> fixed_targets_;
+    time_point lapses_at_;
+    bool heard_any_ = false;
+    std::size_t router_count_ = 1;
+    /** When each lapsed peer was last asked. */
+    std::unordered_map<std::string, time_point> lapsed_peers_;
+};
+
+} // namespace hibiscusferry
+
+#endif
