--- a/modules/admission/admission.hpp
+++ b/modules/admission/admission.hpp
@@ -23,7 +23,9 @@
 #include "admission/queue/queued_request.hpp"
 #include "admission/queue/waiting_requests.hpp"
 #include "admission/share/customer_limits.hpp"
-#include "admission/share/share_home.hpp"
+#include "admission/share/demand_meter.hpp"
+#include "admission/share/share_aggregator.hpp"
+#include "admission/share/share_layout.hpp"
 #include "admission/share/share_messages.hpp"
 
 #endif
--- /dev/null
+++ b/modules/admission/cost/cost_estimator.cpp
@@ -0,0 +1,64 @@
+#include "admission/cost/cost_estimator.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+void move_towards(double& mean, double sample)
+{
+    mean += cost_estimator::newest_weight * (sample - mean);
+}
+
+} // namespace
+
+cost_estimator::cost_estimator(service_kind kind)
+    : kind_(kind)
+{
+}
+
+request_cost cost_estimator::estimate(const std::string& customer,
+                                      const request_size& size) const
+{
+    if (kind_ == service_kind::application)
+        return {0, 1};
+
+    request_cost cost;
+    cost.prefill_tokens = std::max(1.0, static_cast<double>(size.prompt_bytes) /
+                                            bytes_per_token_);
+    const auto known = decode_by_customer_.find(customer);
+    cost.decode_tokens =
+        known == decode_by_customer_.end() ? decode_tokens_ : known->second;
+    if (size.max_tokens)
+    {
+        cost.decode_tokens =
+            std::min(cost.decode_tokens, static_cast<double>(*size.max_tokens));
+    }
+    cost.decode_tokens = std::max(1.0, cost.decode_tokens);
+    return cost;
+}
+
+void cost_estimator::learn(const std::string& customer,
+                           const request_size& size, const request_cost& actual)
+{
+    if (kind_ == service_kind::application)
+        return;
+
+    if (actual.prefill_tokens >= 1 && size.prompt_bytes > 0)
+    {
+        move_towards(bytes_per_token_, static_cast<double>(size.prompt_bytes) /
+                                           actual.prefill_tokens);
+    }
+    move_towards(decode_tokens_, actual.decode_tokens);
+
+    const auto known = decode_by_customer_.find(customer);
+    if (known != decode_by_customer_.end())
+        move_towards(known->second, actual.decode_tokens);
+    else if (decode_by_customer_.size() < greatest_customers)
+        decode_by_customer_.emplace(customer, actual.decode_tokens);
+}
+
+} // namespace hibiscusferry
--- a/modules/admission/queue/customer_lane.hpp
+++ b/modules/admission/queue/customer_lane.hpp
@@ -34,7 +34,10 @@
         was the first. */
     void request_removed(std::uint32_t customer, double cost);
 
-    /** Charges (or, if negative, gives back) service, in weighted tokens. */
+    /** Charges the service of a request that is taken now. */
+    void serve(std::uint32_t customer, double cost, double weight);
+
+    /** Corrects the charged service; negative to give back. */
     void charge(std::uint32_t customer, double cost, double weight);
 
     /** Renews the orders after a change of weight. */
--- /dev/null
+++ b/modules/admission/queue/fair_queue.cpp
@@ -0,0 +1,371 @@
+#include "admission/queue/fair_queue.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr double smallest_weight = 1e-3;
+constexpr double smallest_cost = 1e-6;
+constexpr std::chrono::seconds greatest_retry_after{60};
+
+} // namespace
+
+fair_queue::fair_queue(const fair_queue_settings& settings)
+    : settings_(settings)
+{
+    assert(settings.capacity > 0);
+    assert(settings.normal_share > 0 && settings.normal_share < 1);
+}
+
+std::vector<request_refusal>
+fair_queue::configure(const service_document& document, time_point)
+{
+    settings_.capacity = std::max(1U, document.limits.queue_length);
+    for (customer_state& state : customers_)
+        state.listed = false;
+    for (const customer_entry& listed : document.customers)
+    {
+        const std::uint32_t customer = index_of(listed.name);
+        customer_state& state = customers_[customer];
+        state.weight = std::max(smallest_weight, listed.weight);
+        state.listed = true;
+        urgent_.weight_changed(customer, state.weight);
+        normal_.weight_changed(customer, state.weight);
+    }
+    for (std::uint32_t customer = 0; customer < customers_.size(); ++customer)
+        forget_if_idle(customer);
+
+    std::vector<request_refusal> refusals;
+    shed_excess(queue_lane::normal, refusals);
+    return refusals;
+}
+
+std::vector<request_refusal> fair_queue::offer(const queued_request& request,
+                                               time_point now)
+{
+    std::vector<request_refusal> refusals;
+    const std::chrono::milliseconds wait =
+        expected_wait(request.customer, request.lane, request.cost);
+    if (now + wait + request.expected_run > request.deadline)
+    {
+        refusals.push_back(refuse(request, refusal_reason::too_late));
+        return refusals;
+    }
+    enter(request, false);
+    shed_excess(request.lane, refusals);
+    return refusals;
+}
+
+std::optional<queued_request> fair_queue::take(time_point now)
+{
+    if (waiting_.size() == 0)
+        return std::nullopt;
+
+    const queue_lane lane = next_lane();
+    const std::uint32_t customer = *lane_of(lane).least_served();
+    const std::uint32_t slot = waiting_.first(customer, lane);
+    queued_request request = waiting_.request(slot);
+    if (lane == queue_lane::normal)
+    {
+        normal_credit_ = std::max(0.0, normal_credit_ - request.cost);
+    }
+    else if (waiting_.size(queue_lane::normal) > 0)
+    {
+        normal_credit_ += request.cost * settings_.normal_share /
+                          (1 - settings_.normal_share);
+    }
+
+    ++customers_[customer].running;
+    charges_.emplace(request.number, charge{customer, lane, request.cost});
+    lane_of(lane).serve(customer, request.cost, customers_[customer].weight);
+    if (lane == queue_lane::urgent &&
+        waiting_.first(customer, queue_lane::normal) != waiting_requests::none)
+    {
+        normal_.charge(customer, request.cost, customers_[customer].weight);
+    }
+    remove(slot);
+    rate_.taken(request.cost, waiting_.size() > 0, now);
+    return request;
+}
+
+void fair_queue::put_back(const queued_request& request, time_point)
+{
+    finish(request.number, 0);
+    enter(request, true);
+}
+
+std::vector<request_refusal> fair_queue::expire(time_point now)
+{
+    std::vector<request_refusal> refusals;
+    while (waiting_.size() > 0)
+    {
+        const std::uint32_t slot = waiting_.first_to_expire();
+        if (waiting_.expiry(slot) > now)
+            break;
+        refusals.push_back(refuse(slot, refusal_reason::deadline_passed));
+    }
+    return refusals;
+}
+
+std::optional<time_point> fair_queue::next_expiry() const
+{
+    if (waiting_.size() == 0)
+        return std::nullopt;
+    return waiting_.expiry(waiting_.first_to_expire());
+}
+
+bool fair_queue::cancel(request_number number)
+{
+    const std::uint32_t slot = waiting_.find(number);
+    if (slot == waiting_requests::none)
+        return false;
+    const std::uint32_t customer = waiting_.customer(slot);
+    remove(slot);
+    forget_if_idle(customer);
+    return true;
+}
+
+void fair_queue::finish(request_number number, double actual_cost)
+{
+    const auto found = charges_.find(number);
+    if (found == charges_.end())
+        return;
+    const charge charged = found->second;
+    charges_.erase(found);
+    --customers_[charged.customer].running;
+    lane_of(charged.lane)
+        .charge(charged.customer, actual_cost - charged.cost,
+                customers_[charged.customer].weight);
+    forget_if_idle(charged.customer);
+}
+
+std::size_t fair_queue::size() const
+{
+    return waiting_.size();
+}
+
+std::size_t fair_queue::size(queue_lane lane) const
+{
+    return waiting_.size(lane);
+}
+
+std::optional<double> fair_queue::measured_rate() const
+{
+    return rate_.tokens_per_second();
+}
+
+std::chrono::milliseconds fair_queue::expected_wait(const std::string& customer,
+                                                    queue_lane lane,
+                                                    double cost) const
+{
+    const std::optional<double> rate = rate_.tokens_per_second();
+    if (!rate || *rate <= 0 || waiting_.size() == 0)
+        return std::chrono::milliseconds(0);
+
+    const std::optional<std::uint32_t> known = find(customer);
+    const double weight = known ? customers_[*known].weight : 1.0;
+    const customer_lane& own_lane = lane_of(lane);
+    const double own = cost + (known ? own_lane.waiting_cost(*known) : 0);
+    const double ahead = greatest_wait(own_lane, own, weight) - cost;
+
+    // While both lanes wait, each has its part of the rate; a lane never
+    // waits longer than for all the work of both.
+    double tokens = ahead;
+    if (lane == queue_lane::urgent && waiting_.size(queue_lane::normal) > 0)
+    {
+        tokens = std::min(ahead / (1 - settings_.normal_share),
+                          ahead + normal_.waiting_cost());
+    }
+    else if (lane == queue_lane::normal)
+    {
+        tokens = std::min((ahead + cost) / settings_.normal_share,
+                          ahead + urgent_.waiting_cost());
+    }
+    const std::chrono::duration<double> wait(std::max(0.0, tokens) / *rate);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+}
+
+double fair_queue::service_counter(const std::string& customer,
+                                   queue_lane lane) const
+{
+    const std::optional<std::uint32_t> known = find(customer);
+    return known ? lane_of(lane).counter(*known) : 0;
+}
+
+// ------------------------------------------------------------------------
+// Customers
+
+std::optional<std::uint32_t> fair_queue::find(const std::string& customer) const
+{
+    const auto found = indexes_.find(customer);
+    if (found == indexes_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::uint32_t fair_queue::index_of(const std::string& customer)
+{
+    const std::optional<std::uint32_t> known = find(customer);
+    if (known)
+        return *known;
+
+    std::uint32_t index = 0;
+    if (free_customers_.empty())
+    {
+        index = static_cast<std::uint32_t>(customers_.size());
+        customers_.emplace_back();
+    }
+    else
+    {
+        index = free_customers_.back();
+        free_customers_.pop_back();
+    }
+    customers_[index] = customer_state{customer, 1.0, 0, false};
+    urgent_.reset(index);
+    normal_.reset(index);
+    indexes_.emplace(customer, index);
+    return index;
+}
+
+void fair_queue::forget_if_idle(std::uint32_t customer)
+{
+    customer_state& state = customers_[customer];
+    const bool waits =
+        waiting_.first(customer, queue_lane::urgent) !=
+            waiting_requests::none ||
+        waiting_.first(customer, queue_lane::normal) != waiting_requests::none;
+    if (state.listed || state.running > 0 || waits || state.name.empty())
+        return;
+    indexes_.erase(state.name);
+    state = customer_state{};
+    free_customers_.push_back(customer);
+}
+
+// ------------------------------------------------------------------------
+// Lanes
+
+customer_lane& fair_queue::lane_of(queue_lane lane)
+{
+    return lane == queue_lane::urgent ? urgent_ : normal_;
+}
+
+const customer_lane& fair_queue::lane_of(queue_lane lane) const
+{
+    return lane == queue_lane::urgent ? urgent_ : normal_;
+}
+
+queue_lane fair_queue::next_lane() const
+{
+    if (waiting_.size(queue_lane::urgent) == 0)
+        return queue_lane::normal;
+    if (waiting_.size(queue_lane::normal) == 0)
+        return queue_lane::urgent;
+    const std::uint32_t customer = *normal_.least_served();
+    return normal_credit_ >= normal_.first_cost(customer) ? queue_lane::normal
+                                                          : queue_lane::urgent;
+}
+
+double fair_queue::greatest_wait(const customer_lane& lane, double own_cost,
+                                 double own_weight) const
+{
+    // Under fair shares, a customer's work is done once everyone has had as
+    // much per weight as it asks for; at the latest when all work is done.
+    const double by_share =
+        own_cost / own_weight * (lane.waiting_weight() + own_weight);
+    return std::min(by_share, lane.waiting_cost() + own_cost);
+}
+
+// ------------------------------------------------------------------------
+// Requests
+
+std::uint32_t fair_queue::enter(const queued_request& request, bool at_front)
+{
+    queued_request entered = request;
+    entered.cost = std::max(smallest_cost, request.cost);
+    const std::uint32_t customer = index_of(request.customer);
+    const std::uint32_t slot = waiting_.add(entered, customer, at_front);
+    customer_lane& lane = lane_of(request.lane);
+    lane.request_added(customer, entered.cost, customers_[customer].weight);
+    const std::uint32_t first = waiting_.first(customer, request.lane);
+    lane.first_changed(customer, waiting_.request(first).cost);
+    if (waiting_.size(queue_lane::normal) == 0)
+        normal_credit_ = 0;
+    return slot;
+}
+
+void fair_queue::remove(std::uint32_t slot)
+{
+    const queue_lane lane = waiting_.request(slot).lane;
+    const double cost = waiting_.request(slot).cost;
+    const std::uint32_t customer = waiting_.customer(slot);
+    waiting_.remove(slot);
+    lane_of(lane).request_removed(customer, cost);
+    const std::uint32_t first = waiting_.first(customer, lane);
+    const bool any = first != waiting_requests::none;
+    lane_of(lane).first_changed(customer,
+                                any ? waiting_.request(first).cost : 0);
+    if (waiting_.size(queue_lane::normal) == 0)
+        normal_credit_ = 0;
+}
+
+request_refusal fair_queue::refuse(std::uint32_t slot, refusal_reason reason)
+{
+    const queued_request request = waiting_.request(slot);
+    const std::uint32_t customer = waiting_.customer(slot);
+    remove(slot);
+    forget_if_idle(customer);
+    return refuse(request, reason);
+}
+
+request_refusal fair_queue::refuse(const queued_request& request,
+                                   refusal_reason reason) const
+{
+    return {request.number, request.customer, reason, retry_after(request)};
+}
+
+void fair_queue::shed_excess(queue_lane newcomer,
+                             std::vector<request_refusal>& refusals)
+{
+    while (waiting_.size() > settings_.capacity)
+    {
+        const queue_lane lane = lane_to_shed(newcomer);
+        const std::uint32_t customer = *lane_of(lane).heaviest();
+        const std::uint32_t slot = waiting_.last(customer, lane);
+        refusals.push_back(refuse(slot, refusal_reason::queue_full));
+    }
+}
+
+queue_lane fair_queue::lane_to_shed(queue_lane newcomer) const
+{
+    const queue_lane other = newcomer == queue_lane::urgent
+                                 ? queue_lane::normal
+                                 : queue_lane::urgent;
+    const std::size_t kept = (settings_.capacity + 1) / 2;
+    return waiting_.size(newcomer) > kept || waiting_.size(other) == 0
+               ? newcomer
+               : other;
+}
+
+std::chrono::seconds
+fair_queue::retry_after(const queued_request& request) const
+{
+    const std::chrono::milliseconds wait =
+        expected_wait(request.customer, request.lane, request.cost);
+    std::chrono::seconds base = std::chrono::ceil<std::chrono::seconds>(wait);
+    base = std::clamp(base, std::chrono::seconds(1), greatest_retry_after);
+    // Refused together, not back together.
+    const std::uint64_t spread =
+        static_cast<std::uint64_t>(base.count()) / 2 + 2;
+    return base +
+           std::chrono::seconds(
+               combine_hashes(stable_hash(request.customer), request.number) %
+               spread);
+}
+
+} // namespace hibiscusferry
--- a/modules/admission/queue/fair_queue.hpp
+++ b/modules/admission/queue/fair_queue.hpp
@@ -37,9 +37,9 @@
 
     Urgent requests go before normal ones. Each lane has its own counters, so
     that one customer's urgent flood does not hold up the urgent requests of
-    others, and normal work keeps a bounded share. Urgent service also counts
-    towards the customer's normal counter: to call one's work urgent gains no
-    share.
+    others, and normal work keeps a bounded share. While a customer has normal
+    work waiting, its urgent service counts towards its normal counter too: to
+    call a part of one's work urgent gains no share.
 
     A full queue sheds the newest request of the customer that has most cost
     waiting behind its first request; the newcomer is refused only if that is
@@ -129,18 +129,21 @@
     };
 
     std::uint32_t index_of(const std::string& customer);
+    std::optional<std::uint32_t> find(const std::string& customer) const;
     void forget_if_idle(std::uint32_t customer);
     customer_lane& lane_of(queue_lane lane);
     const customer_lane& lane_of(queue_lane lane) const;
     queue_lane next_lane() const;
     queue_lane lane_to_shed(queue_lane newcomer) const;
+    double greatest_wait(const customer_lane& lane, double own_cost,
+                         double own_weight) const;
     void charge_customer(std::uint32_t customer, queue_lane lane, double cost);
-    void enter(const queued_request& request, bool at_front);
+    std::uint32_t enter(const queued_request& request, bool at_front);
     void remove(std::uint32_t slot);
     request_refusal refuse(std::uint32_t slot, refusal_reason reason);
     request_refusal refuse(const queued_request& request,
                            refusal_reason reason) const;
-    void shed_excess(queue_lane newcomer, std::uint32_t newcomer_slot,
+    void shed_excess(queue_lane newcomer,
                      std::vector<request_refusal>& refusals);
     std::chrono::seconds retry_after(const queued_request& request) const;
 
--- /dev/null
+++ b/modules/admission/share/customer_limits.cpp
@@ -0,0 +1,309 @@
+#include "admission/share/customer_limits.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+double bucket_size(double rate)
+{
+    return rate *
+           std::chrono::duration<double>(customer_limits::bucket_time).count();
+}
+
+/** A host asks for the demand when it sees more than this part of its even
+    share of a limit. */
+constexpr double asking_part = 0.5;
+
+} // namespace
+
+customer_limits::customer_limits(std::string host, std::uint64_t incarnation,
+                                 time_point now)
+    : host_(std::move(host))
+    , host_hash_(stable_hash(host_))
+    , incarnation_(incarnation)
+    , report_budget_(bytes_per_second, 4 * bytes_per_second, now)
+{
+}
+
+// ------------------------------------------------------------------------
+// Settings
+
+void customer_limits::configure(const service_document& document,
+                                time_point now)
+{
+    remove_unlisted(document);
+    customers_by_name customers;
+    for (const customer_entry& listed : document.customers)
+    {
+        customer_keys keys;
+        keys.all =
+            configure_limit(document.service, listed.name, queue_lane::normal,
+                            listed.tokens_per_second, now);
+        keys.urgent =
+            configure_limit(document.service, listed.name, queue_lane::urgent,
+                            listed.urgent_tokens_per_second, now);
+        if (keys.all != 0 || keys.urgent != 0)
+            customers.emplace(listed.name, keys);
+    }
+    services_[document.service] = std::move(customers);
+}
+
+share_key customer_limits::configure_limit(const std::string& service,
+                                           const std::string& customer,
+                                           queue_lane lane, double limit,
+                                           time_point now)
+{
+    const share_key key = share_key_of(service, customer, lane);
+    if (limit <= 0)
+    {
+        limits_.erase(key);
+        return 0;
+    }
+    const double part = limit / static_cast<double>(host_count_);
+    const auto known = limits_.find(key);
+    if (known == limits_.end())
+    {
+        limits_.emplace(
+            key, limit_state{limit, 0, 0, 0, now, std::nullopt, now, 0,
+                             token_bucket(part, bucket_size(part), now),
+                             token_bucket(limit, bucket_size(limit), now),
+                             demand_meter(now)});
+        return key;
+    }
+    limit_state& state = known->second;
+    state.limit = limit;
+    state.part.configure(part, bucket_size(part), now);
+    state.whole.configure(limit, bucket_size(limit), now);
+    return key;
+}
+
+void customer_limits::remove_unlisted(const service_document& document)
+{
+    const auto service = services_.find(document.service);
+    if (service == services_.end())
+        return;
+    customers_by_name gone = service->second;
+    for (const customer_entry& listed : document.customers)
+        gone.erase(listed.name);
+    for (auto entry = gone.begin(); entry != gone.end(); ++entry)
+    {
+        limits_.erase(entry->second.all);
+        limits_.erase(entry->second.urgent);
+    }
+}
+
+void customer_limits::hosts_changed(std::size_t host_count, time_point now)
+{
+    host_count_ = std::max<std::size_t>(1, host_count);
+    for (auto entry = limits_.begin(); entry != limits_.end(); ++entry)
+    {
+        const double part = even_part(entry->second);
+        entry->second.part.configure(part, bucket_size(part), now);
+    }
+}
+
+std::size_t customer_limits::size() const
+{
+    return limits_.size();
+}
+
+double customer_limits::even_part(const limit_state& state) const
+{
+    return state.limit / static_cast<double>(host_count_);
+}
+
+// ------------------------------------------------------------------------
+// Requests
+
+limit_decision customer_limits::admit(const std::string& service,
+                                      const std::string& customer,
+                                      queue_lane lane, double cost,
+                                      time_point now)
+{
+    limit_decision decision;
+    decision.lane = lane;
+    const auto customers = services_.find(service);
+    if (customers == services_.end())
+        return decision;
+    const auto found = customers->second.find(customer);
+    if (found == customers->second.end())
+        return decision;
+
+    const customer_keys& keys = found->second;
+    if (lane == queue_lane::urgent && keys.urgent != 0 &&
+        !admit_one(keys.urgent, cost, now))
+    {
+        decision.lane = queue_lane::normal;
+    }
+    if (keys.all != 0 && !admit_one(keys.all, cost, now))
+    {
+        decision.admitted = false;
+        decision.retry_after = retry_after(keys.all, now);
+    }
+    return decision;
+}
+
+bool customer_limits::admit_one(share_key key, double cost, time_point now)
+{
+    limit_state& state = limits_.at(key);
+    state.local.add(cost, now);
+    state.offered_rest += cost;
+    const double whole_tokens = std::floor(state.offered_rest);
+    state.offered += static_cast<std::uint64_t>(whole_tokens);
+    state.offered_rest -= whole_tokens;
+
+    if (state.whole.level(now) <= 0)
+        return false;
+    if (!knows_demand(state, now))
+        return state.part.take(cost, now) && state.whole.take(cost, now);
+
+    const double fraction = state.limit / std::max(*state.demand, state.limit);
+    if (fraction >= 1)
+    {
+        // Hosts begin to refuse at different requests of the customer.
+        state.credit = -phase(key) * cost;
+        return state.whole.take(cost, now);
+    }
+    state.credit = std::min(state.credit + fraction * cost, cost);
+    if (state.credit <= 0)
+        return false;
+    state.credit -= cost;
+    return state.whole.take(cost, now);
+}
+
+bool customer_limits::knows_demand(const limit_state& state,
+                                   time_point now) const
+{
+    return state.demand && now - state.demand_at < answer_lifetime;
+}
+
+double customer_limits::phase(share_key key) const
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(combine_hashes(key, host_hash_) % steps) /
+           static_cast<double>(steps);
+}
+
+std::chrono::seconds customer_limits::retry_after(share_key key,
+                                                  time_point now) const
+{
+    const limit_state& state = limits_.at(key);
+    time_point when =
+        std::max(state.part.available_at(now), state.whole.available_at(now));
+    if (knows_demand(state, now))
+    {
+        when = state.whole.available_at(now);
+        const double fraction =
+            state.limit / std::max(*state.demand, state.limit);
+        const double local = state.local.per_second(now);
+        if (state.credit < 0 && local > 0)
+        {
+            const std::chrono::duration<double> wait(-state.credit /
+                                                     (fraction * local));
+            when = std::max(
+                when, now + std::chrono::ceil<std::chrono::seconds>(wait));
+        }
+    }
+    constexpr std::chrono::seconds least{1};
+    constexpr std::chrono::seconds greatest{60};
+    return std::clamp(std::chrono::ceil<std::chrono::seconds>(when - now),
+                      least, greatest);
+}
+
+// ------------------------------------------------------------------------
+// Messages
+
+std::vector<addressed_report>
+customer_limits::reports(const share_layout& layout, time_point now)
+{
+    struct candidate
+    {
+        double significance = 0;
+        share_key key = 0;
+    };
+    std::vector<candidate> due;
+    for (auto entry = limits_.begin(); entry != limits_.end(); ++entry)
+    {
+        const limit_state& state = entry->second;
+        if (is_due(state, now))
+        {
+            due.push_back({static_cast<double>(state.offered - state.reported) /
+                               state.limit,
+                           entry->first});
+        }
+    }
+    std::sort(due.begin(), due.end(),
+              [](const candidate& left, const candidate& right)
+              { return left.significance > right.significance; });
+
+    std::map<std::string, usage_report> by_relay;
+    for (const candidate& one : due)
+    {
+        const std::string& relay = layout.relay_of(one.key);
+        const bool costs = relay != host_;
+        if (costs && report_budget_.level(now) <= 0)
+            continue;
+        limit_state& state = limits_.at(one.key);
+        usage_report& report = by_relay[relay];
+        const double before = report.entries.empty()
+                                  ? -static_cast<double>(share_transport_bytes)
+                                  : static_cast<double>(encoded_bytes(report));
+        report.entries.push_back(
+            {one.key, state.offered, state.reported, wants_answer(state, now)});
+        if (costs)
+        {
+            report_budget_.adjust(
+                before - static_cast<double>(encoded_bytes(report)), now);
+        }
+        state.reported = state.offered;
+        state.reported_at = now;
+    }
+
+    std::vector<addressed_report> reports;
+    for (auto entry = by_relay.begin(); entry != by_relay.end(); ++entry)
+    {
+        entry->second.host = host_;
+        entry->second.incarnation = incarnation_;
+        entry->second.sequence = ++sequence_;
+        reports.push_back({entry->first, std::move(entry->second)});
+    }
+    return reports;
+}
+
+void customer_limits::answer(const demand_answer& answer, time_point now)
+{
+    for (const demand_entry& entry : answer.entries)
+    {
+        const auto found = limits_.find(entry.key);
+        if (found == limits_.end())
+            continue;
+        found->second.demand = entry.tokens_per_second;
+        found->second.demand_at = now;
+    }
+}
+
+bool customer_limits::is_due(const limit_state& state, time_point now) const
+{
+    if (state.offered == state.reported)
+        return false;
+    const double unreported =
+        static_cast<double>(state.offered - state.reported);
+    const double interval =
+        std::chrono::duration<double>(report_interval).count();
+    return unreported >= even_part(state) * interval * asking_part ||
+           now - state.reported_at >= greatest_report_delay;
+}
+
+bool customer_limits::wants_answer(const limit_state& state,
+                                   time_point now) const
+{
+    return state.local.per_second(now) > asking_part * even_part(state);
+}
+
+} // namespace hibiscusferry
--- a/modules/admission/share/customer_limits.hpp
+++ b/modules/admission/share/customer_limits.hpp
@@ -3,6 +3,8 @@
 
 #include "admission/limits/token_bucket.hpp"
 #include "admission/queue/queued_request.hpp"
+#include "admission/share/demand_meter.hpp"
+#include "admission/share/share_layout.hpp"
 #include "admission/share/share_messages.hpp"
 #include "document/document.hpp"
 #include "foundation/foundation.hpp"
@@ -29,14 +31,14 @@
 /** Keeps customers' rates over all entry hosts, of which this host sees a
     fraction.
 
-    Each limit has a home host, which sums what the customer offers at all
-    hosts (share_home). When the demand is above the limit, every host admits
-    the same fraction, limit over demand, of what it is offered: global random
-    drop of Raghavan et al., "Cloud Control with Distributed Rate Limiting",
-    SIGCOMM 2007, with an error carried from request to request in place of
-    the coin. A host that has not heard the demand for `answer_lifetime` (new,
-    cut off, or the home is lost) keeps to an even part of the limit; no host
-    ever admits more than the whole limit by itself.
+    What customers offer is summed over all hosts (share_aggregator). When the
+    demand is above a limit, every host admits the same fraction, limit over
+    demand, of what it is offered: global random drop of Raghavan et al.,
+    "Cloud Control with Distributed Rate Limiting", SIGCOMM 2007, with a
+    remainder carried from request to request in place of the coin. A host
+    that has not heard the demand for `answer_lifetime` (new, cut off, or the
+    home is lost) keeps to an even part of the limit; no host ever admits more
+    than the whole limit by itself.
 
     Reports tell only what has changed, only of customers with a limit, and
     wait when the byte budget is used up, the most significant ones first.
@@ -45,18 +47,20 @@
 class customer_limits
 {
 public:
+    /** Call reports() this often. */
     static constexpr std::chrono::seconds report_interval{2};
+    /** Small amounts are reported after this time. */
+    static constexpr std::chrono::seconds greatest_report_delay{8};
     static constexpr std::chrono::seconds answer_lifetime{10};
     /** Buckets hold this long a time's worth of their rate. */
     static constexpr std::chrono::seconds bucket_time{5};
     /** Bytes a second that reports may take, with transport. */
-    static constexpr double report_bytes_per_second = 700;
-    /** Bytes that the transport adds to each message. */
-    static constexpr std::size_t transport_bytes = 60;
+    static constexpr double bytes_per_second = 700;
 
     /** @param host  this host's id
         @param incarnation  differs from that before a restart */
-    customer_limits(std::string host, std::uint64_t incarnation);
+    customer_limits(std::string host, std::uint64_t incarnation,
+                    time_point now);
 
     /** Sets the limits of a service's customers from its document. */
     void configure(const service_document& document, time_point now);
@@ -72,14 +76,12 @@
                          const std::string& customer, queue_lane lane,
                          double cost, time_point now);
 
-    /** The reports that are due. Call every report_interval.
-        @param live_hosts  stable_hash of the ids of the live entry hosts
-                           that membership knows, this one included; the
-                           same on all hosts once they agree */
-    std::vector<addressed_report>
-    reports(const std::vector<std::uint64_t>& live_hosts, time_point now);
+    /** The reports that are due; those to this host itself are to be handed
+        to its own share_aggregator. */
+    std::vector<addressed_report> reports(const share_layout& layout,
+                                          time_point now);
 
-    /** Takes an answer from a home (also from this host itself). */
+    /** Takes an answer that is not `to_relay`. */
     void answer(const demand_answer& answer, time_point now);
 
     /** Limits that this host holds state for. */
@@ -89,46 +91,51 @@
     struct limit_state
     {
         double limit = 0;
+        /** What was offered, in whole tokens and the rest. */
         std::uint64_t offered = 0;
-        double offered_fraction = 0;
+        double offered_rest = 0;
         std::uint64_t reported = 0;
         time_point reported_at;
         std::optional<double> demand;
         time_point demand_at;
-        /** What has been admitted less than the fraction allows. */
+        /** What the fraction allows beyond what was admitted. */
         double credit = 0;
         /** An even part of the limit, for want of an answer. */
         token_bucket part;
         /** The whole limit. */
         token_bucket whole;
-        /** Running mean of what is offered here a second. */
-        double local_demand = 0;
-        time_point local_demand_at;
-        std::uint64_t document_version = 0;
+        /** What is offered here. */
+        demand_meter local;
     };
 
+    /** 0 for no limit. */
     struct customer_keys
     {
         share_key all = 0;
         share_key urgent = 0;
     };
 
-    void configure_limit(share_key key, double limit, time_point now);
-    bool admit_one(limit_state& state, double cost, time_point now) const;
-    std::chrono::seconds retry_after(const limit_state& state,
-                                     time_point now) const;
+    using customers_by_name = std::unordered_map<std::string, customer_keys>;
+
+    share_key configure_limit(const std::string& service,
+                              const std::string& customer, queue_lane lane,
+                              double limit, time_point now);
+    void remove_unlisted(const service_document& document);
+    double even_part(const limit_state& state) const;
+    bool knows_demand(const limit_state& state, time_point now) const;
+    bool admit_one(share_key key, double cost, time_point now);
+    double phase(share_key key) const;
+    std::chrono::seconds retry_after(share_key key, time_point now) const;
+    bool is_due(const limit_state& state, time_point now) const;
     bool wants_answer(const limit_state& state, time_point now) const;
 
     std::string host_;
+    std::uint64_t host_hash_;
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
     std::size_t host_count_ = 1;
-    std::uint64_t document_version_ = 0;
-    double byte_budget_ = 0;
-    time_point budgeted_at_;
-    std::unordered_map<std::string,
-                       std::unordered_map<std::string, customer_keys>>
-        services_;
+    token_bucket report_budget_;
+    std::unordered_map<std::string, customers_by_name> services_;
     std::unordered_map<share_key, limit_state> limits_;
 };
 
--- a/modules/admission/share/share_messages.hpp
+++ b/modules/admission/share/share_messages.hpp
@@ -17,34 +17,32 @@
 share_key share_key_of(const std::string& service, const std::string& customer,
                        queue_lane lane);
 
-/** The home of a limit: the host that sums its usage, by rendezvous hashing
-    over the live hosts. @returns an index into `host_hashes`, which must not
-    be empty; the stable_hash of each host's id */
-std::size_t home_of(share_key key,
-                    const std::vector<std::uint64_t>& host_hashes);
-
-/** How much one customer has offered at one host. */
+/** What one reporter has counted for one limit. */
 struct usage_entry
 {
     share_key key = 0;
     /** Weighted tokens offered since the reporter began to count. */
     std::uint64_t offered = 0;
-    /** `offered` of the previous report of this key: what a new home takes
-        the growth from. */
+    /** `offered` of the previous report of this key: what a receiver that
+        does not know the reporter takes the growth from. */
     std::uint64_t previously_offered = 0;
     /** The reporter needs to know the demand over all hosts. */
     bool wants_answer = false;
 };
 
-/** From a host to a home. Reports may be lost, repeated and reordered. */
+/** Usage on its way up: from a host to its relay, or from a relay to a home.
+    Reports may be lost, repeated and reordered. */
 struct usage_report
 {
     /** The reporter's host id. */
     std::string host;
     /** Tells the counts of a restarted reporter from those before. */
     std::uint64_t incarnation = 0;
-    /** Grows with each report of the incarnation to any home. */
+    /** Grows with each report of the incarnation. */
     std::uint64_t sequence = 0;
+    /** The sum of a row of hosts, for a home; otherwise one host's own
+        usage, for its relay. */
+    bool from_relay = false;
     std::vector<usage_entry> entries;
 };
 
@@ -56,29 +54,34 @@
     double tokens_per_second = 0;
 };
 
-/** From a home to a host. */
+/** The demand on its way down: from a home to a relay, or from a relay to a
+    host. */
 struct demand_answer
 {
-    /** The home's host id. */
-    std::string home;
+    /** For share_aggregator::answer(); otherwise for
+        customer_limits::answer(). */
+    bool to_relay = false;
     std::vector<demand_entry> entries;
 };
 
-/** An answer and the host it goes to. */
-struct addressed_answer
+/** A report and the id of the host it goes to, which may be the sender. */
+struct addressed_report
 {
-    std::string host;
-    demand_answer answer;
+    std::string to;
+    usage_report report;
 };
 
-/** A report and the host it goes to, as an index into the live hosts. */
-struct addressed_report
+/** An answer and the id of the host it goes to, which may be the sender. */
+struct addressed_answer
 {
-    std::size_t home = 0;
-    usage_report report;
+    std::string to;
+    demand_answer answer;
 };
 
-/** The bytes of a message in CBOR with integers for names; for budgets. */
+/** Bytes that the transport adds to each message. */
+constexpr std::size_t share_transport_bytes = 60;
+
+/** The bytes of a message in CBOR, integers for names, without transport. */
 std::size_t encoded_bytes(const usage_report& report);
 std::size_t encoded_bytes(const demand_answer& answer);
 
--- /dev/null
+++ b/modules/routing/attempts/attempt_ledger.cpp
@@ -0,0 +1,185 @@
+#include "routing/attempts/attempt_ledger.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+bool leaves_connection_clean(attempt_end how)
+{
+    return how == attempt_end::answered || how == attempt_end::answered_error ||
+           how == attempt_end::refused;
+}
+
+bool can_be_repeated(attempt_end how)
+{
+    return how != attempt_end::answered && how != attempt_end::answered_error &&
+           how != attempt_end::caller_gone;
+}
+
+bool may_be_target(attempt_end how)
+{
+    return can_be_repeated(how) && how != attempt_end::refused;
+}
+
+} // namespace
+
+std::string_view to_text(call_outcome outcome)
+{
+    static constexpr std::string_view names[] = {"not_run", "unknown", "failed",
+                                                 "answered"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+void attempt_ledger::open(const ledger_request& request)
+{
+    request_state state;
+    state.request = request;
+    requests_.emplace(request.id, std::move(state));
+}
+
+bool attempt_ledger::begin(const std::string& request,
+                           const std::string& attempt,
+                           const std::string& target, time_point now)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end() || !may_send(found->second, now) ||
+        attempts_.count(attempt) > 0)
+    {
+        return false;
+    }
+    request_state& state = found->second;
+    state.running_attempt = attempt;
+    state.tried.push_back(target);
+    attempts_.emplace(attempt, attempt_state{request, target, false});
+    return true;
+}
+
+void attempt_ledger::sending(const std::string& attempt)
+{
+    const auto found = attempts_.find(attempt);
+    if (found != attempts_.end())
+        found->second.sent = true;
+}
+
+void attempt_ledger::answering(const std::string& request)
+{
+    const auto found = requests_.find(request);
+    if (found != requests_.end())
+        found->second.answering = true;
+}
+
+echo_check attempt_ledger::check_echo(const std::string& attempt,
+                                      std::string_view echoed) const
+{
+    return attempts_.count(attempt) > 0 && echoed == attempt
+               ? echo_check::matches
+               : echo_check::stray;
+}
+
+attempt_verdict attempt_ledger::end(const std::string& attempt, attempt_end how,
+                                    time_point now)
+{
+    attempt_verdict verdict;
+    const auto found = attempts_.find(attempt);
+    if (found == attempts_.end())
+    {
+        ++strays_;
+        return verdict;
+    }
+    if (how == attempt_end::wrong_attempt)
+        ++strays_;
+    const attempt_state ended = found->second;
+    attempts_.erase(found);
+
+    request_state& state = requests_.at(ended.request);
+    state.running_attempt.clear();
+    state.outcome = worse_of(state.outcome, outcome_of(ended, how));
+    verdict.outcome =
+        how == attempt_end::answered ? call_outcome::answered : state.outcome;
+    verdict.may_retry = can_be_repeated(how) && may_send(state, now);
+    verdict.connection_reusable = leaves_connection_clean(how);
+    verdict.counts_against_target = may_be_target(how);
+    return verdict;
+}
+
+std::vector<std::string>
+attempt_ledger::tried_targets(const std::string& request) const
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return {};
+    return found->second.tried;
+}
+
+call_outcome attempt_ledger::outcome_now(const std::string& request) const
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return call_outcome::unknown;
+    const request_state& state = found->second;
+    const auto running = attempts_.find(state.running_attempt);
+    if (running != attempts_.end() && running->second.sent)
+        return call_outcome::unknown;
+    return state.outcome;
+}
+
+void attempt_ledger::close(const std::string& request)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return;
+    attempts_.erase(found->second.running_attempt);
+    requests_.erase(found);
+}
+
+std::size_t attempt_ledger::size() const
+{
+    return requests_.size();
+}
+
+std::uint64_t attempt_ledger::stray_count() const
+{
+    return strays_;
+}
+
+call_outcome attempt_ledger::outcome_of(const attempt_state& attempt,
+                                        attempt_end how)
+{
+    if (!attempt.sent)
+        return call_outcome::not_run;
+    switch (how)
+    {
+    case attempt_end::answered:
+        return call_outcome::answered;
+    case attempt_end::answered_error:
+        return call_outcome::failed;
+    case attempt_end::refused:
+        return call_outcome::not_run;
+    default:
+        return call_outcome::unknown;
+    }
+}
+
+call_outcome attempt_ledger::worse_of(call_outcome former, call_outcome latest)
+{
+    if (latest == call_outcome::answered || former == call_outcome::not_run)
+        return latest;
+    if (latest == call_outcome::not_run || former == call_outcome::unknown)
+        return former;
+    return latest;
+}
+
+bool attempt_ledger::may_send(const request_state& state, time_point now)
+{
+    const bool may_have_run = state.outcome != call_outcome::not_run;
+    return state.running_attempt.empty() && !state.answering &&
+           state.outcome != call_outcome::answered &&
+           (state.request.idempotent || !may_have_run) &&
+           now + least_time_for_retry <= state.request.deadline;
+}
+
+} // namespace hibiscusferry
--- a/modules/routing/attempts/attempt_ledger.hpp
+++ b/modules/routing/attempts/attempt_ledger.hpp
@@ -150,6 +150,7 @@
 
     static call_outcome outcome_of(const attempt_state& attempt,
                                    attempt_end how);
+    static call_outcome worse_of(call_outcome former, call_outcome latest);
     static bool may_send(const request_state& state, time_point now);
 
     std::unordered_map<std::string, request_state> requests_;
--- /dev/null
+++ b/modules/routing/choice/target_picker.cpp
@@ -0,0 +1,241 @@
+#include "routing/choice/target_picker.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+double nanoseconds_of(std::chrono::nanoseconds duration)
+{
+    return static_cast<double>(duration.count());
+}
+
+bool is_excluded(const pick_request& request, const std::string& target)
+{
+    return std::find(request.excluded.begin(), request.excluded.end(),
+                     target) != request.excluded.end();
+}
+
+} // namespace
+
+target_picker::target_picker(const picker_settings& settings,
+                             std::uint64_t seed)
+    : settings_(settings)
+    , random_state_(seed)
+{
+}
+
+result<pick> target_picker::choose(const target_table& table,
+                                   const send_permission* permission,
+                                   const pick_request& request, time_point now)
+{
+    const std::error_code error = gather(table, permission, request, now);
+    if (error)
+        return error;
+    keep_healthy();
+    split_by_phase(request.hand_over_allowed);
+
+    pick chosen;
+    const candidate& first = choose_first(request, chosen.by_affinity);
+    chosen.target = first.entry->address.id;
+    if (!request.hand_over_allowed)
+        return chosen;
+
+    const candidate* const decoder = best_decoder(first);
+    const std::uint32_t pieces = static_cast<std::uint32_t>(
+        std::ceil(request.prefill_tokens / kv_piece_tokens));
+    if (decoder == nullptr || pieces == 0 ||
+        !hand_over_pays(first, *decoder, pieces))
+    {
+        return chosen;
+    }
+    chosen.decode_target = decoder->entry->address.id;
+    chosen.kv_pieces = pieces;
+    return chosen;
+}
+
+std::chrono::nanoseconds
+target_picker::expected_wait(const target_entry& entry) const
+{
+    double wait =
+        entry.load.prefill_tokens * nanoseconds_of(settings_.prefill_token) +
+        entry.load.streams * nanoseconds_of(settings_.stream_delay);
+    if (entry.address.availability_zone != settings_.availability_zone)
+        wait += nanoseconds_of(settings_.zone_delay);
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(wait));
+}
+
+// ------------------------------------------------------------------------
+// Candidates
+
+std::error_code target_picker::gather(const target_table& table,
+                                      const send_permission* permission,
+                                      const pick_request& request,
+                                      time_point now)
+{
+    candidates_.clear();
+    std::error_code error = routing_error::no_target;
+    for (const target_entry& entry : table.targets())
+    {
+        if (is_excluded(request, entry.address.id))
+            continue;
+        if (!table.can_take_work(entry, now))
+        {
+            if (entry.in_flight.size() >= table.settings().target_concurrency)
+                error = routing_error::targets_full;
+            continue;
+        }
+        if (permission != nullptr && permission->check(entry.address.id, now) !=
+                                         permission_verdict::permitted)
+        {
+            error = routing_error::not_permitted;
+            continue;
+        }
+        candidates_.push_back({&entry, nanoseconds_of(expected_wait(entry))});
+    }
+    return candidates_.empty() ? error : std::error_code();
+}
+
+void target_picker::keep_healthy()
+{
+    const auto is_suspect = [](const candidate& one)
+    {
+        return one.entry->health != target_health::healthy;
+    };
+    if (std::all_of(candidates_.begin(), candidates_.end(), is_suspect))
+        return;
+    candidates_.erase(
+        std::remove_if(candidates_.begin(), candidates_.end(), is_suspect),
+        candidates_.end());
+}
+
+void target_picker::split_by_phase(bool hand_over_allowed)
+{
+    decoders_.clear();
+    for (const candidate& one : candidates_)
+    {
+        if (one.entry->role != target_role::prefill)
+            decoders_.push_back(one);
+    }
+    const auto cannot_begin = [this, hand_over_allowed](const candidate& one)
+    {
+        const bool needs_decoder = one.entry->role == target_role::prefill;
+        return one.entry->role == target_role::decode ||
+               (needs_decoder && (!hand_over_allowed || decoders_.empty()));
+    };
+    // A target of the wrong role may refuse the work; that costs less than
+    // to refuse it here.
+    if (std::all_of(candidates_.begin(), candidates_.end(), cannot_begin))
+        return;
+    candidates_.erase(
+        std::remove_if(candidates_.begin(), candidates_.end(), cannot_begin),
+        candidates_.end());
+}
+
+// ------------------------------------------------------------------------
+// Choice
+
+const target_picker::candidate&
+target_picker::choose_first(const pick_request& request, bool& by_affinity)
+{
+    if (request.prefix != 0)
+    {
+        const candidate* const preferred = preferred_by(request);
+        if (preferred != nullptr)
+        {
+            by_affinity = true;
+            return *preferred;
+        }
+    }
+    if (!request.urgent)
+        return better_of_two();
+    return *std::min_element(candidates_.begin(), candidates_.end(),
+                             [](const candidate& left, const candidate& right)
+                             { return left.wait < right.wait; });
+}
+
+const target_picker::candidate*
+target_picker::preferred_by(const pick_request& request) const
+{
+    double sum = 0;
+    for (const candidate& one : candidates_)
+        sum += one.wait;
+    const double mean = sum / static_cast<double>(candidates_.size());
+    // To go elsewhere costs a prefill that the cache would have saved.
+    const double bound =
+        settings_.load_bound * mean +
+        request.prefill_tokens * nanoseconds_of(settings_.prefill_token);
+
+    const candidate* preferred = nullptr;
+    std::uint64_t greatest = 0;
+    for (const candidate& one : candidates_)
+    {
+        if (one.wait > bound)
+            continue;
+        const std::uint64_t weight =
+            rendezvous_weight(request.prefix, one.entry->hash);
+        if (preferred == nullptr || weight > greatest)
+        {
+            preferred = &one;
+            greatest = weight;
+        }
+    }
+    return preferred;
+}
+
+const target_picker::candidate& target_picker::better_of_two()
+{
+    const std::size_t count = candidates_.size();
+    const std::size_t first = draw() % count;
+    if (count == 1)
+        return candidates_[first];
+    const std::size_t second = (first + 1 + draw() % (count - 1)) % count;
+    return candidates_[first].wait <= candidates_[second].wait
+               ? candidates_[first]
+               : candidates_[second];
+}
+
+const target_picker::candidate*
+target_picker::best_decoder(const candidate& first) const
+{
+    const candidate* best = nullptr;
+    for (const candidate& one : decoders_)
+    {
+        if (one.entry == first.entry)
+            continue;
+        if (best == nullptr || decode_wait(one) < decode_wait(*best))
+            best = &one;
+    }
+    return best;
+}
+
+double target_picker::decode_wait(const candidate& decoder) const
+{
+    const target_load& load = decoder.entry->load;
+    return load.streams * nanoseconds_of(settings_.stream_delay) +
+           load.prefill_tokens * nanoseconds_of(settings_.prefill_interference);
+}
+
+bool target_picker::hand_over_pays(const candidate& first,
+                                   const candidate& decoder,
+                                   std::uint32_t pieces) const
+{
+    if (first.entry->role == target_role::prefill)
+        return true;
+    const double transfer =
+        pieces * nanoseconds_of(settings_.kv_piece_transfer);
+    return decode_wait(first) >
+           settings_.hand_over_gain * (decode_wait(decoder) + transfer);
+}
+
+std::uint64_t target_picker::draw()
+{
+    random_state_ = combine_hashes(random_state_, 1);
+    return random_state_;
+}
+
+} // namespace hibiscusferry
--- a/modules/routing/choice/target_picker.hpp
+++ b/modules/routing/choice/target_picker.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_ROUTING_CHOICE_TARGET_PICKER_HPP
 
 #include "routing/choice/prefix_key.hpp"
+#include "routing/choice/routing_error.hpp"
 #include "routing/targets/send_permission.hpp"
 #include "routing/targets/target_table.hpp"
 #include <chrono>
@@ -12,17 +13,6 @@
 namespace hibiscusferry
 {
 
-/** Errors of the routing module. */
-enum class routing_error
-{
-    no_target = 1, ///< no target is known that could take the work
-    targets_full,  ///< all that could are at their limit; wait in the queue
-    not_permitted  ///< new work may not be sent to those that could
-};
-
-const std::error_category& routing_error_category();
-std::error_code make_error_code(routing_error error);
-
 /** What a target is wanted for. */
 struct pick_request
 {
@@ -68,8 +58,8 @@
     /** Slowing of a target's streams for each waiting prefill token, which
         decode targets do not have. */
     std::chrono::nanoseconds prefill_interference{20000};
-    /** A target may have this many times the mean load before affinity goes
-        to the next; 1.25 as in the cited paper. */
+    /** A target may have this many times the mean wait, and the time of one
+        prefill of the request, before affinity goes to the next one. */
     double load_bound = 1.25;
     /** A hand-over must be better by this factor. */
     double hand_over_gain = 1.2;
@@ -110,20 +100,23 @@
     struct candidate
     {
         const target_entry* entry = nullptr;
+        /** Expected wait in nanoseconds. */
         double wait = 0;
     };
 
     std::error_code gather(const target_table& table,
                            const send_permission* permission,
                            const pick_request& request, time_point now);
-    const candidate* choose_for_prefill(const pick_request& request,
-                                        bool& by_affinity);
-    const candidate* by_affinity(const pick_request& request) const;
-    const candidate* by_two_choices();
-    const candidate* least_loaded() const;
-    const candidate* best_decoder(const candidate& prefiller) const;
-    bool hand_over_pays(const candidate& prefiller, const candidate& decoder,
-                        const pick_request& request) const;
+    void keep_healthy();
+    void split_by_phase(bool hand_over_allowed);
+    const candidate& choose_first(const pick_request& request,
+                                  bool& by_affinity);
+    const candidate* preferred_by(const pick_request& request) const;
+    const candidate& better_of_two();
+    const candidate* best_decoder(const candidate& first) const;
+    double decode_wait(const candidate& decoder) const;
+    bool hand_over_pays(const candidate& first, const candidate& decoder,
+                        std::uint32_t pieces) const;
     std::uint64_t draw();
 
     picker_settings settings_;
@@ -131,14 +124,8 @@
     /** Scratch space of choose(), kept to save allocations. */
     std::vector<candidate> candidates_;
     std::vector<candidate> decoders_;
-    double mean_wait_ = 0;
 };
 
 } // namespace hibiscusferry
 
-template <>
-struct std::is_error_code_enum<hibiscusferry::routing_error> : std::true_type
-{
-};
-
 #endif
--- a/modules/routing/connections/connection_health.hpp
+++ b/modules/routing/connections/connection_health.hpp
@@ -41,6 +41,10 @@
     that was abandoned before its answer was complete makes the connection
     unusable for others: its late answer must not meet the next request.
 
+    Between a request and the first byte of its answer there is nothing to
+    tell a slow target from a lost connection by; set SO_KEEPALIVE (2 s, 1 s,
+    3 probes) and TCP_USER_TIMEOUT (5 s) on the socket for that.
+
     One for each connection. Used from one thread. Call tick() at next_tick().
 */
 class connection_health
@@ -55,7 +59,7 @@
         expected without long silences */
     void received(bool in_stream, time_point now);
 
-    /** The exchange's answer is complete. */
+    /** The exchange's or probe's answer is complete. */
     void exchange_finished(time_point now);
 
     /** The exchange was given up before its answer was complete. */
@@ -92,6 +96,8 @@
     state state_ = state::idle;
     time_point last_received_;
     time_point deadline_;
+    /** Whether a suspect connection was within a stream. */
+    bool was_streaming_ = false;
     bool beside_known_ = false;
     bool beside_works_ = false;
 };
--- a/modules/routing/routing.cpp
+++ b/modules/routing/routing.cpp
@@ -1,1 +1,12 @@
 #include "routing/routing.hpp"
+
+#include "routing/attempts/attempt_ledger.cpp"
+#include "routing/choice/prefix_key.cpp"
+#include "routing/choice/routing_error.cpp"
+#include "routing/choice/target_picker.cpp"
+#include "routing/connections/connection_health.cpp"
+#include "routing/streams/stream_assembler.cpp"
+#include "routing/targets/in_flight_work.cpp"
+#include "routing/targets/send_permission.cpp"
+#include "routing/targets/target_subset.cpp"
+#include "routing/targets/target_table.cpp"
--- a/modules/routing/streams/stream_assembler.hpp
+++ b/modules/routing/streams/stream_assembler.hpp
@@ -26,6 +26,20 @@
     static result<stream_position> parse(std::string_view text);
 };
 
+/** An event of a streamed answer. */
+struct stream_event
+{
+    stream_position position;
+    /** Whether it carries text. Events without any, such as the first one
+        with the role or the last one with the finish reason, repeat the
+        offset of the token before them. */
+    bool has_text = true;
+    /** How many tokens it carries, if the engine's events always carry a
+        known number. With it, parts that were skipped are found; without it,
+        an event is taken to follow what was received or asked for last. */
+    std::optional<std::uint64_t> tokens;
+};
+
 /** What to do with an event of a stream. */
 enum class stream_step
 {
@@ -34,27 +48,25 @@
     gap,              ///< parts are missing: close, and resume at the offset
     other_generation, ///< of another run: end with an explicit error
     misaligned,       ///< only partly new: end with an explicit error
-    closed            ///< the stream has ended or failed before
+    closed            ///< the stream has ended, or is not resumed yet
 };
 
 /** Puts a streamed answer together over any number of connections.
 
     Delivers each token at most once, in order, and of one generation only;
     an answer counts as complete only after its [DONE]. When a connection ends
-    before that, interrupted() says where to resume, on the same target. After
-    other_generation, misaligned, or a resume that the engine does not know,
-    call fail(): the caller gets an explicit error.
+    before that, interrupted() says where to resume, on the same target. When
+   the engine does not know the generation any more, call fail(): the caller
+   gets an explicit error.
 
     One per streamed request; a few dozen bytes. Used from one thread.
 */
 class stream_assembler
 {
 public:
-    /** An event arrived.
-        @param tokens  how many tokens it carries; 0 if the engine does not
-                       say, when the first event of a connection is taken to
-                       follow what was asked for, and later ones each other */
-    stream_step event(const stream_position& position, std::uint64_t tokens);
+    /** An event arrived. After other_generation and misaligned the answer
+        has failed: the caller gets an explicit error. */
+    stream_step receive(const stream_event& event);
 
     /** The stream's [DONE] arrived.
         @returns true when the answer is now complete; false when it must not
@@ -89,13 +101,16 @@
         failed
     };
 
-    stream_step place(std::uint64_t offset, std::uint64_t tokens) const;
+    stream_step place_text(const stream_event& event) const;
+    stream_step place_marker(std::uint64_t offset);
 
     state state_ = state::streaming;
     std::string generation_;
     std::uint64_t delivered_ = 0;
-    /** The last offset seen on this connection. */
-    std::uint64_t seen_ = 0;
+    /** Events without text after the last delivered token: delivered in all,
+        and seen on this connection. */
+    std::uint32_t markers_delivered_ = 0;
+    std::uint32_t markers_seen_ = 0;
     bool gap_ = false;
 };
 
--- a/modules/routing/targets/send_permission.hpp
+++ b/modules/routing/targets/send_permission.hpp
@@ -11,9 +11,20 @@
 namespace hibiscusferry
 {
 
-/** Orders the announcements of a service; grows with each of them, also when
-    another controller takes over. */
-using routing_version = std::uint64_t;
+/** Orders the announcements of a service, over all the controllers that have
+    held it one after the other. */
+struct announcement_version
+{
+    /** Of the controller that made the announcement. */
+    std::uint64_t fencing_number = 0;
+    /** Grows with each announcement of that controller. */
+    std::uint64_t sequence = 0;
+};
+
+bool operator==(const announcement_version& left,
+                const announcement_version& right);
+bool operator<(const announcement_version& left,
+               const announcement_version& right);
 
 /** How long a router may send to targets after it asked for permission. A
     controller that plans a change waits this long, from its announcement,
@@ -32,18 +43,27 @@
     return routers / 10 > 1 ? routers / 10 : 1;
 }
 
-/** What the controllers of a service have announced: the whole list of
-    targets that get no new work, few at a time. From the controller, from
-    the store's rows of pending changes, or from a peer. */
+/** What the controllers of a service have announced: all targets that get
+    no new work, few at a time. From the controller, from the store's rows of
+    pending changes, or from a peer. */
 struct routing_announcement
 {
     std::string service;
-    routing_version version = 0;
+    announcement_version version;
     std::vector<std::string> stopped_targets;
-    /** How old the announcement's knowledge was when it was sent: 0 from
-        the controller that holds the service or from the store, more from
-        one that passes it on. */
-    std::chrono::milliseconds age{0};
+    /** For how long it permits new work to all other targets, counted from
+        before it was asked for. One that passes an announcement on takes off
+        the time since it asked for it itself. */
+    std::chrono::milliseconds term = permission_term;
+};
+
+/** That the controller stops new work at one target, sent unasked: it renews
+    no permission. That a target is open again is learned from the next
+    routing_announcement. */
+struct stop_announcement
+{
+    std::string target;
+    announcement_version version;
 };
 
 /** From a router to a controller: no new work goes to the target any more. */
@@ -52,7 +72,7 @@
     std::string router;
     std::string service;
     std::string target;
-    routing_version version = 0;
+    announcement_version version;
     /** This router's attempts still running there. */
     std::size_t in_flight = 0;
 };
@@ -72,17 +92,23 @@
     if none answers it reads the store's rows of pending changes, which are
     written before a change begins. Each answer permits new work, to all
     targets that it does not stop, for a term that counts from before the
-    question was sent, less the age of the answer. When the term has lapsed:
+    question was sent. When the term has lapsed:
 
     - targets that never change their role (application servers, engines that
       always stay mixed) stay permitted;
     - if more routers have lapsed than a controller may wait out, this one
-      included, no change can have begun without one of them knowing: the
-      newest announcement among them holds, and all other targets stay
-      permitted as long as they go on saying so. So the loss of all
-      controllers and the store together does not stop the traffic;
+      included, no change can have begun without one of them knowing: all
+      targets stay permitted but those that one of them knows as stopped, as
+      long as they go on saying so. So the loss of all controllers and the
+      store together does not stop the traffic;
     - otherwise nothing new goes to the service's other targets.
 
+    The store is a source, and lapsed peers count, only if the controllers
+    keep to their part: a change is written to the store a whole term before
+    it begins, and none is begun while more than tolerated_silent_routers() of
+    the listed routers have neither confirmed nor left. Otherwise do not call
+    heard() and heard_lapsed_peer() for them.
+
     Check right before the first byte leaves, on the thread that sends it.
     Used from one thread.
 */
@@ -96,13 +122,18 @@
 
     /** An announcement arrived. Older versions renew nothing.
         @param asked_at  when the question that it answers was sent
-        @returns true when the version is new: confirm its stopped targets */
+        @returns true when the version is new: confirm the stopped targets */
     bool heard(const routing_announcement& announcement, time_point asked_at);
 
-    /** A peer said that its permission has lapsed, with the last
-        announcement it has. @param router_count  listed entry hosts */
+    /** One target's stop arrived. Older versions change nothing.
+        @returns true when it is in force: confirm it */
+    bool heard(const stop_announcement& announcement);
+
+    /** A peer said that its permission has lapsed.
+        @param known_stops  its known_stops()
+        @param router_count  listed entry hosts */
     void heard_lapsed_peer(const std::string& peer,
-                           const routing_announcement& last,
+                           const std::vector<std::string>& known_stops,
                            std::size_t router_count, time_point asked_at);
 
     /** Whether new work may go to a target. */
@@ -114,8 +145,8 @@
     /** When the permission lapses if nothing more is heard. */
     time_point lapses_at() const;
 
-    /** The last announcement heard, for peers; age 0. */
-    const routing_announcement& last_announcement() const;
+    /** The targets known to be stopped, for peers. */
+    std::vector<std::string> known_stops() const;
 
     /** The confirmation for a stopped target; to be sent when the version is
         new and again when `in_flight` reaches 0. */
@@ -123,17 +154,25 @@
                               std::size_t in_flight) const;
 
 private:
-    bool many_have_lapsed(time_point now) const;
-    bool take_over(const routing_announcement& announcement);
+    struct lapsed_peer
+    {
+        time_point asked_at;
+        std::vector<std::string> known_stops;
+    };
+
+    bool is_stopped(const std::string& target) const;
+    bool peers_permit(const std::string& target, time_point now) const;
+    announcement_version newest_stop(const std::string& target) const;
 
     std::string router_;
     routing_announcement last_;
+    /** Stops that are newer than the last announcement. */
+    std::vector<stop_announcement> stops_;
     std::vector<std::string> fixed_targets_;
     time_point lapses_at_;
     bool heard_any_ = false;
     std::size_t router_count_ = 1;
-    /** When each lapsed peer was last asked. */
-    std::unordered_map<std::string, time_point> lapsed_peers_;
+    std::unordered_map<std::string, lapsed_peer> lapsed_peers_;
 };
 
 } // namespace hibiscusferry
--- /dev/null
+++ b/modules/routing/targets/target_table.cpp
@@ -0,0 +1,274 @@
+#include "routing/targets/target_table.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hibiscusferry
+{
+
+target_table::target_table(std::string router_id,
+                           const target_table_settings& settings)
+    : router_id_(std::move(router_id))
+    , settings_(settings)
+{
+}
+
+// ------------------------------------------------------------------------
+// The host list
+
+std::vector<std::string>
+target_table::set_targets(const std::vector<std::string>& routers,
+                          const std::vector<target_address>& targets,
+                          time_point now)
+{
+    if (lacks_a_role(now))
+        ++further_cells_;
+    const std::vector<std::size_t> subset = choose_target_subset(
+        routers, router_id_, targets, further_cells_, settings_.subset);
+
+    std::vector<target_entry> renewed;
+    renewed.reserve(subset.size());
+    for (const std::size_t index : subset)
+        renewed.push_back(renew(targets[index], now));
+    std::vector<std::string> dropped = keep_or_drop_rest(renewed);
+    targets_ = std::move(renewed);
+    index_targets();
+    return dropped;
+}
+
+target_entry target_table::renew(const target_address& address, time_point now)
+{
+    target_entry entry;
+    target_entry* const known = find_entry(address.id);
+    if (known != nullptr)
+    {
+        entry = std::move(*known);
+        // An empty id marks what was moved away.
+        known->address.id.clear();
+    }
+    else
+    {
+        entry.hash = stable_hash(address.id);
+        entry.next_report = now;
+    }
+    entry.address = address;
+    entry.delisted = false;
+    if (address.leaving)
+        entry.state = target_state::leaving;
+    return entry;
+}
+
+std::vector<std::string>
+target_table::keep_or_drop_rest(std::vector<target_entry>& renewed)
+{
+    std::vector<std::string> dropped;
+    for (target_entry& entry : targets_)
+    {
+        if (entry.address.id.empty())
+            continue;
+        dropped.push_back(entry.address.id);
+        if (entry.in_flight.size() == 0)
+            continue;
+        entry.delisted = true;
+        renewed.push_back(std::move(entry));
+    }
+    return dropped;
+}
+
+void target_table::index_targets()
+{
+    indexes_.clear();
+    for (std::size_t index = 0; index < targets_.size(); ++index)
+        indexes_.emplace(targets_[index].address.id, index);
+}
+
+// ------------------------------------------------------------------------
+// Reports
+
+void target_table::report(const std::string& target, const load_report& report,
+                          time_point asked_at, time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    const time_point measured_at = asked_at - report.age;
+    if (entry == nullptr ||
+        (entry->measured_at && measured_at < *entry->measured_at))
+    {
+        return;
+    }
+    entry->measured_at = measured_at;
+    entry->next_report = now + settings_.report_interval;
+    entry->role = report.role;
+    if (entry->state != target_state::leaving)
+        entry->state = report.state;
+    entry->health = target_health::healthy;
+    entry->failures = 0;
+    entry->free_kv_tokens = report.free_kv_tokens;
+    entry->reported_load = {static_cast<double>(report.waiting_prefill_tokens),
+                            static_cast<double>(report.active_streams)};
+    entry->in_flight.reported(measured_at);
+    update_load(*entry);
+}
+
+std::vector<std::string> target_table::due_for_report(time_point now)
+{
+    std::vector<std::string> due;
+    for (target_entry& entry : targets_)
+    {
+        const bool is_out = entry.health == target_health::out;
+        const time_point when = is_out ? entry.probe_at : entry.next_report;
+        if (entry.delisted || now < when)
+            continue;
+        entry.next_report = now + settings_.report_interval;
+        entry.probe_at = now + settings_.greatest_probe_pause;
+        due.push_back(entry.address.id);
+    }
+    return due;
+}
+
+void target_table::refused(const std::string& target, target_state state,
+                           time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry == nullptr || entry->state == target_state::leaving)
+        return;
+    entry->state = state;
+    entry->refused_until = now + settings_.refusal_pause;
+}
+
+// ------------------------------------------------------------------------
+// Attempts
+
+void target_table::attempt_started(const std::string& target,
+                                   const std::string& attempt,
+                                   double prefill_tokens, time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry == nullptr)
+        return;
+    entry->in_flight.started(attempt, prefill_tokens, now);
+    update_load(*entry);
+}
+
+void target_table::attempt_prefilled(const std::string& target,
+                                     const std::string& attempt, time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry == nullptr)
+        return;
+    entry->in_flight.prefilled(attempt, now);
+    update_load(*entry);
+}
+
+void target_table::attempt_ended(const std::string& target,
+                                 const std::string& attempt, time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry == nullptr)
+        return;
+    entry->in_flight.ended(attempt, now);
+    update_load(*entry);
+}
+
+void target_table::attempt_succeeded(const std::string& target)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry == nullptr)
+        return;
+    entry->health = target_health::healthy;
+    entry->failures = 0;
+}
+
+bool target_table::attempt_failed(const std::string& target, time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry == nullptr)
+        return false;
+    ++entry->failures;
+    if (entry->failures < settings_.failures_until_out)
+    {
+        entry->health = target_health::suspect;
+        // A probe settles it sooner than the next request.
+        entry->next_report = now;
+        return false;
+    }
+    const bool is_new = entry->health != target_health::out;
+    entry->health = target_health::out;
+    std::chrono::milliseconds pause = settings_.first_probe_pause;
+    for (std::uint32_t failure = settings_.failures_until_out;
+         failure < entry->failures && pause < settings_.greatest_probe_pause;
+         ++failure)
+    {
+        pause *= 2;
+    }
+    entry->probe_at = now + std::min(pause, settings_.greatest_probe_pause);
+    return is_new;
+}
+
+// ------------------------------------------------------------------------
+// Questions
+
+bool target_table::can_take_work(const target_entry& entry,
+                                 time_point now) const
+{
+    return !entry.delisted && entry.state == target_state::serving &&
+           entry.health != target_health::out && now >= entry.refused_until &&
+           entry.in_flight.size() < settings_.target_concurrency;
+}
+
+bool target_table::lacks_a_role(time_point) const
+{
+    if (targets_.empty())
+        return false;
+    bool can_prefill = false;
+    bool can_decode = false;
+    for (const target_entry& entry : targets_)
+    {
+        if (entry.delisted || entry.state != target_state::serving ||
+            entry.health == target_health::out)
+        {
+            continue;
+        }
+        can_prefill = can_prefill || entry.role != target_role::decode;
+        can_decode = can_decode || entry.role != target_role::prefill;
+    }
+    return !can_prefill || !can_decode;
+}
+
+const std::vector<target_entry>& target_table::targets() const
+{
+    return targets_;
+}
+
+const target_entry* target_table::find(const std::string& target) const
+{
+    const auto found = indexes_.find(target);
+    return found == indexes_.end() ? nullptr : &targets_[found->second];
+}
+
+target_entry* target_table::find_entry(const std::string& target)
+{
+    const auto found = indexes_.find(target);
+    return found == indexes_.end() ? nullptr : &targets_[found->second];
+}
+
+std::size_t target_table::in_flight(const std::string& target) const
+{
+    const target_entry* const entry = find(target);
+    return entry == nullptr ? 0 : entry->in_flight.size();
+}
+
+const target_table_settings& target_table::settings() const
+{
+    return settings_;
+}
+
+void target_table::update_load(target_entry& entry)
+{
+    const target_load& correction = entry.in_flight.correction();
+    entry.load.prefill_tokens = std::max(
+        0.0, entry.reported_load.prefill_tokens + correction.prefill_tokens);
+    entry.load.streams =
+        std::max(0.0, entry.reported_load.streams + correction.streams);
+}
+
+} // namespace hibiscusferry
--- a/modules/routing/targets/target_table.hpp
+++ b/modules/routing/targets/target_table.hpp
@@ -24,8 +24,11 @@
     target_health health = target_health::healthy;
     target_load load;
     std::uint64_t free_kv_tokens = 0;
-    bool reported = false;
-    time_point reported_at;
+    /** When the last report was measured, at the earliest; none before the
+        first. */
+    std::optional<time_point> measured_at;
+    target_load reported_load;
+    time_point next_report;
     /** In the list no more; kept until its last attempt has ended. */
     bool delisted = false;
     /** Until when a refusal keeps new work away. */
@@ -103,10 +106,11 @@
 
     /** The attempt's prefill is done: its first token has come. */
     void attempt_prefilled(const std::string& target,
-                           const std::string& attempt);
+                           const std::string& attempt, time_point now);
 
     /** The attempt has ended, in whatever way. */
-    void attempt_ended(const std::string& target, const std::string& attempt);
+    void attempt_ended(const std::string& target, const std::string& attempt,
+                       time_point now);
 
     /** The target gave a whole answer. */
     void attempt_succeeded(const std::string& target);
@@ -137,10 +141,11 @@
 
 private:
     target_entry* find_entry(const std::string& target);
-    void keep_or_drop_old(std::vector<target_entry>& old,
-                          std::vector<target_entry>& renewed,
-                          std::vector<std::string>& dropped);
+    target_entry renew(const target_address& address, time_point now);
+    std::vector<std::string>
+    keep_or_drop_rest(std::vector<target_entry>& renewed);
     void index_targets();
+    static void update_load(target_entry& entry);
 
     std::string router_id_;
     target_table_settings settings_;
