--- /dev/null
+++ b/modules/admission/limits/limits_test.cpp
@@ -0,0 +1,110 @@
+#include "admission/admission.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusferry;
+
+BOOST_AUTO_TEST_SUITE(limits_test)
+
+BOOST_AUTO_TEST_CASE(a_bucket_holds_its_rate_with_requests_larger_than_it)
+{
+    time_point now{};
+    token_bucket bucket(10, 20, now);
+    double passed = 0;
+    for (int step = 0; step < 10000; ++step)
+    {
+        passed += bucket.take(55, now) ? 55 : 0;
+        now += std::chrono::milliseconds(100);
+    }
+    BOOST_TEST(passed <= 10 * 1000 + 20 + 55);
+    BOOST_TEST(passed >= 10 * 1000 - 55);
+}
+
+BOOST_AUTO_TEST_CASE(a_bucket_says_truly_when_it_has_something)
+{
+    time_point now{};
+    token_bucket bucket(10, 20, now);
+    BOOST_TEST(bucket.take(50, now));
+    BOOST_TEST(!bucket.take(1, now));
+    const time_point when = bucket.available_at(now);
+    BOOST_TEST(!bucket.take(1, when - std::chrono::milliseconds(2)));
+    BOOST_TEST(bucket.take(1, when));
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_a_percentage_of_first_attempts)
+{
+    retry_budget budget(10);
+    int retries = 0;
+    // Everything fails and everything would be retried.
+    for (int request = 0; request < 1000; ++request)
+    {
+        budget.first_attempt();
+        while (budget.take_retry())
+            ++retries;
+    }
+    BOOST_TEST(retries <= 100 + retry_budget::burst);
+    BOOST_TEST(retries >= 100);
+    retry_budget none(0);
+    none.first_attempt();
+    BOOST_TEST(!none.take_retry());
+}
+
+BOOST_AUTO_TEST_CASE(the_gate_does_not_flap)
+{
+    overload_gate gate({std::chrono::seconds(2), std::chrono::seconds(1),
+                        std::chrono::milliseconds(500),
+                        std::chrono::seconds(5)});
+    time_point now{};
+    int changes = 0;
+    // The wait swings around the upper limit twice a second.
+    for (int step = 0; step < 200; ++step)
+    {
+        now += std::chrono::milliseconds(250);
+        const std::chrono::milliseconds wait(step % 2 == 0 ? 2500 : 1500);
+        changes += gate.update(wait, now) ? 1 : 0;
+    }
+    BOOST_TEST(changes == 0);
+    for (int step = 0; step < 8; ++step)
+    {
+        now += std::chrono::milliseconds(250);
+        changes += gate.update(std::chrono::seconds(3), now) ? 1 : 0;
+    }
+    BOOST_TEST(changes == 1);
+    BOOST_TEST(gate.is_overloaded());
+    for (int step = 0; step < 200; ++step)
+    {
+        now += std::chrono::milliseconds(250);
+        const std::chrono::milliseconds wait(step % 8 == 0 ? 1500 : 100);
+        changes += gate.update(wait, now) ? 1 : 0;
+    }
+    BOOST_TEST(changes == 1);
+    for (int step = 0; step < 24; ++step)
+    {
+        now += std::chrono::milliseconds(250);
+        changes += gate.update(std::chrono::milliseconds(100), now) ? 1 : 0;
+    }
+    BOOST_TEST(changes == 2);
+    BOOST_TEST(!gate.is_overloaded());
+}
+
+BOOST_AUTO_TEST_CASE(estimates_follow_each_customers_answers)
+{
+    cost_estimator estimator(service_kind::model);
+    const request_size size{4000, std::nullopt};
+    for (int answer = 0; answer < 100; ++answer)
+    {
+        estimator.learn("short", size, {800, 20});
+        estimator.learn("long", size, {800, 2000});
+    }
+    const request_cost brief = estimator.estimate("short", size);
+    BOOST_TEST(brief.decode_tokens == 20, boost::test_tools::tolerance(0.01));
+    BOOST_TEST(brief.prefill_tokens == 800, boost::test_tools::tolerance(0.01));
+    const request_cost capped =
+        estimator.estimate("long", {4000, std::uint32_t{100}});
+    BOOST_TEST(capped.decode_tokens == 100);
+    BOOST_TEST(cost_estimator(service_kind::application)
+                   .estimate("short", size)
+                   .weighted({}) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/admission/queue/fair_queue_test.cpp
@@ -0,0 +1,379 @@
+#include "admission/queue/fair_queue_oracle.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace hibiscusferry;
+
+namespace
+{
+
+constexpr time_point start{};
+constexpr fair_queue_settings roomy{100000, 0.2};
+
+queued_request make_request(request_number number, const std::string& customer,
+                            double cost, queue_lane lane = queue_lane::normal)
+{
+    return {number,
+            customer,
+            lane,
+            cost,
+            start + std::chrono::hours(10),
+            std::chrono::milliseconds(0)};
+}
+
+service_document with_weights(const std::vector<double>& weights)
+{
+    service_document document;
+    document.limits.queue_length = roomy.capacity;
+    for (std::size_t index = 0; index < weights.size(); ++index)
+    {
+        customer_entry entry;
+        entry.name = std::to_string(index);
+        entry.weight = weights[index];
+        document.customers.push_back(entry);
+    }
+    return document;
+}
+
+/** Lets a test drive the product and the oracle with planted faults alike. */
+class product_queue
+{
+public:
+    explicit product_queue(const std::vector<double>& weights)
+        : queue_(roomy)
+    {
+        queue_.configure(with_weights(weights), start);
+    }
+
+    void offer(const queued_request& request)
+    {
+        queue_.offer(request, start);
+    }
+
+    std::optional<queued_request> take()
+    {
+        return queue_.take(start);
+    }
+
+private:
+    fair_queue queue_;
+};
+
+/** The largest gap in service per weight between any two customers that all
+    wait from the start to the end, over the known bound: twice the greatest
+    cost per weight. Below 1 when the bound holds. */
+template <class Queue>
+double largest_gap_over_bound(Queue& queue, const std::vector<double>& weights,
+                              std::uint64_t seed)
+{
+    constexpr int requests_each = 400;
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> cost(1, 100);
+    double greatest_cost = 0;
+    request_number number = 0;
+    for (std::size_t customer = 0; customer < weights.size(); ++customer)
+    {
+        for (int index = 0; index < requests_each; ++index)
+        {
+            const double drawn = cost(random);
+            greatest_cost = std::max(greatest_cost, drawn / weights[customer]);
+            queue.offer(
+                make_request(++number, std::to_string(customer), drawn));
+        }
+    }
+
+    std::vector<double> served(weights.size(), 0);
+    std::vector<int> left(weights.size(), requests_each);
+    double largest = 0;
+    while (*std::min_element(left.begin(), left.end()) > 1)
+    {
+        const std::optional<queued_request> taken = queue.take();
+        const std::size_t customer = std::stoul(taken->customer);
+        served[customer] += taken->cost / weights[customer];
+        --left[customer];
+        const auto range = std::minmax_element(served.begin(), served.end());
+        largest = std::max(largest, *range.second - *range.first);
+    }
+    return largest / (2 * greatest_cost);
+}
+
+struct queue_command
+{
+    int kind = 0;
+    int customer = 0;
+    int cost = 1;
+    int pick = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const queue_command& command)
+{
+    return stream << "{" << command.kind << "," << command.customer << ","
+                  << command.cost << "," << command.pick << "}";
+}
+
+rc::Gen<queue_command> queue_commands()
+{
+    return rc::gen::build<queue_command>(
+        rc::gen::set(&queue_command::kind, rc::gen::inRange(0, 8)),
+        rc::gen::set(&queue_command::customer, rc::gen::inRange(0, 5)),
+        rc::gen::set(&queue_command::cost, rc::gen::inRange(1, 40)),
+        rc::gen::set(&queue_command::pick, rc::gen::inRange(0, 100)));
+}
+
+/** Runs the commands on the product and on the oracle and compares. */
+bool agrees_with_oracle(const std::vector<queue_command>& commands,
+                        fair_queue_oracle::fault planted)
+{
+    fair_queue queue(roomy);
+    fair_queue_oracle oracle(planted);
+    // So that no customer is forgotten between its requests.
+    queue.configure(with_weights({1, 1, 1, 1, 1}), start);
+    std::vector<queued_request> running;
+    request_number number = 0;
+    for (const queue_command& command : commands)
+    {
+        const std::string customer = std::to_string(command.customer);
+        const std::size_t pick = static_cast<std::size_t>(command.pick);
+        if (command.kind <= 2)
+        {
+            const queued_request request =
+                make_request(++number, customer, command.cost);
+            queue.offer(request, start);
+            oracle.offer(request);
+        }
+        else if (command.kind <= 4)
+        {
+            const std::optional<queued_request> taken = queue.take(start);
+            const std::optional<queued_request> expected = oracle.take();
+            if (taken.has_value() != expected.has_value())
+                return false;
+            if (!taken)
+                continue;
+            if (taken->number != expected->number)
+                return false;
+            running.push_back(*taken);
+        }
+        else if (command.kind == 5 && !running.empty())
+        {
+            const queued_request ended = running[pick % running.size()];
+            running.erase(running.begin() +
+                          static_cast<std::ptrdiff_t>(pick % running.size()));
+            queue.finish(ended.number, command.cost);
+            oracle.correct(ended.customer, command.cost - ended.cost);
+        }
+        else if (command.kind == 6 && oracle.size() > 0)
+        {
+            const request_number gone =
+                oracle.waiting()[pick % oracle.size()].number;
+            if (!queue.cancel(gone))
+                return false;
+            oracle.cancel(gone);
+        }
+        if (queue.size() != oracle.size())
+            return false;
+    }
+    return true;
+}
+
+bool check_against_oracle(fair_queue_oracle::fault planted)
+{
+    setenv("RC_PARAMS", "seed=15 max_success=400 max_size=120", 1);
+    return rc::check("fair_queue agrees with its oracle",
+                     [planted]
+                     {
+                         const std::vector<queue_command> commands =
+                             *rc::gen::container<std::vector<queue_command>>(
+                                 queue_commands());
+                         RC_ASSERT(agrees_with_oracle(commands, planted));
+                     });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fair_queue_test)
+
+BOOST_AUTO_TEST_CASE(backlogged_customers_stay_within_the_known_bound)
+{
+    const std::vector<double> weights = {1, 1, 2, 0.5, 4};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        product_queue queue(weights);
+        BOOST_TEST(largest_gap_over_bound(queue, weights, seed) <= 1.0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(first_come_first_served_breaks_the_bound)
+{
+    fair_queue_oracle planted(fair_queue_oracle::fault::first_come);
+    BOOST_TEST(largest_gap_over_bound(planted, {1, 1, 1}, 1) > 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(agrees_with_the_oracle_over_random_commands)
+{
+    BOOST_TEST(check_against_oracle(fair_queue_oracle::fault::none));
+}
+
+BOOST_AUTO_TEST_CASE(the_oracle_finds_planted_faults)
+{
+    BOOST_TEST(!check_against_oracle(fair_queue_oracle::fault::first_come));
+    BOOST_TEST(!check_against_oracle(fair_queue_oracle::fault::banks_credit));
+}
+
+BOOST_AUTO_TEST_CASE(a_flood_of_urgent_requests_does_not_hold_up_others)
+{
+    fair_queue queue(roomy);
+    request_number number = 0;
+    for (int index = 0; index < 200; ++index)
+        queue.offer(make_request(++number, "flood", 10, queue_lane::urgent),
+                    start);
+    for (int index = 0; index < 20; ++index)
+        queue.take(start);
+    queue.offer(make_request(++number, "driver", 10, queue_lane::urgent),
+                start);
+    const request_number urgent = number;
+    bool served = false;
+    for (int index = 0; index < 2; ++index)
+        served = served || queue.take(start)->number == urgent;
+    BOOST_TEST(served);
+}
+
+BOOST_AUTO_TEST_CASE(normal_work_keeps_its_share_beside_urgent_work)
+{
+    fair_queue queue(roomy);
+    request_number number = 0;
+    for (int index = 0; index < 1000; ++index)
+    {
+        queue.offer(make_request(++number, "a", 3, queue_lane::urgent), start);
+        queue.offer(make_request(++number, "b", 20), start);
+    }
+    double normal = 0;
+    double total = 0;
+    while (queue.size(queue_lane::urgent) > 0)
+    {
+        const queued_request taken = *queue.take(start);
+        total += taken.cost;
+        normal += taken.lane == queue_lane::normal ? taken.cost : 0;
+    }
+    BOOST_TEST(std::abs(normal / total - roomy.normal_share) < 0.01);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_queue_sheds_the_customer_that_fills_it)
+{
+    fair_queue queue({10, 0.2});
+    for (request_number number = 1; number <= 10; ++number)
+        queue.offer(make_request(number, "heavy", 5), start);
+    const std::vector<request_refusal> shed =
+        queue.offer(make_request(11, "light", 50), start);
+    BOOST_REQUIRE(shed.size() == 1);
+    BOOST_TEST(shed[0].number == 10);
+    BOOST_TEST((shed[0].reason == refusal_reason::queue_full));
+    BOOST_TEST(shed[0].retry_after.count() >= 1);
+    const std::vector<request_refusal> own =
+        queue.offer(make_request(12, "heavy", 1), start);
+    BOOST_REQUIRE(own.size() == 1);
+    BOOST_TEST(own[0].number == 12);
+}
+
+BOOST_AUTO_TEST_CASE(neither_lane_drives_the_other_out_of_a_full_queue)
+{
+    fair_queue queue({10, 0.2});
+    request_number number = 0;
+    for (int index = 0; index < 30; ++index)
+        queue.offer(make_request(++number, "a", 1), start);
+    for (int index = 0; index < 30; ++index)
+        queue.offer(make_request(++number, "b", 1, queue_lane::urgent), start);
+    BOOST_TEST(queue.size(queue_lane::urgent) == 5);
+    BOOST_TEST(queue.size(queue_lane::normal) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_would_be_late_is_refused_at_once)
+{
+    fair_queue queue(roomy);
+    request_number number = 0;
+    time_point now = start;
+    for (int index = 0; index < 100; ++index)
+        queue.offer(make_request(++number, "a", 10), now);
+    for (int index = 0; index < 50; ++index)
+    {
+        now += std::chrono::milliseconds(100);
+        queue.take(now);
+    }
+    // 500 tokens wait and leave at 100 a second.
+    queued_request late = make_request(++number, "a", 10);
+    late.deadline = now + std::chrono::seconds(2);
+    const std::vector<request_refusal> refused = queue.offer(late, now);
+    BOOST_REQUIRE(refused.size() == 1);
+    BOOST_TEST(refused[0].number == number);
+    BOOST_TEST((refused[0].reason == refusal_reason::too_late));
+
+    // After Retry-After at the same rate it is taken in time.
+    const std::chrono::seconds pause = refused[0].retry_after;
+    BOOST_TEST(pause.count() <= 60);
+    for (std::int64_t step = 0; step < pause.count() * 10; ++step)
+    {
+        now += std::chrono::milliseconds(100);
+        queue.take(now);
+    }
+    late.deadline = now + std::chrono::seconds(2);
+    BOOST_TEST(queue.offer(late, now).empty());
+
+    // Another customer with little waiting is not refused for a's backlog.
+    for (int index = 0; index < 100; ++index)
+        queue.offer(make_request(++number, "a", 10), now);
+    queued_request light = make_request(++number, "b", 10);
+    light.deadline = now + std::chrono::seconds(1);
+    BOOST_TEST(queue.offer(light, now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_passed_deadline_is_answered_at_the_deadline)
+{
+    fair_queue queue(roomy);
+    queued_request request = make_request(1, "a", 1);
+    request.deadline = start + std::chrono::seconds(5);
+    request.expected_run = std::chrono::seconds(1);
+    queue.offer(request, start);
+    const time_point expiry = start + std::chrono::seconds(4);
+    BOOST_TEST((queue.next_expiry() == expiry));
+    BOOST_TEST(queue.expire(expiry - std::chrono::nanoseconds(1)).empty());
+    const std::vector<request_refusal> refused = queue.expire(expiry);
+    BOOST_REQUIRE(refused.size() == 1);
+    BOOST_TEST((refused[0].reason == refusal_reason::deadline_passed));
+    BOOST_TEST(queue.size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(what_did_not_run_is_not_charged)
+{
+    fair_queue queue(roomy);
+    queue.configure(with_weights({1}), start);
+    queue.offer(make_request(1, "0", 30), start);
+    queue.offer(make_request(2, "0", 30), start);
+    const queued_request taken = *queue.take(start);
+    BOOST_TEST(queue.service_counter("0", queue_lane::normal) == 30);
+    queue.put_back(taken, start);
+    BOOST_TEST(queue.service_counter("0", queue_lane::normal) == 0);
+    BOOST_TEST(queue.take(start)->number == 1);
+    queue.finish(1, 50);
+    BOOST_TEST(queue.service_counter("0", queue_lane::normal) == 50);
+}
+
+BOOST_AUTO_TEST_CASE(calling_work_urgent_gains_no_share)
+{
+    fair_queue queue({100000, 0.5});
+    request_number number = 0;
+    for (int index = 0; index < 500; ++index)
+    {
+        queue.offer(make_request(++number, "sly", 10, queue_lane::urgent),
+                    start);
+        queue.offer(make_request(++number, "sly", 10), start);
+        queue.offer(make_request(++number, "plain", 10), start);
+    }
+    double plain = 0;
+    for (int index = 0; index < 600; ++index)
+        plain += queue.take(start)->customer == "plain" ? 1 : 0;
+    BOOST_TEST(plain / 600 > 0.45);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/admission/share/share_aggregator.cpp
+++ b/modules/admission/share/share_aggregator.cpp
@@ -196,8 +196,11 @@
             }
             continue;
         }
-        if (!state.meter || state.meter->age(now) < settling)
+        if (!layout.has_majority() || !state.meter ||
+            state.meter->age(now) < settling)
+        {
             continue;
+        }
         const double demand = state.meter->per_second(now);
         collect_due(entry->first, demand, true, state.relays, now, due);
         collect_due(entry->first, demand, false, state.hosts, now, due);
--- a/modules/admission/share/share_aggregator.hpp
+++ b/modules/admission/share/share_aggregator.hpp
@@ -32,7 +32,8 @@
 
     Answers go to reporters that ask, and while any of them asks to all that
     report the same limit: when the demand is above a limit, some host sees
-    more than its even part of it, and asks. All state is soft; a new home
+    more than its even part of it, and asks. A home that reaches no majority
+    of the hosts gives no answer. All state is soft; a new home
     answers after `settling`. Reports and answers wait when their byte budget
     is used up. Used from one thread.
 */
--- a/modules/admission/share/share_layout.cpp
+++ b/modules/admission/share/share_layout.cpp
@@ -27,11 +27,11 @@
 } // namespace
 
 share_layout::share_layout(std::vector<std::string> hosts,
-                           const std::string& own)
+                           const std::string& own, std::size_t listed_hosts)
 {
     if (std::find(hosts.begin(), hosts.end(), own) == hosts.end())
         hosts.push_back(own);
-    host_count_ = hosts.size();
+    has_majority_ = 2 * hosts.size() > listed_hosts;
 
     rows_.resize(row_count_for(hosts.size()));
     for (std::string& id : hosts)
@@ -70,9 +70,9 @@
     return relay_in(home_row, key);
 }
 
-std::size_t share_layout::host_count() const
+bool share_layout::has_majority() const
 {
-    return host_count_;
+    return has_majority_;
 }
 
 const std::string& share_layout::relay_in(std::size_t row, share_key key) const
--- a/modules/admission/share/share_layout.hpp
+++ b/modules/admission/share/share_layout.hpp
@@ -26,9 +26,11 @@
 public:
     static constexpr std::size_t greatest_single_row = 24;
 
-    /** @param hosts  ids of the live entry hosts
-        @param own  this host's id; added if it is missing */
-    share_layout(std::vector<std::string> hosts, const std::string& own);
+    /** @param hosts  ids of the entry hosts that can be reached
+        @param own  this host's id; added if it is missing
+        @param listed_hosts  entry hosts in the platform's list */
+    share_layout(std::vector<std::string> hosts, const std::string& own,
+                 std::size_t listed_hosts);
 
     /** The host in this host's row to which it reports a limit. */
     const std::string& relay_of(share_key key) const;
@@ -36,7 +38,10 @@
     /** The host that knows the demand of a limit over all hosts. */
     const std::string& home_of(share_key key) const;
 
-    std::size_t host_count() const;
+    /** Whether more than half of the listed hosts can be reached. A home on
+        the smaller side of a partition must not take what it sees for the
+        demand over all hosts. */
+    bool has_majority() const;
 
 private:
     struct member
@@ -50,7 +55,7 @@
     std::vector<std::vector<member>> rows_;
     std::vector<std::size_t> used_rows_;
     std::size_t own_row_ = 0;
-    std::size_t host_count_ = 0;
+    bool has_majority_ = false;
 };
 
 } // namespace hibiscusferry
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -50,8 +50,77 @@
 // 1200-1299 claims (at most once)
 
 // 1300-1399 admission and fair share
+HIBISCUSFERRY_EVENT(1300, info, customer_limited,
+                    "A customer is over its rate; its requests beyond it are "
+                    "refused with Retry-After.",
+                    "")
+HIBISCUSFERRY_EVENT(1301, warning, queue_shed,
+                    "A full queue refused the newest request of the customer "
+                    "that filled it most.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1302, alarm, overload_began,
+    "Requests of a service wait longer than its overload limit at this host.",
+    "See whether targets are out or changing; otherwise the service gets more "
+    "work than it can do: lower the limits of its heaviest customers in the "
+    "document.")
+HIBISCUSFERRY_EVENT(1303, info, overload_ended,
+                    "Requests of a service wait no longer than usual again.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1304, warning, limit_on_even_part,
+    "The demand of a customer over all hosts has not been heard; this host "
+    "keeps to an even part of the customer's limit.",
+    "")
+HIBISCUSFERRY_EVENT(1305, warning, retry_budget_empty,
+                    "A service's retry budget is used up; its failed requests "
+                    "are not sent again until it has earned more.",
+                    "")
 
 // 1400-1499 targets and routing
+HIBISCUSFERRY_EVENT(1400, info, target_added,
+                    "A target is used by this router from now on.", "")
+HIBISCUSFERRY_EVENT(1401, info, target_removed,
+                    "A target is not used by this router any more.", "")
+HIBISCUSFERRY_EVENT(1402, info, target_leaving,
+                    "A target said that it is leaving, or is listed so; it "
+                    "gets no new work.",
+                    "")
+HIBISCUSFERRY_EVENT(1403, warning, target_suspect,
+                    "An attempt failed by a target's doing; it is used only "
+                    "if no other can be.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1404, alarm, target_out,
+    "A target failed several attempts in a row and is not used; it is probed "
+    "until it answers.",
+    "Look at the target. Nothing has to be done in this system: it is used "
+    "again as soon as it answers a probe.")
+HIBISCUSFERRY_EVENT(1405, info, target_back,
+                    "A target that was out has answered a probe.", "")
+HIBISCUSFERRY_EVENT(1406, info, target_stopped,
+                    "New work to a target was stopped for a planned change, "
+                    "and this was confirmed.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1407, alarm, permission_lapsed,
+    "No controller was heard for a whole term; new work goes only to targets "
+    "that cannot be changing.",
+    "See whether the controllers run, and whether this host reaches them and "
+    "the table service.")
+HIBISCUSFERRY_EVENT(1408, info, permission_regained,
+                    "A controller was heard again.", "")
+HIBISCUSFERRY_EVENT(
+    1409, alarm, role_missing,
+    "No known target of a service can prefill, or none can decode; targets "
+    "of another cell are used too.",
+    "See the time line of the service's roles and the targets that are out.")
+HIBISCUSFERRY_EVENT(1410, warning, connection_replaced,
+                    "A connection fell silent while a new one to the same "
+                    "target works; it was replaced.",
+                    "")
+HIBISCUSFERRY_EVENT(1411, info, stream_resumed,
+                    "A broken stream goes on over another connection.", "")
 
 // 1500-1599 membership and peers
 
