Run calls that may not be repeated at most once

Cause: a caller's retry, a lost or late store write, a paused or killed router could run a lodgement twice or lose it without a trace. Conclusion: a batch is proved only by its own write id.

--- a/modules/claims/batch/claim_batcher.hpp
+++ b/modules/claims/batch/claim_batcher.hpp
@@ -94,20 +94,23 @@
 
     void start_batches(time_point now, actions& wanted);
     bool batch_is_due(time_point now) const;
-    std::vector<queued_update> take_batch(time_point now, actions& wanted);
+    std::vector<queued_update> take_batch();
     void open(std::vector<queued_update> updates, time_point now,
               actions& wanted);
     void proceed(std::uint64_t number, std::optional<store_step> step,
                  time_point now, actions& wanted);
     void close(std::uint64_t number, time_point now, actions& wanted);
     void end_update(const queued_update& queued, const store_write& write,
-                    bool is_marker, time_point now, actions& wanted);
-    void requeue(queued_update queued, time_point now, actions& wanted);
+                    time_point now, actions& wanted);
+    void drop_expired(time_point now, actions& wanted);
 
     batch_limits limits_;
     std::deque<queued_update> queue_;
     std::map<std::uint64_t, open_batch> batches_;
+    /** Rows of the updates in open batches. */
     std::set<std::string> busy_rows_;
+    /** No later than the first abandon_at in the queue. */
+    time_point earliest_abandon_ = time_point::max();
     std::uint64_t last_batch_ = 0;
     std::uint64_t commits_sent_ = 0;
 };
--- a/modules/claims/batch/claim_forwarder.hpp
+++ b/modules/claims/batch/claim_forwarder.hpp
@@ -68,6 +68,9 @@
     /** Falls back for updates whose batching host took too long. */
     std::vector<forward_action> tick(time_point now);
 
+    /** When tick() should be called next; max() when nothing is due. */
+    time_point next_wake() const;
+
     /** Updates without an outcome. */
     std::size_t open_updates() const;
 
--- a/modules/claims/batch/row_update.hpp
+++ b/modules/claims/batch/row_update.hpp
@@ -21,12 +21,16 @@
     std::optional<row_version> version;
     /** The row's present value; empty when it is absent. */
     std::string previous;
-    /** The new value, stamped (row_stamp) with the id. */
+    /** The new value, stamped (row_stamp) with the id; or, as a batch may
+        write it, with the id followed by '/' and more. */
     std::string value;
     /** Rows that take effect together with the change, unconditionally. */
     std::vector<row_write> index_writes;
     /** From then on the update is no longer tried, only settled. */
     time_point abandon_at = time_point::max();
+    /** Whether the same change may be under way by another path, so that it
+        may only be called not written when a tombstone stops it. */
+    bool may_be_under_way = false;
 };
 
 /** How an update ended; certain in every case. */
--- a/modules/claims/record/claim_record.hpp
+++ b/modules/claims/record/claim_record.hpp
@@ -64,6 +64,8 @@
     std::string body;
     /** Name of the object that holds the body; empty when it is inline. */
     std::string body_object;
+    /** False when the body could not be stored; the call did run. */
+    bool is_body_kept = true;
 };
 
 /** The process that claimed a call. */
--- a/modules/claims/registry/claim_registry.hpp
+++ b/modules/claims/registry/claim_registry.hpp
@@ -156,13 +156,16 @@
     void claim_committed(const std::string& row_key, entry& subject,
                          time_point now, actions& wanted);
     void join(const std::string& row_key, entry& subject,
-              const claim_call& call, time_point now, actions& wanted);
+              const claim_call& call, actions& wanted);
+    void answer_from_record(entry& subject, actions& wanted);
 
     // What a row says.
-    void row_found(const std::string& row_key, const table_row& row,
-                   time_point now, actions& wanted);
+    void row_found(const std::string& row_key, entry& subject,
+                   const table_row& row, time_point now, actions& wanted);
     void record_found(const std::string& row_key, entry& subject,
                       time_point now, actions& wanted);
+    void own_record_found(const std::string& row_key, entry& subject,
+                          time_point now, actions& wanted);
     void claimed_found(const std::string& row_key, entry& subject,
                        time_point now, actions& wanted);
     void resolve(const std::string& row_key, entry& subject, time_point now,
@@ -171,6 +174,8 @@
                         time_point now, actions& wanted);
 
     // Recording an outcome.
+    void settle(const std::string& row_key, entry& subject,
+                const stored_answer& answer, time_point now, actions& wanted);
     void record(const std::string& row_key, entry& subject, claim_state state,
                 time_point now, actions& wanted);
     void submit_record(const std::string& row_key, entry& subject,
@@ -178,19 +183,23 @@
     void record_ended(const std::string& row_key, entry& subject,
                       const update_outcome& outcome, time_point now,
                       actions& wanted);
-    std::vector<row_write> index_writes(const entry& subject) const;
+    void record_conflicted(const std::string& row_key, entry& subject,
+                           const table_row& present, time_point now,
+                           actions& wanted);
 
     // Common parts.
+    void begin_stage(const std::string& row_key, entry& subject,
+                     entry_stage stage, time_point now, actions& wanted);
+    void wait(entry& subject, entry_stage next, time_point until);
     void answer(entry& subject, claim_verdict verdict, actions& wanted);
-    void pass_deadline(const std::string& row_key, entry& subject,
-                       time_point now, actions& wanted);
+    void notice(event_number number, const entry& subject,
+                actions& wanted) const;
     void pass_wake(const std::string& row_key, entry& subject, time_point now,
                    actions& wanted);
-    void enter(entry& subject, entry_stage stage, time_point wake);
-    void observe(const std::string& row_key, const claim_record& seen,
-                 time_point now);
-    entry* entry_of_call(const std::string& call_id);
-    std::string next_update_id();
+    void observe(const claim_record& seen, time_point limit);
+    entry* running_entry(const std::string& call_id);
+    update_claim make_update(const std::string& row_key, entry& subject,
+                             std::vector<row_write> index_writes);
     void schedule(const std::string& row_key);
     void erase(const std::string& row_key);
     std::chrono::seconds wall_seconds(time_point now) const;
--- /dev/null
+++ b/modules/claims/registry/claims_property_test.cpp
@@ -0,0 +1,48 @@
+#include "claims/testing/claim_simulation.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusferry;
+using namespace hibiscusferry::testing;
+
+namespace
+{
+
+constexpr std::uint64_t fuzz_runs = 1500;
+constexpr std::uint64_t plant_runs = 600;
+
+std::size_t breaches_with(router_plant router, table_plant table)
+{
+    std::size_t breaches = 0;
+    for (std::uint64_t seed = 1; seed <= plant_runs; ++seed)
+        breaches += claim_simulation(seed, router, table).run().breaches.size();
+    return breaches;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(claims_property_test)
+
+BOOST_AUTO_TEST_CASE(no_key_runs_twice_and_every_caller_is_told_the_truth)
+{
+    for (std::uint64_t seed = 1; seed <= fuzz_runs; ++seed)
+    {
+        const claim_report report = claim_simulation(seed).run();
+        for (const std::string& breach : report.breaches)
+            BOOST_ERROR("seed " << seed << ": " << breach);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(planted_faults_are_found)
+{
+    BOOST_TEST(breaches_with(router_plant::starts_before_claim,
+                             table_plant::none) > 0U);
+    BOOST_TEST(breaches_with(router_plant::retries_broken_calls,
+                             table_plant::none) > 0U);
+    BOOST_TEST(
+        breaches_with(router_plant::none, table_plant::skips_tombstones) > 0U);
+    BOOST_TEST(breaches_with(router_plant::none,
+                             table_plant::ignores_conditions) > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/claims/settled_write/row_stamp.hpp
+++ b/modules/claims/settled_write/row_stamp.hpp
@@ -70,6 +70,30 @@
     {
         return !write_ids.empty() && write_ids.front() == write_id;
     }
+
+    /** As contains(), of any of the writes made for an update: they have its
+        id, alone or followed by '/' and more. */
+    bool contains_update(const std::string& update_id) const
+    {
+        return std::any_of(write_ids.begin(), write_ids.end(),
+                           [&update_id](const std::string& id)
+                           { return is_of_update(id, update_id); });
+    }
+
+    /** As is_newest(), of any of the writes made for an update. */
+    bool is_newest_update(const std::string& update_id) const
+    {
+        return !write_ids.empty() && is_of_update(write_ids.front(), update_id);
+    }
+
+private:
+    static bool is_of_update(const std::string& write_id,
+                             const std::string& update_id)
+    {
+        return write_id.compare(0, update_id.size(), update_id) == 0 &&
+               (write_id.size() == update_id.size() ||
+                write_id[update_id.size()] == '/');
+    }
 };
 
 } // namespace hibiscusferry
--- a/modules/claims/settled_write/store_write.hpp
+++ b/modules/claims/settled_write/store_write.hpp
@@ -54,6 +54,8 @@
     std::string tombstone_id;
     /** From then on the write is no longer tried, only settled. */
     time_point abandon_at = time_point::max();
+    /** Whether the same change may be under way by another path already. */
+    bool may_be_under_way = false;
 };
 
 /** Drives one conditional transaction to a certain end.
@@ -80,6 +82,7 @@
 
     explicit store_write(write_plan plan)
         : plan_(std::move(plan))
+        , in_doubt_(plan_.may_be_under_way)
     {
     }
 
@@ -144,9 +147,8 @@
         return in_doubt_ && state_ == write_state::unsettled;
     }
 
-    /** The version of the rows written, or of the tombstone (both from the
-        answer or read back); 0 when others have written the marker row
-        since, or nothing was written. */
+    /** The version of the rows written; 0 when others have written the
+        marker row since, or nothing was written. */
     row_version version() const
     {
         return version_;
@@ -158,15 +160,6 @@
         return conflicts_;
     }
 
-    /** The value of the tombstone that abandoned() left in the marker row;
-        meaningful when version() is not 0. */
-    std::string tombstone_value() const
-    {
-        return row_stamp::successor(
-            plan_.marker_previous, plan_.tombstone_id,
-            row_stamp::parse(plan_.marker_previous).payload);
-    }
-
     /** When tick() will have a step; max() while an answer is awaited. */
     time_point next_wake() const
     {
@@ -252,7 +245,13 @@
             if (condition.key == plan_.marker_key)
                 transaction.conditions.push_back(condition);
         }
-        transaction.writes.push_back({plan_.marker_key, tombstone_value()});
+        // The payload stays, so that readers of the row see no change.
+        const std::string payload =
+            row_stamp::parse(plan_.marker_previous).payload;
+        transaction.writes.push_back(
+            {plan_.marker_key,
+             row_stamp::successor(plan_.marker_previous, plan_.tombstone_id,
+                                  payload)});
         return transaction;
     }
 
--- /dev/null
+++ b/modules/claims/testing/claim_simulation.hpp
@@ -0,0 +1,383 @@
+#ifndef HIBISCUSFERRY_CLAIMS_TESTING_CLAIM_SIMULATION_HPP
+#define HIBISCUSFERRY_CLAIMS_TESTING_CLAIM_SIMULATION_HPP
+
+#include "claims/testing/simulated_router.hpp"
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hibiscusferry::testing
+{
+
+/** What happened in one seeded run, and what was wrong with it. */
+struct claim_report
+{
+    std::size_t calls = 0;
+    std::size_t target_runs = 0;
+    std::size_t most_runs_of_a_key = 0;
+    std::size_t kills = 0;
+    std::uint64_t commits = 0;
+    /** Callers told each claim_verdict. */
+    std::array<std::size_t, 6> verdicts{};
+    /** One line for each breach of what must always hold. */
+    std::vector<std::string> breaches;
+};
+
+/** Several routers over one faulty table and target, callers that use the
+    same few keys at all of them, and the check of what they were told. */
+class claim_simulation
+{
+public:
+    explicit claim_simulation(std::uint64_t seed,
+                              router_plant plant = router_plant::none,
+                              table_plant faulty_plant = table_plant::none)
+        : random_(seed)
+        , table_(events_, random_)
+        , target_(events_, random_)
+    {
+        platform_.plant = plant;
+        table_.plant(faulty_plant);
+        platform_.forward = [this](const forward_update& forward,
+                                   const outcome_handler& handler)
+        {
+            carry(forward, handler);
+        };
+        platform_.tell_caller = [this](const answer_call& answer)
+        {
+            told_[answer.call_id].push_back({events_.now(), answer});
+        };
+        for (std::size_t host = 0; host < host_count; ++host)
+            start_router(host);
+    }
+
+    claim_report run()
+    {
+        const time_point begin = events_.now();
+        plan_calls();
+        plan_faults();
+        events_.run_until(begin + busy_time);
+        stop_faults();
+        events_.run_until(begin + busy_time + settling_time);
+        for (int sweep = 0; sweep < sweeps; ++sweep)
+        {
+            routers_.front()->sweep();
+            events_.run_until(events_.now() + settling_time);
+        }
+        check();
+        return report_;
+    }
+
+private:
+    using outcome_handler = std::function<void(const update_outcome&)>;
+
+    struct told_answer
+    {
+        time_point moment;
+        answer_call answer;
+    };
+    struct planned_call
+    {
+        claim_call call;
+        time_point arrival;
+        std::shared_ptr<simulated_router> router;
+    };
+
+    static constexpr std::size_t host_count = 3;
+    static constexpr std::size_t key_count = 3;
+    static constexpr std::chrono::seconds busy_time{30};
+    static constexpr std::chrono::seconds settling_time{60};
+    static constexpr int sweeps = 2;
+
+    static std::string host_name(std::size_t host)
+    {
+        return "host-" + std::to_string(host);
+    }
+
+    void start_router(std::size_t host)
+    {
+        const std::shared_ptr<simulated_router> router =
+            std::make_shared<simulated_router>(
+                platform_, "process-" + std::to_string(++last_process_),
+                host_name(host));
+        std::vector<std::string> names;
+        for (std::size_t index = 0; index < host_count; ++index)
+            names.push_back(host_name(index));
+        router->hosts_changed(names);
+        if (host < routers_.size())
+            routers_[host] = router;
+        else
+            routers_.push_back(router);
+    }
+
+    /** Peer messages are delivered late or lost, never twice. */
+    void carry(const forward_update& forward, const outcome_handler& handler)
+    {
+        if (platform_.is_faulty && random_.chance(10))
+            return;
+        const bool is_slow = platform_.is_faulty && random_.chance(10);
+        const std::chrono::milliseconds delay =
+            is_slow ? random_.between(200, 6000) : random_.between(1, 5);
+        const std::chrono::nanoseconds time_left =
+            forward.update.abandon_at - events_.now();
+        const bool has_limit = forward.update.abandon_at != time_point::max();
+        events_.after(delay,
+                      [this, forward, handler, time_left, has_limit]
+                      {
+                          row_update update = forward.update;
+                          if (has_limit)
+                              update.abandon_at = events_.now() + time_left;
+                          for (std::size_t host = 0; host < host_count; ++host)
+                          {
+                              if (host_name(host) == forward.host)
+                                  routers_[host]->batch_for(update,
+                                                            carried(handler));
+                          }
+                      });
+    }
+
+    outcome_handler carried(const outcome_handler& handler)
+    {
+        return [this, handler](const update_outcome& outcome)
+        {
+            if (platform_.is_faulty && random_.chance(10))
+                return;
+            events_.after(random_.between(1, 5),
+                          [handler, outcome] { handler(outcome); });
+        };
+    }
+
+    void plan_calls()
+    {
+        const std::size_t count = 6 + random_.below(10);
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            claim_call call;
+            call.call_id = "call-" + std::to_string(index);
+            const std::size_t key = random_.below(key_count);
+            call.name = {"order-desk", "school/one",
+                         "key " + std::to_string(key)};
+            call.body_digest = random_.chance(10) ? "other" : "body";
+            call.has_status_path = key == 0;
+            // Some at the same moment, others long after.
+            const std::chrono::milliseconds start =
+                random_.chance(40) ? std::chrono::milliseconds(500)
+                                   : random_.between(0, 25000);
+            events_.after(start, [this, call] { arrive(call); });
+        }
+    }
+
+    void arrive(claim_call call)
+    {
+        call.deadline = events_.now() + random_.between(500, 8000);
+        const std::shared_ptr<simulated_router> router =
+            routers_[random_.below(host_count)];
+        calls_.push_back({call, events_.now(), router});
+        router->arrive(call);
+    }
+
+    void plan_faults()
+    {
+        const std::size_t pauses = random_.below(5);
+        for (std::size_t index = 0; index < pauses; ++index)
+        {
+            events_.after(random_.between(0, 20000),
+                          [this]
+                          {
+                              routers_[random_.below(host_count)]->pause_until(
+                                  events_.now() + random_.between(50, 12000));
+                          });
+        }
+        const std::size_t kills = random_.below(4);
+        for (std::size_t index = 0; index < kills; ++index)
+            events_.after(random_.between(0, 20000), [this] { kill_one(); });
+        if (random_.chance(30))
+        {
+            events_.after(random_.between(0, 15000),
+                          [this] {
+                              table_.set_down_until(events_.now() +
+                                                    random_.between(500, 8000));
+                          });
+        }
+    }
+
+    void kill_one()
+    {
+        const std::size_t host = random_.below(host_count);
+        const std::string process = routers_[host]->process();
+        routers_[host]->kill();
+        ++report_.kills;
+        start_router(host);
+        events_.after(random_.between(500, 6000),
+                      [this, process]
+                      {
+                          for (const std::shared_ptr<simulated_router>& router :
+                               routers_)
+                              router->owner_gone(process);
+                      });
+    }
+
+    void stop_faults()
+    {
+        platform_.is_faulty = false;
+        table_.set_faulty(false);
+        target_.set_faulty(false);
+    }
+
+    // ====================================================================
+    // What must always hold
+    // ====================================================================
+
+    void breach(const std::string& what, const std::string& subject)
+    {
+        report_.breaches.push_back(what + ": " + subject);
+    }
+
+    void check()
+    {
+        report_.calls = calls_.size();
+        report_.commits = table_.commits();
+        for (std::size_t key = 0; key < key_count; ++key)
+            check_key(claim_name{"order-desk", "school/one",
+                                 "key " + std::to_string(key)});
+        for (const planned_call& planned : calls_)
+            check_call(planned);
+        if (!table_.rows().scan(open_claim_prefix, "", 1).empty())
+            breach("a claim was forgotten", open_claim_prefix);
+    }
+
+    std::optional<claim_record> record_of(const claim_name& name) const
+    {
+        const result<table_row> row = table_.rows().read(name.row_key());
+        if (!row)
+            return std::nullopt;
+        const result<claim_record> record =
+            claim_record::parse(row_stamp::parse(row.value().value).payload);
+        return record ? std::optional<claim_record>(record.value())
+                      : std::nullopt;
+    }
+
+    void check_key(const claim_name& name)
+    {
+        const std::string& key = name.idempotency_key;
+        const std::size_t runs = target_.runs(key).size();
+        const std::optional<claim_record> record = record_of(name);
+        const bool is_settled = record && record->state == claim_state::settled;
+        const bool is_unknown = record && record->state == claim_state::unknown;
+        report_.target_runs += runs;
+        report_.most_runs_of_a_key = std::max(report_.most_runs_of_a_key, runs);
+        if (runs > 1)
+            breach("a key ran twice", key);
+        if (runs > 0 && !is_settled && !is_unknown)
+            breach("a run is not on record", key);
+        if (runs == 0 && is_settled)
+            breach("an answer without a run is on record", key);
+        if (record && record->state == claim_state::claimed)
+            breach("a claim was never settled", key);
+        if (is_unknown && record->has_status_path)
+            breach("the target could tell, but was not asked", key);
+        claim_record listed;
+        listed.name = name;
+        const bool is_listed =
+            table_.rows().read(listed.unresolved_key()).has_value();
+        if (is_listed != is_unknown)
+            breach("the list for operators is wrong", key);
+    }
+
+    void check_call(const planned_call& planned)
+    {
+        const std::vector<told_answer>& answers = told_[planned.call.call_id];
+        if (answers.size() > 1)
+            breach("a caller was told twice", planned.call.call_id);
+        if (answers.empty())
+        {
+            if (planned.router->is_alive())
+                breach("a caller was told nothing", planned.call.call_id);
+            return;
+        }
+        const answer_call& told = answers.front().answer;
+        ++report_.verdicts[static_cast<std::size_t>(told.verdict)];
+        if (!is_true(planned, told))
+        {
+            breach("a caller was told wrong: verdict " +
+                       std::to_string(static_cast<int>(told.verdict)),
+                   planned.call.call_id);
+        }
+    }
+
+    bool is_true(const planned_call& planned, const answer_call& told) const
+    {
+        const claim_call& call = planned.call;
+        const std::vector<std::string> runs =
+            target_.runs(call.name.idempotency_key);
+        const bool ran = std::count(runs.begin(), runs.end(), call.call_id) > 0;
+        const std::optional<claim_record> record = record_of(call.name);
+        // A router that died may have left its claim behind.
+        const bool left_in_doubt = planned.router->is_alive() && record &&
+                                   record->claim_id == call.call_id &&
+                                   record->state == claim_state::unknown;
+        switch (told.verdict)
+        {
+        case claim_verdict::answered:
+            return body_of(told.answer) ==
+                   faulty_target::answer_text(call.name.idempotency_key,
+                                              call.body_digest);
+        case claim_verdict::not_run:
+            return !ran && !left_in_doubt;
+        case claim_verdict::barred:
+            return runs.empty();
+        case claim_verdict::key_reused:
+            return !ran && has_rival(call, true);
+        case claim_verdict::in_progress:
+            return !ran && has_rival(call, false);
+        case claim_verdict::unknown:
+            return true; // check_key: settled, or listed for operators
+        }
+        return false;
+    }
+
+    std::string body_of(const stored_answer& answer) const
+    {
+        if (answer.body_object.empty())
+            return answer.body;
+        const auto found = platform_.objects.find(answer.body_object);
+        return found == platform_.objects.end() ? "" : found->second;
+    }
+
+    bool has_rival(const claim_call& call, bool with_other_body) const
+    {
+        return std::any_of(calls_.begin(), calls_.end(),
+                           [&call, with_other_body](const planned_call& other)
+                           {
+                               return other.call.call_id != call.call_id &&
+                                      other.call.name.idempotency_key ==
+                                          call.name.idempotency_key &&
+                                      (other.call.body_digest !=
+                                       call.body_digest) == with_other_body;
+                           });
+    }
+
+    event_queue events_;
+    choices random_;
+    faulty_table table_;
+    faulty_target target_;
+    simulated_platform platform_{
+        events_, random_, table_, target_, {}, true, router_plant::none,
+        {},      {}};
+    std::vector<std::shared_ptr<simulated_router>> routers_;
+    std::vector<planned_call> calls_;
+    std::map<std::string, std::vector<told_answer>> told_;
+    std::size_t last_process_ = 0;
+    claim_report report_;
+};
+
+} // namespace hibiscusferry::testing
+
+#endif
--- /dev/null
+++ b/modules/claims/testing/simulated_router.hpp
@@ -0,0 +1,389 @@
+#ifndef HIBISCUSFERRY_CLAIMS_TESTING_SIMULATED_ROUTER_HPP
+#define HIBISCUSFERRY_CLAIMS_TESTING_SIMULATED_ROUTER_HPP
+
+#include "claims/claims.hpp"
+#include "claims/testing/event_queue.hpp"
+#include "claims/testing/faulty_table.hpp"
+#include "claims/testing/faulty_target.hpp"
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace hibiscusferry::testing
+{
+
+/** Faults planted in a router to see that a check can fail. */
+enum class router_plant
+{
+    none,
+    starts_before_claim, ///< does not wait for the claim to be committed
+    retries_broken_calls ///< takes a broken connection for "not run"
+};
+
+/** What the simulated routers share. */
+struct simulated_platform
+{
+    event_queue& events;
+    choices& random;
+    faulty_table& table;
+    faulty_target& target;
+    std::map<std::string, std::string> objects;
+    bool is_faulty = true;
+    router_plant plant = router_plant::none;
+    /** Hands an update to the batcher of a host, and its outcome back. */
+    std::function<void(const forward_update&,
+                       std::function<void(const update_outcome&)>)>
+        forward;
+    std::function<void(const answer_call&)> tell_caller;
+};
+
+/** One router process: the real decision classes, and the plumbing that
+    carries their actions out in virtual time. It can be paused and killed
+    between any two events. */
+class simulated_router : public std::enable_shared_from_this<simulated_router>
+{
+public:
+    simulated_router(simulated_platform& platform, std::string process,
+                     const std::string& host)
+        : platform_(platform)
+        , process_(std::move(process))
+        , registry_(process_, claim_limits())
+        , batcher_(batch_limits())
+        , forwarder_(host, forward_limits{2, std::chrono::milliseconds(200)})
+    {
+    }
+
+    const std::string& process() const
+    {
+        return process_;
+    }
+
+    void hosts_changed(const std::vector<std::string>& hosts)
+    {
+        forwarder_.hosts_changed(hosts);
+    }
+
+    void kill()
+    {
+        is_alive_ = false;
+    }
+
+    bool is_alive() const
+    {
+        return is_alive_;
+    }
+
+    void pause_until(time_point end)
+    {
+        paused_until_ = std::max(paused_until_, end);
+    }
+
+    /** Runs `handler` in the process: never once it is dead, and not before
+        the end of a pause. */
+    void post(std::function<void()> handler)
+    {
+        if (!is_alive_)
+            return;
+        if (platform_.events.now() < paused_until_)
+        {
+            platform_.events.at(paused_until_, [self = shared_from_this(),
+                                                handler = std::move(handler)]
+                                { self->post(handler); });
+            return;
+        }
+        handler();
+        schedule_tick();
+    }
+
+    void arrive(const claim_call& call)
+    {
+        post([this, call] { perform(registry_.call_arrived(call, now())); });
+    }
+
+    void owner_gone(const std::string& process)
+    {
+        post([this, process]
+             { perform(registry_.owner_gone(process, now())); });
+    }
+
+    void sweep()
+    {
+        post([this] { perform(registry_.begin_sweep(now())); });
+    }
+
+    /** An update from another host for this host's batcher. */
+    void batch_for(const row_update& update,
+                   std::function<void(const update_outcome&)> handler)
+    {
+        post(
+            [this, update, handler = std::move(handler)]
+            {
+                remote_updates_[update.id] = handler;
+                perform(batcher_.submit(update, now()));
+            });
+    }
+
+    /** Nothing is open or waiting. */
+    bool is_idle() const
+    {
+        return registry_.open_calls() == 0 && batcher_.open_updates() == 0 &&
+               forwarder_.open_updates() == 0;
+    }
+
+private:
+    template <class Method>
+    auto on_this(Method method)
+    {
+        return [self = shared_from_this(), method](const auto&... arguments)
+        {
+            self->post([self, method, arguments...]
+                       { method(*self, arguments...); });
+        };
+    }
+
+    time_point now() const
+    {
+        return platform_.events.now();
+    }
+
+    void perform(const std::vector<claim_action>& actions)
+    {
+        for (const claim_action& action : actions)
+            std::visit([this](const auto& wanted) { act(wanted); }, action);
+    }
+
+    void perform(const std::vector<batch_action>& actions)
+    {
+        for (const batch_action& action : actions)
+            std::visit([this](const auto& wanted) { act(wanted); }, action);
+    }
+
+    void perform(const std::vector<forward_action>& actions)
+    {
+        for (const forward_action& action : actions)
+        {
+            if (const update_outcome* outcome =
+                    std::get_if<update_outcome>(&action))
+                perform(registry_.update_ended(*outcome, now()));
+            else
+                std::visit([this](const auto& wanted) { act(wanted); }, action);
+        }
+    }
+
+    void act(const answer_call& answer)
+    {
+        platform_.tell_caller(answer);
+    }
+
+    void act(const start_call& start)
+    {
+        // The process may be stopped between the decision and the send.
+        platform_.events.after(platform_.random.between(0, 3),
+                               [self = shared_from_this(), id = start.call_id]
+                               { self->post([self, id] { self->send(id); }); });
+    }
+
+    void send(const std::string& call_id)
+    {
+        const auto found = started_.find(call_id);
+        if (found == started_.end())
+            return;
+        const claim_record record = found->second;
+        started_.erase(found);
+        platform_.target.call(
+            record.name.idempotency_key, call_id, record.body_digest,
+            on_this([call_id](simulated_router& self, target_end end,
+                              const stored_answer& answer)
+                    { self.ended(call_id, end, answer); }));
+    }
+
+    void ended(const std::string& call_id, target_end end,
+               const stored_answer& answer)
+    {
+        const bool may_retry =
+            platform_.plant == router_plant::retries_broken_calls;
+        if (end == target_end::answered)
+            perform(registry_.call_answered(call_id, answer, now()));
+        else if (end == target_end::not_run || may_retry)
+            perform(registry_.call_not_run(call_id, now()));
+        else
+            perform(registry_.call_broken(call_id, now()));
+    }
+
+    void act(const update_claim& wanted)
+    {
+        const row_update& update = wanted.update;
+        const result<claim_record> record =
+            claim_record::parse(row_stamp::parse(update.value).payload);
+        if (record.value().state == claim_state::claimed)
+            started_[record.value().claim_id] = record.value();
+        perform(forwarder_.submit(update, now()));
+        if (platform_.plant == router_plant::starts_before_claim)
+        {
+            const update_outcome early{
+                update.id, update_result::committed, 0, {}};
+            perform(registry_.update_ended(early, now()));
+        }
+    }
+
+    void act(const forward_update& forward)
+    {
+        platform_.forward(
+            forward,
+            on_this(
+                [](simulated_router& self, const update_outcome& outcome)
+                { self.perform(self.forwarder_.forward_answered(outcome)); }));
+    }
+
+    void act(const submit_locally& local)
+    {
+        perform(batcher_.submit(local.update, now()));
+    }
+
+    void act(const update_outcome& outcome)
+    {
+        const auto remote = remote_updates_.find(outcome.id);
+        if (remote == remote_updates_.end())
+        {
+            perform(forwarder_.local_answered(outcome));
+            return;
+        }
+        const std::function<void(const update_outcome&)> handler =
+            remote->second;
+        remote_updates_.erase(remote);
+        handler(outcome);
+    }
+
+    void act(const batch_step& wanted)
+    {
+        const std::uint64_t batch = wanted.batch;
+        if (const commit_step* commit = std::get_if<commit_step>(&wanted.step))
+        {
+            platform_.table.commit(
+                commit->transaction, faulty_table::time_limit,
+                on_this(
+                    [batch](simulated_router& self,
+                            const result<commit_receipt>& answer) {
+                        self.perform(self.batcher_.commit_answered(
+                            batch, answer, self.now()));
+                    }));
+            return;
+        }
+        platform_.table.read(
+            std::get<read_step>(wanted.step).key, faulty_table::time_limit,
+            on_this(
+                [batch](simulated_router& self, const result<table_row>& answer)
+                {
+                    self.perform(
+                        self.batcher_.read_answered(batch, answer, self.now()));
+                }));
+    }
+
+    void act(const read_claim& read)
+    {
+        platform_.table.read(
+            read.row_key, faulty_table::time_limit,
+            on_this(
+                [key = read.row_key](simulated_router& self,
+                                     const result<table_row>& answer) {
+                    self.perform(
+                        self.registry_.row_read(key, answer, self.now()));
+                }));
+    }
+
+    void act(const look_up_status& look_up)
+    {
+        platform_.target.status(
+            look_up.name.idempotency_key,
+            on_this(
+                [key = look_up.row_key](simulated_router& self,
+                                        call_status status,
+                                        const stored_answer& answer)
+                {
+                    self.perform(self.registry_.status_answered(
+                        key, status, answer, self.now()));
+                }));
+    }
+
+    void act(const store_body& body)
+    {
+        const bool fails = platform_.is_faulty && platform_.random.chance(20);
+        if (!fails)
+            platform_.objects[body.object_name] = body.bytes;
+        const result<void> answer =
+            fails
+                ? result<void>(make_error_code(platform_error::outcome_unknown))
+                : result<void>(outcome::success());
+        platform_.events.after(
+            platform_.random.between(1, 50),
+            [answer, handler = on_this(
+                         [key = body.row_key](simulated_router& self,
+                                              const result<void>& stored) {
+                             self.perform(self.registry_.body_stored(
+                                 key, stored, self.now()));
+                         })] { handler(answer); });
+    }
+
+    void act(const scan_claims& scan)
+    {
+        platform_.table.scan(
+            scan.prefix, scan.after, scan.limit, faulty_table::time_limit,
+            on_this(
+                [prefix =
+                     scan.prefix](simulated_router& self,
+                                  const result<std::vector<table_row>>& rows) {
+                    self.perform(
+                        self.registry_.rows_scanned(prefix, rows, self.now()));
+                }));
+    }
+
+    void act(const claim_notice&)
+    {
+    }
+
+    void schedule_tick()
+    {
+        const time_point wake =
+            std::min({registry_.next_wake(), batcher_.next_wake(),
+                      forwarder_.next_wake()});
+        if (wake == time_point::max() || wake >= scheduled_)
+            return;
+        scheduled_ = wake;
+        platform_.events.at(wake,
+                            [self = shared_from_this(), wake] {
+                                self->post([self, wake] { self->tick(wake); });
+                            });
+    }
+
+    void tick(time_point scheduled)
+    {
+        if (scheduled_ == scheduled)
+            scheduled_ = time_point::max();
+        perform(forwarder_.tick(now()));
+        perform(batcher_.tick(now()));
+        perform(registry_.tick(now()));
+    }
+
+    simulated_platform& platform_;
+    std::string process_;
+    claim_registry registry_;
+    claim_batcher batcher_;
+    claim_forwarder forwarder_;
+    bool is_alive_ = true;
+    time_point paused_until_{};
+    time_point scheduled_ = time_point::max();
+    std::map<std::string, claim_record> started_;
+    std::map<std::string, std::function<void(const update_outcome&)>>
+        remote_updates_;
+};
+
+} // namespace hibiscusferry::testing
+
+#endif
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -48,6 +48,48 @@
                     "The caller went away before its answer was complete.", "")
 
 // 1200-1299 claims (at most once)
+HIBISCUSFERRY_EVENT(
+    1200, warning, claim_not_written,
+    "A call that may run at most once was refused as not run: the store did "
+    "not take its claim in time.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1201, alarm, claim_outcome_unknown,
+    "A call that may run at most once may have run, and nothing can tell.",
+    "Find out at the target whether the call ran and tell the customer; the "
+    "call is listed under unresolved/ in the table until it is settled.")
+HIBISCUSFERRY_EVENT(1202, warning, claim_owner_lost,
+                    "The process that claimed a call is gone or has not "
+                    "recorded an outcome in time.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1203, info, claim_settled_by_status,
+    "The target's status look-up told the answer of a call that was in doubt.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1204, info, claim_barred,
+    "The target's status look-up told that a call did not run and is barred.",
+    "")
+HIBISCUSFERRY_EVENT(1205, warning, claim_key_reused,
+                    "A caller used an idempotency key again with another "
+                    "body; the call was refused.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1206, alarm, claim_contradicted,
+    "A target gave an answer to a call that had been recorded as not run.",
+    "The call may have run twice: look the key up at the target and report "
+    "the target's fault to its team.")
+HIBISCUSFERRY_EVENT(
+    1207, alarm, claim_record_unreadable,
+    "The row of a claim could not be read; calls with its key are answered "
+    "as unknown.",
+    "Read the row in the table; a newer version of the system may have "
+    "written it.")
+HIBISCUSFERRY_EVENT(
+    1208, alarm, claim_answer_not_kept,
+    "The body of an answer could not be kept for replay; the call did run.",
+    "Look at the object store. A caller that asks again is told that the "
+    "call ran, without the body.")
 
 // 1300-1399 admission and fair share
 
