Assemble router, controller and ferryctl

Cause: the decisions need processes that carry them out. Change: the runtime module (process, admin pages, host list, documents), the router (one coroutine a request: turn, claim, attempts, streams resumed at their offset), the controller's operator API with the document editor, and ferryctl with its commands and the merged time line. Before: decision classes only.

--- /dev/null
+++ b/daemons/controller/main.cpp
@@ -0,0 +1,20 @@
+#include "controller/controller.hpp"
+
+namespace
+{
+
+using namespace hibiscusferry;
+
+result<void> add_services(process_core& core)
+{
+    return add_kernel_services<admin_service, platform_service,
+                               host_list_service, document_service,
+                               editor_service, operator_page>(core);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return daemon_main(argc, argv, "controller", add_services);
+}
--- /dev/null
+++ b/modules/controller/controller.cpp
@@ -0,0 +1,4 @@
+#include "controller/controller.hpp"
+
+#include "controller/editing/editor_service.cpp"
+#include "controller/operators/operator_page.cpp"
--- /dev/null
+++ b/modules/controller/editing/editor_service.cpp
@@ -0,0 +1,139 @@
+#include "controller/editing/editor_service.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds editor_tick{20};
+
+} // namespace
+
+editor_service::editor_service(process_core& core)
+    : core_(core)
+    , editor_(core.id(), editor_limits{})
+{
+}
+
+void editor_service::ask_hosts_by(host_asker asker)
+{
+    asker_ = std::move(asker);
+}
+
+void editor_service::host_holds(const std::string& host,
+                                document_version revision)
+{
+    carry_out(editor_.host_holds(host, revision, core_.now()));
+}
+
+answer_change editor_service::change(const document_change& wanted,
+                                     boost::asio::yield_context yield)
+{
+    const std::string request = core_.identifiers().next();
+    boost::asio::steady_timer timer(core_.context());
+    changes_[request].timer = &timer;
+    carry_out(editor_.change_requested(request, wanted, core_.now()));
+    while (!changes_[request].answer)
+    {
+        timer.expires_at(boost::asio::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+    const answer_change answer = *changes_[request].answer;
+    changes_.erase(request);
+    return answer;
+}
+
+result<void> editor_service::start()
+{
+    const result<platform_service*> platform =
+        core_.services().find<platform_service>(platform_service::name);
+    const result<host_list_service*> hosts =
+        core_.services().find<host_list_service>(host_list_service::name);
+    if (!platform || !hosts)
+        return make_error_code(kernel_error::not_found);
+
+    table_ = &platform.value()->table();
+    host_list_service* const list = hosts.value();
+    list->on_change(
+        [this, list](const host_list_reading&)
+        {
+            std::vector<fleet_host> fleet;
+            for (const listed_host& host : list->entry_hosts())
+                fleet.push_back({host.id, host.region});
+            editor_.fleet_changed(std::move(fleet));
+        });
+    core_.repeat(editor_tick,
+                 [this]
+                 {
+                     if (editor_.next_wake() <= core_.now())
+                         carry_out(editor_.tick(core_.now()));
+                 });
+    return outcome::success();
+}
+
+void editor_service::drain(std::function<void()> finished)
+{
+    start_task(core_.context(),
+               [this, finished](boost::asio::yield_context yield)
+               {
+                   while (editor_.open_changes() > 0)
+                       sleep_for(core_.context(), editor_tick, yield);
+                   finished();
+               });
+}
+
+void editor_service::stop()
+{
+}
+
+void editor_service::carry_out(const document_editor::actions& wanted)
+{
+    for (const editor_action& action : wanted)
+        std::visit([this](const auto& step) { carry_out(step); }, action);
+}
+
+void editor_service::carry_out(const answer_change& wanted)
+{
+    const auto found = changes_.find(wanted.request_id);
+    if (found == changes_.end())
+        return;
+    found->second.answer = wanted;
+    found->second.timer->cancel();
+}
+
+void editor_service::carry_out(const editor_step& wanted)
+{
+    const std::string request = wanted.request_id;
+    if (const commit_step* const commit =
+            std::get_if<commit_step>(&wanted.step))
+    {
+        table_->commit(commit->transaction, platform_service::call_limit,
+                       [this, request](const result<commit_receipt>& answer) {
+                           carry_out(editor_.commit_answered(request, answer,
+                                                             core_.now()));
+                       });
+        return;
+    }
+    table_->read(
+        std::get<read_step>(wanted.step).key, platform_service::call_limit,
+        [this, request](const result<table_row>& answer)
+        { carry_out(editor_.read_answered(request, answer, core_.now())); });
+}
+
+void editor_service::carry_out(const ask_host_version& wanted)
+{
+    if (asker_)
+        asker_(wanted.host);
+}
+
+void editor_service::carry_out(const document_notice& wanted)
+{
+    core_.journal().record(wanted.number,
+                           {{"service", wanted.service},
+                            {"version", std::to_string(wanted.version)},
+                            {"detail", wanted.detail}});
+}
+
+} // namespace hibiscusferry
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -25,6 +25,16 @@
     "A task of the process ended by an unexpected error; the process goes on.",
     "Report it with the fields of the event.")
 
+HIBISCUSFERRY_EVENT(1005, alarm, document_unreadable,
+                    "A document in force could not be read by this process; "
+                    "the version before it stays in use here.",
+                    "Upgrade the process: the document was written for a newer "
+                    "version.")
+HIBISCUSFERRY_EVENT(1006, warning, rotation_state_changed,
+                    "The process entered or left the balancer's rotation, or "
+                    "stays in it for another reason.",
+                    "")
+
 // 1100-1199 requests (router)
 HIBISCUSFERRY_EVENT(1100, info, request_received,
                     "A request was accepted from a caller.", "")
--- /dev/null
+++ b/modules/operations/operations.cpp
@@ -0,0 +1,10 @@
+#include "operations/operations.hpp"
+
+#include "operations/client/client_settings.cpp"
+#include "operations/client/operator_client.cpp"
+#include "operations/commands/command_context.cpp"
+#include "operations/commands/command_line.cpp"
+#include "operations/commands/document_commands.cpp"
+#include "operations/commands/fleet_commands.cpp"
+#include "operations/timeline/merged_timeline.cpp"
+#include "operations/timeline/timeline_page.cpp"
--- /dev/null
+++ b/modules/router/service/served_service.cpp
@@ -0,0 +1,129 @@
+#include "router/service/served_service.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+picker_settings picker_settings_of(const process_core& core)
+{
+    picker_settings settings;
+    settings.availability_zone = core.settings().availability_zone;
+    return settings;
+}
+
+target_address to_target_address(const listed_host& host)
+{
+    return {host.id, host.availability_zone, host.address, host.port,
+            host.state == host_state::leaving};
+}
+
+} // namespace
+
+served_service::served_service(process_core& core,
+                               const service_document& document)
+    : core_(core)
+    , document_(document)
+    , gate_(core.context(), [this] { return room(core_.now()); })
+    , estimator_(document.kind)
+    , retries_(document.limits.retry_percent)
+    , targets_(core.settings().host, target_table_settings{})
+    , picker_(picker_settings_of(core),
+              stable_hash(core.id() + document.service))
+{
+    gate_.configure(document_);
+}
+
+void served_service::configure(const service_document& document)
+{
+    document_ = document;
+    retries_.configure(document.limits.retry_percent);
+    gate_.configure(document_);
+    gate_.room_changed();
+}
+
+void served_service::take_hosts(const host_list_reading& reading,
+                                time_point now)
+{
+    std::vector<std::string> routers;
+    std::vector<target_address> targets;
+    for (const listed_host& host : reading.hosts)
+    {
+        if (host.kind == host_kind::entry)
+            routers.push_back(host.id);
+        else if (host.service == document_.service)
+            targets.push_back(to_target_address(host));
+    }
+    const bool lists_this_router =
+        std::find(routers.begin(), routers.end(), core_.settings().host) !=
+        routers.end();
+    if (!lists_this_router)
+        routers.push_back(core_.settings().host);
+    router_count_ = routers.size();
+    targets_.set_targets(routers, targets, now);
+    gate_.room_changed();
+}
+
+std::size_t served_service::room(time_point now) const
+{
+    // The document limits a target's requests over all routers; each takes
+    // its part, and at least one so that none is without.
+    const std::size_t own_part = std::max<std::size_t>(
+        1, document_.limits.target_concurrency / router_count_);
+    std::size_t places = 0;
+    for (const target_entry& entry : targets_.targets())
+    {
+        if (targets_.can_take_work(entry, now))
+            places += own_part;
+    }
+    return places;
+}
+
+const service_document& served_service::document() const
+{
+    return document_;
+}
+
+const std::string& served_service::name() const
+{
+    return document_.service;
+}
+
+admission_gate& served_service::gate()
+{
+    return gate_;
+}
+
+cost_estimator& served_service::estimator()
+{
+    return estimator_;
+}
+
+retry_budget& served_service::retries()
+{
+    return retries_;
+}
+
+target_table& served_service::targets()
+{
+    return targets_;
+}
+
+target_picker& served_service::picker()
+{
+    return picker_;
+}
+
+std::optional<http_endpoint>
+served_service::endpoint_of(const std::string& target) const
+{
+    const target_entry* const entry = targets_.find(target);
+    if (entry == nullptr)
+        return std::nullopt;
+    return http_endpoint{entry->address.address, entry->address.port};
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/router/service/served_service.hpp
@@ -0,0 +1,58 @@
+#ifndef HIBISCUSFERRY_ROUTER_SERVICE_SERVED_SERVICE_HPP
+#define HIBISCUSFERRY_ROUTER_SERVICE_SERVED_SERVICE_HPP
+
+#include "admission/admission.hpp"
+#include "document/document.hpp"
+#include "router/service/admission_gate.hpp"
+#include "routing/routing.hpp"
+#include "runtime/runtime.hpp"
+#include <string>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** All that a router holds for one service: its document, its queue, its
+    budget for retries, and its targets. */
+class served_service
+{
+public:
+    served_service(process_core& core, const service_document& document);
+    served_service(const served_service&) = delete;
+    served_service& operator=(const served_service&) = delete;
+
+    /** Takes over a newer document; requests that run go on by the former
+        one's limits. */
+    void configure(const service_document& document);
+
+    /** Takes over a reading of the host list. */
+    void take_hosts(const host_list_reading& reading, time_point now);
+
+    /** How many requests of this router the usable targets can take. */
+    std::size_t room(time_point now) const;
+
+    const service_document& document() const;
+    const std::string& name() const;
+    admission_gate& gate();
+    cost_estimator& estimator();
+    retry_budget& retries();
+    target_table& targets();
+    target_picker& picker();
+
+    /** Where a target listens; none when it is not known any more. */
+    std::optional<http_endpoint> endpoint_of(const std::string& target) const;
+
+private:
+    process_core& core_;
+    service_document document_;
+    admission_gate gate_;
+    cost_estimator estimator_;
+    retry_budget retries_;
+    target_table targets_;
+    target_picker picker_;
+    std::size_t router_count_ = 1;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/runtime/process/daemon_main.cpp
@@ -0,0 +1,52 @@
+#include "runtime/process/daemon_main.hpp"
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+#include <iostream>
+
+DEFINE_string(settings, "", "path of the daemon's settings in TOML");
+DEFINE_bool(check_settings, false, "check the settings and exit");
+
+namespace hibiscusferry
+{
+
+int daemon_main(int argc, char** argv, const std::string& role,
+                const std::function<result<void>(process_core&)>& add_services)
+{
+    FLAGS_logtostderr = true;
+    gflags::SetUsageMessage("--settings FILE [--check_settings]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    google::InitGoogleLogging(argv[0]);
+    if (FLAGS_settings.empty())
+    {
+        std::cerr << argv[0] << ": give the settings with --settings FILE\n";
+        return 2;
+    }
+    const process_settings_reading reading =
+        load_process_settings(FLAGS_settings);
+    if (!reading.settings)
+    {
+        std::cerr << to_text(reading.problems);
+        return 2;
+    }
+    if (FLAGS_check_settings)
+    {
+        std::cout << FLAGS_settings << ": good\n";
+        return 0;
+    }
+
+    process_core core(role, *reading.settings);
+    const result<void> added = add_services(core);
+    const result<void> started = added ? core.services().start() : added;
+    if (!started)
+    {
+        std::cerr << argv[0] << ": " << started.error().message() << ": "
+                  << core.services().failed_service()
+                  << "; see the log for the reason\n";
+        return 1;
+    }
+    core.run();
+    return 0;
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/runtime/process/process_core.cpp
@@ -0,0 +1,157 @@
+#include "runtime/process/process_core.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::size_t incarnation_digits = 12;
+
+} // namespace
+
+process_core::process_core(std::string role, process_settings settings)
+    : role_(std::move(role))
+    , settings_(std::move(settings))
+    , id_(settings_.host + "/" + role_ + "/" +
+          identifiers_.next().substr(0, incarnation_digits))
+    , journal_(clock_, settings_.timeline_events)
+    , connections_(context_)
+{
+}
+
+const std::string& process_core::id() const
+{
+    return id_;
+}
+
+const std::string& process_core::role() const
+{
+    return role_;
+}
+
+const process_settings& process_core::settings() const
+{
+    return settings_;
+}
+
+boost::asio::io_context& process_core::context()
+{
+    return context_;
+}
+
+const clock& process_core::time() const
+{
+    return clock_;
+}
+
+time_point process_core::now() const
+{
+    return clock_.now();
+}
+
+event_journal& process_core::journal()
+{
+    return journal_;
+}
+
+const event_journal& process_core::journal_view() const
+{
+    return journal_;
+}
+
+metrics_registry& process_core::metrics()
+{
+    return metrics_;
+}
+
+identifier_source& process_core::identifiers()
+{
+    return identifiers_;
+}
+
+http_connection_pool& process_core::connections()
+{
+    return connections_;
+}
+
+kernel& process_core::services()
+{
+    return kernel_;
+}
+
+void process_core::repeat(std::chrono::milliseconds pause,
+                          std::function<void()> body)
+{
+    start_task(
+        context_,
+        [this, pause, body = std::move(body)](boost::asio::yield_context yield)
+        {
+            while (!is_stopping_)
+            {
+                body();
+                sleep_for(context_, pause, yield);
+            }
+        });
+}
+
+void process_core::run()
+{
+    journal_.record(event_number::process_started,
+                    {{"process", id_}, {"host", settings_.host}});
+    wait_for_signals();
+    context_.run();
+    kernel_.stop();
+}
+
+void process_core::wait_for_signals()
+{
+    start_task(context_,
+               [this](boost::asio::yield_context yield)
+               {
+                   boost::asio::signal_set signals(context_, SIGTERM, SIGINT);
+                   boost::system::error_code ignored;
+                   signals.async_wait(yield[ignored]);
+                   drain();
+                   signals.async_wait(yield[ignored]);
+                   finish();
+               });
+}
+
+void process_core::drain()
+{
+    if (is_draining_)
+        return;
+    is_draining_ = true;
+    journal_.record(event_number::drain_started, {{"process", id_}});
+    kernel_.drain(
+        [this]
+        {
+            journal_.record(event_number::process_stopped, {{"process", id_}});
+            finish();
+        });
+    start_task(
+        context_,
+        [this](boost::asio::yield_context yield)
+        {
+            sleep_for(context_, settings_.drain_limit, yield);
+            journal_.record(event_number::drain_incomplete, {{"process", id_}});
+            finish();
+        });
+}
+
+bool process_core::is_draining() const
+{
+    return is_draining_;
+}
+
+void process_core::finish()
+{
+    is_stopping_ = true;
+    context_.stop();
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/runtime/runtime.hpp
@@ -0,0 +1,26 @@
+/** @file
+    The runtime module: what every daemon is made of.
+
+    The process with its one thread, its services and its planned stop; the
+    pages of its admin port; the platform's adapters, the documents in force
+    and the host list as kernel services. Depends on foundation, settings,
+    document, platform, http, claims and configuration.
+*/
+#ifndef HIBISCUSFERRY_RUNTIME_RUNTIME_HPP
+#define HIBISCUSFERRY_RUNTIME_RUNTIME_HPP
+
+#include "configuration/configuration.hpp"
+#include "document/document.hpp"
+#include "foundation/foundation.hpp"
+#include "http/http.hpp"
+#include "platform/platform.hpp"
+#include "settings/settings.hpp"
+
+#include "runtime/admin/admin_service.hpp"
+#include "runtime/documents/document_service.hpp"
+#include "runtime/hosts/host_list_service.hpp"
+#include "runtime/platform/platform_service.hpp"
+#include "runtime/process/daemon_main.hpp"
+#include "runtime/process/process_core.hpp"
+
+#endif
--- /dev/null
+++ b/tools/ferryctl/main.cpp
@@ -0,0 +1,6 @@
+#include "operations/operations.hpp"
+
+int main(int argc, char** argv)
+{
+    return hibiscusferry::ferryctl_main(argc, argv);
+}
