Declare the classes of authority and membership

Cause: daemons are to be written against these classes while they are being implemented. Conclusion: names are settled, behaviour follows.

--- /dev/null
+++ b/modules/authority/orders/order_book.hpp
@@ -0,0 +1,262 @@
+#ifndef HIBISCUSFERRY_AUTHORITY_ORDERS_ORDER_BOOK_HPP
+#define HIBISCUSFERRY_AUTHORITY_ORDERS_ORDER_BOOK_HPP
+
+#include "authority/orders/order_record.hpp"
+#include "authority/orders/weight_pacer.hpp"
+#include "authority/store/settled_write.hpp"
+#include "document/document.hpp"
+#include "platform/platform.hpp"
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** What an order book needs to know of its service and of itself. */
+struct order_settings
+{
+    std::string service;
+    std::string region;
+    process_identity self;
+    /** From the service's document. */
+    order_check check = order_check::fencing;
+    /** From the service's document. */
+    std::uint32_t most_away = 1;
+    /** How long an order may take, its drain included. */
+    std::chrono::milliseconds time_limit{120000};
+    /** Time before a lost write is sent again. */
+    std::chrono::milliseconds write_retry{500};
+    /** Time before an order is repeated to learn its state. */
+    std::chrono::milliseconds repeat_period{1000};
+    /** Time before a repeat when the target did not answer. */
+    std::chrono::milliseconds silent_repeat_period{5000};
+    /** After its connection was closed an order without an answer takes
+        effect within this time or never. */
+    std::chrono::milliseconds delivery_bound{10000};
+    /** Time between readings of the rows while a former sender is waited
+        for. */
+    std::chrono::milliseconds rescan_period{5000};
+    weight_settings weights;
+};
+
+/** An order to be sent to a target: `POST /v1/orders`. */
+struct send_order
+{
+    std::string target;
+    std::string order_id;
+    std::uint64_t fencing_number = 0;
+    order_intent intent;
+};
+
+/** What came back for a sent order. */
+enum class order_answer
+{
+    running,             ///< the target is at work on it
+    done,                ///< the target carried it out
+    failed,              ///< the target tried and failed
+    old_fencing_number,  ///< refused: a newer holder is there
+    other_order_running, ///< refused: the target is busy
+    not_sent,            ///< no byte left for the target
+    no_answer            ///< unknown; the connection is closed
+};
+
+/** A reading of rows, in order of key, after one key. */
+struct order_scan
+{
+    std::string prefix;
+    std::string after;
+    std::size_t limit = 0;
+};
+
+/** What the caller does after an event. */
+struct order_actions
+{
+    /** Commit each and answer with commit_finished(). */
+    std::vector<table_transaction> commits;
+    /** Scan and answer with scan_finished(). */
+    std::optional<order_scan> scan;
+    /** Ask lease_holder::may_act() right before each; when it says no, or
+        when nothing left for the target, answer with not_sent. */
+    std::vector<send_order> sends;
+    /** Targets to drain: drain_coordinator::begin(). */
+    std::vector<std::string> drains;
+    /** Targets to open again: drain_coordinator::reopen(). */
+    std::vector<std::string> reopens;
+    /** Orders that were settled, for the time line and the roles. */
+    std::vector<order_record> settled;
+};
+
+/** An order that is not settled, or that bars another, and why. */
+struct unsettled_order
+{
+    order_record record;
+    /** "draining", "writing", "target_running", "target_silent",
+        "fence_not_raised", "overdue" or "former_sender_may_send". */
+    std::string reason;
+};
+
+/** The orders of one service and region, as its holder gives them.
+
+    An order is a row before anything is sent: `intended` while the target is
+    drained, `sent` before the first byte leaves. All writes are conditional
+    on the fence row, so that a process that was replaced can turn no row
+    into `sent`, and sends nothing that is not a row.
+
+    What a former holder may still have on its way is stopped by the fencing
+    number. Where targets ignore it, a new holder may repeat the order that is
+    in the row, but gives no other one until each process that may have sent
+    it has taken itself off the row's senders or cannot run any more.
+
+    One object for one holding; made when the lease is acquired. When it is
+    lost, call retire() and keep the object until is_retired().
+*/
+class order_book
+{
+public:
+    /** @param identifiers  for order and write ids; must outlive the
+                            object */
+    order_book(const order_settings& settings, std::uint64_t fencing_number,
+               row_version fence_version, identifier_source& identifiers,
+               time_point now);
+
+    // =================================================================
+    // Requests
+
+    /** Takes an order in.
+
+        The same intent as the outstanding one is accepted without effect.
+        Errors: not_ready, fence_not_raised, order_outstanding,
+        former_sender_may_send, too_many_away, paced.
+    */
+    result<order_actions> request(const std::string& target,
+                                  const order_intent& intent, time_point now);
+
+    /** Gives up an order that was not sent; already_sent otherwise. */
+    result<order_actions> abandon(const std::string& target, time_point now);
+
+    // =================================================================
+    // Events
+
+    /** To be called at least every 100 ms; the first call asks for the
+        rows. */
+    order_actions tick(time_point now);
+
+    order_actions scan_finished(const result<std::vector<table_row>>& rows,
+                                time_point now);
+
+    order_actions commit_finished(const std::string& write_id,
+                                  const result<commit_receipt>& answer,
+                                  time_point now);
+
+    /** No router sends to the target and it is idle. */
+    order_actions drained(const std::string& target, time_point now);
+
+    order_actions answered(const std::string& target,
+                           const std::string& order_id, order_answer answer,
+                           time_point now);
+
+    /** The target confirmed the fencing number. */
+    void fence_raised(const std::string& target);
+
+    /** Whether the target serves, apart from any order. */
+    void set_available(const std::string& target, bool available);
+
+    /** The target is gone from the list and will not come back. */
+    order_actions target_gone(const std::string& target, time_point now);
+
+    /** A process cannot send any more: its host is gone from the list for
+        longer than the list lags, or its host runs a later incarnation on
+        the same port, and its connections are closed. */
+    void sender_cannot_run(const process_identity& sender);
+
+    /** The lease is lost or released: sends nothing more, and takes this
+        process off the rows' senders once nothing of its is on its way. */
+    order_actions retire(time_point now);
+
+    /** The document in force now. */
+    void set_document(order_check check, std::uint32_t most_away);
+
+    // =================================================================
+    // State
+
+    /** Whether the rows of the former holder have been read. */
+    bool is_ready() const;
+
+    /** Whether nothing of this process can still be sent or written. */
+    bool is_retired() const;
+
+    /** Whether a write showed that another process is the holder. */
+    bool is_superseded() const;
+
+    /** The last order of each target, in order of target. */
+    std::vector<order_record> orders() const;
+
+    /** What is not settled and why, in order of target. */
+    std::vector<unsettled_order> unsettled(time_point now) const;
+
+    /** Engines that are away for an order, not raised or unavailable. */
+    std::size_t away() const;
+
+private:
+    struct entry
+    {
+        order_record record;
+        bool has_row = false;
+        row_version version = 0;
+        /** The value being written, while `write` is there. */
+        order_record next;
+        std::optional<settled_write> write;
+        time_point first_seen;
+        bool draining = false;
+        bool send_open = false;
+        bool silent = false;
+        /** Own sends may take effect until then. */
+        time_point quiet_from;
+        time_point next_send;
+    };
+
+    entry* find(const std::string& target);
+    bool is_adopted(const entry& order) const;
+    bool is_barred_by_sender(const entry& order, time_point now) const;
+    bool may_change(const std::string& target) const;
+    std::vector<process_identity> senders_left(const entry& order) const;
+    std::string reason_for(const entry& order, time_point now) const;
+
+    void load_row(const table_row& row, time_point now);
+    void start_write(entry& order, order_record next, time_point now,
+                     order_actions& actions);
+    void write_committed(entry& order, time_point now, order_actions& actions);
+    void write_rejected(entry& order);
+    void write_settled_state(entry& order, order_state state, time_point now,
+                             order_actions& actions);
+    void write_sent_state(entry& order, time_point now, order_actions& actions);
+    void advance(entry& order, time_point now, order_actions& actions);
+    void advance_retired(entry& order, time_point now, order_actions& actions);
+    void send(entry& order, time_point now, order_actions& actions);
+
+    order_settings settings_;
+    std::uint64_t fencing_number_;
+    row_version fence_version_;
+    identifier_source& identifiers_;
+    weight_pacer pacer_;
+
+    bool ready_ = false;
+    bool scanning_ = false;
+    bool retired_ = false;
+    bool superseded_ = false;
+    std::string scan_after_;
+    time_point next_scan_;
+    std::map<std::string, entry> entries_;
+    std::set<std::string> raised_;
+    std::set<std::string> unavailable_;
+    std::vector<process_identity> cannot_run_;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- a/modules/membership/membership.hpp
+++ b/modules/membership/membership.hpp
@@ -9,4 +9,8 @@
 #include "foundation/foundation.hpp"
 #include "platform/platform.hpp"
 
+// The parts, in order of dependence.
+#include "membership/messages/membership_message.hpp"
+#include "membership/view/membership_view.hpp"
+
 #endif
