Hold leases, raise fences and keep orders

Cause: a holder that was paused, cut off or lost a store answer must give no order that has effect. Conclusion: orders and drains still need their tests.

--- a/modules/authority/authority.cpp
+++ b/modules/authority/authority.cpp
@@ -1,1 +1,11 @@
 #include "authority/authority.hpp"
+
+#include "authority/drain/drain_coordinator.cpp"
+#include "authority/errors/authority_error.cpp"
+#include "authority/fence/fence_raiser.cpp"
+#include "authority/lease/lease_holder.cpp"
+#include "authority/lease/lease_record.cpp"
+#include "authority/orders/order_book.cpp"
+#include "authority/orders/order_record.cpp"
+#include "authority/orders/weight_pacer.cpp"
+#include "authority/store/settled_write.cpp"
--- a/modules/authority/drain/drain_coordinator.hpp
+++ b/modules/authority/drain/drain_coordinator.hpp
@@ -148,6 +148,9 @@
     {
         routing_version stopped_at;
         time_point next_announcement;
+        /** When the routers that may not know of the stop were last granted
+            their permission. */
+        std::map<std::string, time_point> granted_before;
         /** In-flight requests of the routers that have confirmed. */
         std::map<std::string, std::uint32_t> confirmed;
         /** Since when no router can send; none while one can. */
@@ -155,27 +158,20 @@
         bool drained = false;
     };
 
-    struct router
-    {
-        routing_version granted_version;
-        time_point granted;
-        /** The last grant that let the router send to a target, by target,
-            of targets that are being drained. */
-        std::map<std::string, time_point> granted_before_stop;
-    };
-
-    bool can_send(const std::string& name, const router& entry,
-                  const std::string& target, const drain& state,
-                  time_point now) const;
-    void announce(const std::string& target, bool stop, time_point now,
+    bool has_permission(time_point granted, time_point now) const;
+    bool holds_up(const std::string& router, time_point granted,
+                  const drain& state, time_point now) const;
+    void announce(const std::string& target, drain& state, time_point now,
                   drain_actions& actions);
-    void update(const std::string& target, drain& state, time_point now);
+    void update(drain& state, time_point now);
+    void forget_lapsed(time_point now);
     routing_version next_version();
 
     drain_settings settings_;
     routing_version version_;
     std::optional<time_point> former_stopped_;
-    std::map<std::string, router> routers_;
+    /** When each router was last granted its permission. */
+    std::map<std::string, time_point> routers_;
     std::map<std::string, drain> drains_;
 };
 
--- /dev/null
+++ b/modules/authority/lease/lease_holder.cpp
@@ -0,0 +1,294 @@
+#include "authority/lease/lease_holder.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+lease_holder::lease_holder(const std::string& region,
+                           const std::string& service, process_identity self,
+                           const lease_settings& settings,
+                           identifier_source& identifiers)
+    : region_(region)
+    , service_(service)
+    , self_(std::move(self))
+    , settings_(settings)
+    , identifiers_(identifiers)
+{
+}
+
+// ========================================================================
+// Events
+
+void lease_holder::set_live_hosts(const std::vector<std::string>& hosts)
+{
+    const std::uint64_t lease = stable_hash(key());
+    const std::uint64_t own = rendezvous_weight(lease, stable_hash(self_.host));
+    rank_ = std::numeric_limits<std::size_t>::max();
+    if (std::find(hosts.begin(), hosts.end(), self_.host) == hosts.end())
+        return;
+
+    rank_ = 0;
+    for (const std::string& host : hosts)
+    {
+        const std::uint64_t weight =
+            rendezvous_weight(lease, stable_hash(host));
+        if (weight > own || (weight == own && host > self_.host))
+            ++rank_;
+    }
+}
+
+lease_actions lease_holder::tick(time_point now)
+{
+    lease_actions actions;
+    if (write_)
+    {
+        actions.commit = write_->due(now);
+        return actions;
+    }
+    if (holder_)
+    {
+        if (retired_ || now >= next_renewal_)
+            return renew(now);
+        return actions;
+    }
+    if (is_takeable(now))
+        return take(now);
+    if (is_candidate() && !reading_ && now >= next_read_)
+    {
+        reading_ = true;
+        actions.read = true;
+    }
+    return actions;
+}
+
+lease_actions lease_holder::row_read(const result<table_row>& row,
+                                     time_point now)
+{
+    reading_ = false;
+    next_read_ = now + settings_.watch_period;
+    if (holder_ || write_)
+        return tick(now);
+
+    if (!row)
+    {
+        if (row.error() == platform_error::not_found)
+            observe({}, 0, now);
+        return tick(now);
+    }
+    const result<lease_record> record = lease_record::parse(row.value().value);
+    if (record && row.value().version >= version_)
+        observe(record.value(), row.value().version, now);
+    return tick(now);
+}
+
+lease_actions
+lease_holder::commit_finished(const std::string& write_id,
+                              const result<commit_receipt>& answer,
+                              time_point now)
+{
+    lease_actions actions;
+    if (!write_ || write_->write_id() != write_id)
+        return actions;
+    const write_state state = write_->finish(answer, now);
+    if (state == write_state::open)
+        return actions;
+
+    const lease_change change = state == write_state::committed
+                                    ? write_committed(now)
+                                    : write_rejected(now);
+    write_.reset();
+    actions = tick(now);
+    actions.change = change;
+    return actions;
+}
+
+lease_actions lease_holder::release(time_point now)
+{
+    retired_ = true;
+    return tick(now);
+}
+
+lease_actions lease_holder::release_announced(time_point now)
+{
+    next_read_ = now;
+    return tick(now);
+}
+
+lease_actions lease_holder::fencing_number_seen(std::uint64_t fencing_number)
+{
+    lease_actions actions;
+    if (holder_ && fencing_number > record_.fencing_number)
+    {
+        holder_ = false;
+        row_known_ = false;
+        actions.change = lease_change::lost;
+    }
+    return actions;
+}
+
+// ========================================================================
+// State
+
+bool lease_holder::may_act(time_point now) const
+{
+    return holder_ && !retired_ &&
+           now < granted_from_ + settings_.term - settings_.send_margin;
+}
+
+bool lease_holder::is_holder() const
+{
+    return holder_;
+}
+
+bool lease_holder::is_settled() const
+{
+    return !write_ && !(holder_ && retired_);
+}
+
+bool lease_holder::followed_release() const
+{
+    return followed_release_;
+}
+
+const process_identity& lease_holder::former_holder() const
+{
+    return former_holder_;
+}
+
+std::uint64_t lease_holder::fencing_number() const
+{
+    return record_.fencing_number;
+}
+
+row_version lease_holder::fence_version() const
+{
+    return fence_version_;
+}
+
+const process_identity& lease_holder::seen_holder() const
+{
+    return record_.holder;
+}
+
+std::size_t lease_holder::rank() const
+{
+    return rank_;
+}
+
+std::string lease_holder::key() const
+{
+    return lease_key(region_, service_);
+}
+
+// ========================================================================
+// Private
+
+lease_actions lease_holder::take(time_point now)
+{
+    lease_record record;
+    record.holder = self_;
+    record.fencing_number = record_.fencing_number + 1;
+    record.term = settings_.term;
+    return submit(record, true, now);
+}
+
+lease_actions lease_holder::renew(time_point now)
+{
+    lease_record record = record_;
+    record.term = settings_.term;
+    if (retired_)
+        record.holder = {};
+    return submit(record, false, now);
+}
+
+lease_actions lease_holder::submit(lease_record record, bool new_holder,
+                                   time_point now)
+{
+    record.write_id = identifiers_.next();
+    written_ = record;
+    written_as_new_holder_ = new_holder;
+
+    table_transaction transaction;
+    transaction.write_id = record.write_id;
+    row_condition unchanged{key(), std::nullopt};
+    if (version_ != 0)
+        unchanged.version = version_;
+    transaction.conditions.push_back(unchanged);
+    transaction.writes.push_back({key(), record.text()});
+    if (new_holder)
+    {
+        transaction.writes.push_back(
+            {fence_key(region_, service_), record.text()});
+    }
+
+    write_.emplace(transaction, key(), settings_.retry_period);
+    lease_actions actions;
+    actions.commit = write_->due(now);
+    return actions;
+}
+
+lease_change lease_holder::write_committed(time_point now)
+{
+    if (written_as_new_holder_)
+    {
+        followed_release_ = version_ == 0 || record_.is_released();
+        former_holder_ = record_.holder;
+        fence_version_ = write_->version();
+        holder_ = true;
+    }
+    observe(written_, write_->version(), now);
+    if (written_.is_released())
+    {
+        const bool was_holder = holder_;
+        holder_ = false;
+        return was_holder ? lease_change::released : lease_change::none;
+    }
+    granted_from_ = write_->first_sent();
+    next_renewal_ = granted_from_ + settings_.renewal_period;
+    return written_as_new_holder_ ? lease_change::acquired : lease_change::none;
+}
+
+lease_change lease_holder::write_rejected(time_point now)
+{
+    const bool was_holder = holder_;
+    holder_ = false;
+    row_known_ = false;
+    next_read_ = now;
+    const std::optional<table_row>& row = write_->conflict();
+    if (row)
+    {
+        const result<lease_record> record = lease_record::parse(row->value);
+        if (record)
+            observe(record.value(), row->version, now);
+    }
+    return was_holder ? lease_change::lost : lease_change::none;
+}
+
+void lease_holder::observe(const lease_record& record, row_version version,
+                           time_point now)
+{
+    if (row_known_ && version == version_)
+        return;
+    row_known_ = true;
+    record_ = record;
+    version_ = version;
+    unchanged_since_ = now;
+}
+
+bool lease_holder::is_candidate() const
+{
+    return !retired_ && rank_ < settings_.candidates;
+}
+
+bool lease_holder::is_takeable(time_point now) const
+{
+    if (!is_candidate() || !row_known_)
+        return false;
+    std::chrono::nanoseconds wait = settings_.rank_delay * rank_;
+    if (version_ != 0 && !record_.is_released())
+        wait += record_.term * (100 + settings_.clock_drift_percent) / 100;
+    return now >= unchanged_since_ + wait;
+}
+
+} // namespace hibiscusferry
--- a/modules/authority/lease/lease_holder.hpp
+++ b/modules/authority/lease/lease_holder.hpp
@@ -6,6 +6,7 @@
 #include "platform/platform.hpp"
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -100,6 +101,10 @@
     /** A peer says that it released the lease: the row is read at once. */
     lease_actions release_announced(time_point now);
 
+    /** A peer shows a fencing number of this lease: a greater one than the
+        own means that another process is the holder. */
+    lease_actions fencing_number_seen(std::uint64_t fencing_number);
+
     // =================================================================
     // State
 
@@ -138,9 +143,9 @@
 private:
     lease_actions take(time_point now);
     lease_actions renew(time_point now);
-    lease_actions submit(const lease_record& record, bool new_holder,
-                         time_point now);
-    lease_actions settle(time_point now);
+    lease_actions submit(lease_record record, bool new_holder, time_point now);
+    lease_change write_committed(time_point now);
+    lease_change write_rejected(time_point now);
     void observe(const lease_record& record, row_version version,
                  time_point now);
     bool is_candidate() const;
@@ -152,7 +157,7 @@
     lease_settings settings_;
     identifier_source& identifiers_;
 
-    std::size_t rank_;
+    std::size_t rank_ = std::numeric_limits<std::size_t>::max();
     bool retired_ = false;
 
     // What is known of the row.
@@ -172,6 +177,7 @@
     time_point next_renewal_;
     std::optional<settled_write> write_;
     lease_record written_;
+    bool written_as_new_holder_ = false;
 };
 
 } // namespace hibiscusferry
--- /dev/null
+++ b/modules/authority/orders/order_book.cpp
@@ -0,0 +1,630 @@
+#include "authority/orders/order_book.hpp"
+
+#include "authority/errors/authority_error.hpp"
+#include "authority/lease/lease_record.hpp"
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::size_t ORDER_SCAN_LIMIT = 500;
+constexpr std::size_t KEPT_ENDED_SENDERS = 64;
+
+/** Whether an order of this kind takes the engine away from serving. */
+bool takes_engine_away(order_action action)
+{
+    return action != order_action::load_adapter;
+}
+
+bool loads_weights(order_action action)
+{
+    return action != order_action::set_role;
+}
+
+bool includes(const std::vector<process_identity>& processes,
+              const process_identity& process)
+{
+    return std::find(processes.begin(), processes.end(), process) !=
+           processes.end();
+}
+
+void remove_process(std::vector<process_identity>& processes,
+                    const process_identity& process)
+{
+    processes.erase(std::remove(processes.begin(), processes.end(), process),
+                    processes.end());
+}
+
+} // namespace
+
+order_book::order_book(const order_settings& settings,
+                       std::uint64_t fencing_number, row_version fence_version,
+                       identifier_source& identifiers, time_point now)
+    : settings_(settings)
+    , fencing_number_(fencing_number)
+    , fence_version_(fence_version)
+    , identifiers_(identifiers)
+    , pacer_(settings.weights, now)
+{
+}
+
+// ========================================================================
+// Requests
+
+result<order_actions> order_book::request(const std::string& target,
+                                          const order_intent& intent,
+                                          time_point now)
+{
+    order_actions actions;
+    const auto known = entries_.find(target);
+    if (known != entries_.end() && is_busy(known->second))
+    {
+        const entry& order = known->second;
+        const order_record& latest = order.write ? order.next : order.record;
+        if (!latest.is_settled() && latest.intent == intent)
+            return actions;
+        return make_error_code(authority_error::order_outstanding);
+    }
+    const result<void> allowed = check_request(target, intent, now);
+    if (!allowed)
+        return allowed.error();
+
+    if (loads_weights(intent.action))
+        pacer_.load_started(now);
+    order_record record;
+    record.service = settings_.service;
+    record.region = settings_.region;
+    record.target = target;
+    record.order_id = identifiers_.next();
+    record.intent = intent;
+    record.fencing_number = fencing_number_;
+    record.time_limit = settings_.time_limit;
+
+    entry& order = entries_[target];
+    order.first_seen = now;
+    order.draining = false;
+    order.drained = false;
+    order.silent = false;
+    write(order, record, true, now, actions);
+    return actions;
+}
+
+result<order_actions> order_book::abandon(const std::string& target,
+                                          time_point now)
+{
+    const auto found = entries_.find(target);
+    if (found == entries_.end() || found->second.record.is_settled())
+        return make_error_code(authority_error::no_order);
+    entry& order = found->second;
+    if (order.write || order.record.state != order_state::intended)
+        return make_error_code(authority_error::already_sent);
+    order_actions actions;
+    write_outcome(order, order_state::abandoned, now, actions);
+    return actions;
+}
+
+result<void> order_book::check_request(const std::string& target,
+                                       const order_intent& intent,
+                                       time_point now) const
+{
+    if (!ready_ || retired_ || superseded_)
+        return make_error_code(authority_error::not_ready);
+    if (!is_raised(target))
+        return make_error_code(authority_error::fence_not_raised);
+    const auto known = entries_.find(target);
+    if (known != entries_.end() &&
+        (has_own_send(known->second, now) || has_foreign_sender(known->second)))
+        return make_error_code(authority_error::former_sender_may_send);
+    if (takes_engine_away(intent.action) &&
+        away_besides(target) + 1 > settings_.most_away)
+        return make_error_code(authority_error::too_many_away);
+    if (loads_weights(intent.action) && !pacer_.may_load(intent.argument, now))
+        return make_error_code(authority_error::paced);
+    return outcome::success();
+}
+
+// ========================================================================
+// Events
+
+order_actions order_book::tick(time_point now)
+{
+    order_actions actions;
+    if (!scanning_ && !retired_ && now >= next_scan_ && is_rescan_due(now))
+    {
+        scanning_ = true;
+        actions.scan = order_scan{order_prefix(settings_.service), scan_after_,
+                                  ORDER_SCAN_LIMIT};
+    }
+    for (auto& [target, order] : entries_)
+        advance(order, now, actions);
+    return actions;
+}
+
+order_actions
+order_book::scan_finished(const result<std::vector<table_row>>& rows,
+                          time_point now)
+{
+    scanning_ = false;
+    if (!rows)
+    {
+        next_scan_ = now + settings_.write_retry;
+        return {};
+    }
+    for (const table_row& row : rows.value())
+        load_row(row, now);
+    if (rows.value().size() >= ORDER_SCAN_LIMIT)
+    {
+        scan_after_ = rows.value().back().key;
+        next_scan_ = now;
+        return tick(now);
+    }
+    scan_after_.clear();
+    next_scan_ = now + settings_.rescan_period;
+    ready_ = true;
+    return tick(now);
+}
+
+order_actions order_book::commit_finished(const std::string& write_id,
+                                          const result<commit_receipt>& answer,
+                                          time_point now)
+{
+    order_actions actions;
+    const auto found =
+        std::find_if(entries_.begin(), entries_.end(),
+                     [&](const auto& known) {
+                         return known.second.write &&
+                                known.second.write->write_id() == write_id;
+                     });
+    if (found == entries_.end())
+        return actions;
+
+    entry& order = found->second;
+    switch (order.write->finish(answer, now))
+    {
+    case write_state::open:
+        break;
+    case write_state::committed:
+        write_committed(order, now, actions);
+        break;
+    case write_state::rejected:
+        write_rejected(order, now);
+        break;
+    }
+    if (!order.write && !order.version)
+    {
+        entries_.erase(found);
+        return actions;
+    }
+    advance(order, now, actions);
+    return actions;
+}
+
+order_actions order_book::drained(const std::string& target, time_point now)
+{
+    order_actions actions;
+    const auto found = entries_.find(target);
+    if (found != entries_.end() && found->second.draining)
+    {
+        found->second.drained = true;
+        advance(found->second, now, actions);
+    }
+    return actions;
+}
+
+order_actions order_book::answered(const std::string& target,
+                                   const std::string& order_id,
+                                   order_answer answer, time_point now)
+{
+    order_actions actions;
+    const auto found = entries_.find(target);
+    if (found == entries_.end() || found->second.record.order_id != order_id)
+        return actions;
+    entry& order = found->second;
+    order.send_open = false;
+    order.silent = answer == order_answer::no_answer;
+    order.next_send = now + (order.silent ? settings_.silent_repeat_period
+                                          : settings_.repeat_period);
+    if (order.silent)
+        order.quiet_from = now + settings_.delivery_bound;
+    if (answer == order_answer::old_fencing_number)
+        superseded_ = true;
+
+    const bool open = order.record.state == order_state::sent && !order.write &&
+                      !retired_ && !superseded_;
+    if (open && answer == order_answer::done)
+        write_outcome(order, order_state::done, now, actions);
+    if (open && answer == order_answer::failed)
+        write_outcome(order, order_state::failed, now, actions);
+    advance(order, now, actions);
+    return actions;
+}
+
+void order_book::fence_raised(const std::string& target)
+{
+    raised_.insert(target);
+}
+
+void order_book::set_available(const std::string& target, bool available)
+{
+    if (available)
+        unavailable_.erase(target);
+    else
+        unavailable_.insert(target);
+}
+
+order_actions order_book::set_targets(const std::vector<std::string>& targets,
+                                      time_point now)
+{
+    order_actions actions;
+    targets_ = {targets.begin(), targets.end()};
+    for (auto& [target, order] : entries_)
+    {
+        if (targets_.count(target) == 0)
+            advance(order, now, actions);
+    }
+    for (auto target = unavailable_.begin(); target != unavailable_.end();)
+    {
+        if (targets_.count(*target) == 0)
+            target = unavailable_.erase(target);
+        else
+            ++target;
+    }
+    return actions;
+}
+
+void order_book::sender_cannot_run(const process_identity& sender)
+{
+    if (includes(cannot_run_, sender))
+        return;
+    cannot_run_.push_back(sender);
+    if (cannot_run_.size() > KEPT_ENDED_SENDERS)
+        cannot_run_.erase(cannot_run_.begin());
+}
+
+order_actions order_book::retire(time_point now)
+{
+    retired_ = true;
+    return tick(now);
+}
+
+void order_book::set_document(order_check check, std::uint32_t most_away)
+{
+    settings_.check = check;
+    settings_.most_away = most_away;
+}
+
+// ========================================================================
+// State
+
+bool order_book::is_ready() const
+{
+    return ready_;
+}
+
+bool order_book::is_retired() const
+{
+    return retired_ &&
+           std::none_of(entries_.begin(), entries_.end(),
+                        [this](const auto& known)
+                        {
+                            const entry& order = known.second;
+                            const bool listed =
+                                settings_.check == order_check::none &&
+                                includes(order.record.senders, settings_.self);
+                            return order.write || order.send_open || listed;
+                        });
+}
+
+bool order_book::is_superseded() const
+{
+    return superseded_;
+}
+
+std::vector<order_record> order_book::orders() const
+{
+    std::vector<order_record> records;
+    for (const auto& [target, order] : entries_)
+    {
+        if (order.version)
+            records.push_back(order.record);
+    }
+    return records;
+}
+
+std::vector<unsettled_order> order_book::unsettled(time_point now) const
+{
+    std::vector<unsettled_order> found;
+    for (const auto& [target, order] : entries_)
+    {
+        const bool barred =
+            has_foreign_sender(order) || has_own_send(order, now);
+        if (is_busy(order) || barred)
+            found.push_back({order.version ? order.record : order.next,
+                             reason_for(order, now)});
+    }
+    return found;
+}
+
+std::size_t order_book::away() const
+{
+    return away_besides("");
+}
+
+// ========================================================================
+// Private: questions
+
+bool order_book::is_raised(const std::string& target) const
+{
+    return settings_.check == order_check::none || raised_.count(target) != 0;
+}
+
+bool order_book::is_busy(const entry& order) const
+{
+    return order.unreadable || !order.record.is_settled() ||
+           (order.write && !order.next.is_settled());
+}
+
+bool order_book::is_overdue(const entry& order, time_point now) const
+{
+    return now >= order.first_seen + order.record.time_limit;
+}
+
+bool order_book::has_own_send(const entry& order, time_point now) const
+{
+    return order.send_open || now < order.quiet_from;
+}
+
+bool order_book::has_foreign_sender(const entry& order) const
+{
+    if (settings_.check == order_check::fencing)
+        return false;
+    return std::any_of(order.record.senders.begin(), order.record.senders.end(),
+                       [this](const process_identity& sender) {
+                           return sender != settings_.self &&
+                                  !includes(cannot_run_, sender);
+                       });
+}
+
+bool order_book::is_rescan_due(time_point now) const
+{
+    if (!ready_ || !scan_after_.empty())
+        return true;
+    return now >= next_scan_ &&
+           std::any_of(entries_.begin(), entries_.end(),
+                       [this](const auto& known)
+                       { return has_foreign_sender(known.second); });
+}
+
+std::size_t order_book::away_besides(const std::string& target) const
+{
+    std::set<std::string> names = unavailable_;
+    for (const auto& [name, order] : entries_)
+    {
+        const order_record& latest =
+            order.write && !order.next.is_settled() ? order.next : order.record;
+        if (is_busy(order) && takes_engine_away(latest.intent.action))
+            names.insert(name);
+    }
+    for (const std::string& name : targets_)
+    {
+        if (!is_raised(name))
+            names.insert(name);
+    }
+    names.erase(target);
+    return names.size();
+}
+
+std::string order_book::reason_for(const entry& order, time_point now) const
+{
+    if (!is_busy(order))
+        return "former_sender_may_send";
+    if (order.unreadable)
+        return "unreadable_row";
+    if (order.write)
+        return "writing";
+    if (!is_raised(order.record.target))
+        return "fence_not_raised";
+    if (is_overdue(order, now))
+        return "overdue";
+    if (order.draining && !order.drained)
+        return "draining";
+    return order.silent ? "target_silent" : "target_running";
+}
+
+// ========================================================================
+// Private: rows
+
+void order_book::load_row(const table_row& row, time_point now)
+{
+    const std::string target =
+        row.key.substr(order_prefix(settings_.service).size());
+    const result<order_record> record = order_record::parse(row.value);
+    if (record && record.value().region != settings_.region)
+        return;
+    entry& order = entries_[target];
+    if (order.write || (order.version && *order.version >= row.version))
+        return;
+    order.unreadable = !record || record.value().target != target;
+    if (order.unreadable)
+    {
+        order.version = row.version;
+        order.record.target = target;
+        return;
+    }
+    if (!order.version || order.record.order_id != record.value().order_id)
+    {
+        order.first_seen = now;
+        order.next_send = now;
+        order.draining = false;
+        order.drained = false;
+    }
+    order.version = row.version;
+    order.record = record.value();
+}
+
+void order_book::write(entry& order, order_record next, bool fenced,
+                       time_point now, order_actions& actions)
+{
+    next.write_id = identifiers_.next();
+    const std::string key = order_key(settings_.service, next.target);
+    table_transaction transaction;
+    transaction.write_id = next.write_id;
+    if (fenced)
+    {
+        transaction.conditions.push_back(
+            {fence_key(settings_.region, settings_.service), fence_version_});
+    }
+    transaction.conditions.push_back({key, order.version});
+    transaction.writes.push_back({key, next.text()});
+
+    order.next = std::move(next);
+    order.write.emplace(transaction, key, settings_.write_retry);
+    actions.commits.push_back(*order.write->due(now));
+}
+
+void order_book::write_committed(entry& order, time_point now,
+                                 order_actions& actions)
+{
+    const bool was_settled = order.version && order.record.is_settled() &&
+                             order.record.order_id == order.next.order_id;
+    order.version = order.write->version();
+    order.record = order.next;
+    order.write.reset();
+    order.next_send = now;
+    if (!order.record.is_settled() || was_settled || retired_)
+        return;
+
+    order.draining = false;
+    order.drained = false;
+    if (loads_weights(order.record.intent.action))
+    {
+        if (order.record.state == order_state::done)
+            pacer_.load_succeeded(order.record.intent.argument);
+        if (order.record.state == order_state::failed)
+            pacer_.load_failed(order.record.intent.argument, now);
+    }
+    actions.settled.push_back(order.record);
+    if (takes_engine_away(order.record.intent.action))
+        actions.reopens.push_back(order.record.target);
+}
+
+void order_book::write_rejected(entry& order, time_point now)
+{
+    const std::optional<table_row> conflict = order.write->conflict();
+    order.write.reset();
+    if (!conflict)
+    {
+        // The fence row has moved on: another process is the holder.
+        superseded_ = true;
+        return;
+    }
+    if (conflict->version == 0)
+        order.version.reset();
+    else
+        load_row(*conflict, now);
+}
+
+void order_book::write_sent(entry& order, time_point now,
+                            order_actions& actions)
+{
+    order_record next = order.record;
+    next.state = order_state::sent;
+    next.fencing_number = fencing_number_;
+    if (!includes(next.senders, settings_.self))
+        next.senders.push_back(settings_.self);
+    write(order, next, true, now, actions);
+}
+
+void order_book::write_outcome(entry& order, order_state state, time_point now,
+                               order_actions& actions)
+{
+    order_record next = order.record;
+    next.state = state;
+    if (settings_.check == order_check::fencing)
+        next.senders.clear();
+    else if (!has_own_send(order, now))
+        remove_process(next.senders, settings_.self);
+    write(order, next, true, now, actions);
+}
+
+// ========================================================================
+// Private: progress
+
+void order_book::advance(entry& order, time_point now, order_actions& actions)
+{
+    if (order.write)
+    {
+        std::optional<table_transaction> repeated = order.write->due(now);
+        if (repeated)
+            actions.commits.push_back(std::move(*repeated));
+        return;
+    }
+    if (!retired_ && !superseded_ && !order.record.is_settled())
+        advance_unsettled(order, now, actions);
+    else
+        advance_own_sends(order, now, actions);
+}
+
+void order_book::advance_unsettled(entry& order, time_point now,
+                                   order_actions& actions)
+{
+    if (!ready_ || order.unreadable)
+        return;
+    if (!targets_.empty() && targets_.count(order.record.target) == 0)
+    {
+        write_outcome(order, order_state::abandoned, now, actions);
+        return;
+    }
+    const bool intended = order.record.state == order_state::intended;
+    if (intended && is_overdue(order, now))
+    {
+        write_outcome(order, order_state::abandoned, now, actions);
+        return;
+    }
+    // An order that a former holder may have sent is drained for again:
+    // routers may have sent new work since.
+    const bool adopted = !intended &&
+                         order.record.fencing_number == fencing_number_ &&
+                         includes(order.record.senders, settings_.self);
+    const bool drain_first = !adopted && !order.drained &&
+                             takes_engine_away(order.record.intent.action);
+    if (drain_first)
+    {
+        if (!order.draining)
+            actions.drains.push_back(order.record.target);
+        order.draining = true;
+        return;
+    }
+    if (!is_raised(order.record.target))
+        return;
+    if (!adopted)
+        write_sent(order, now, actions);
+    else if (!order.send_open && now >= order.next_send)
+        send(order, now, actions);
+}
+
+void order_book::advance_own_sends(entry& order, time_point now,
+                                   order_actions& actions)
+{
+    if (settings_.check == order_check::fencing || has_own_send(order, now) ||
+        !order.version || !includes(order.record.senders, settings_.self))
+        return;
+    if (superseded_ && !retired_)
+        return;
+    order_record next = order.record;
+    remove_process(next.senders, settings_.self);
+    write(order, next, false, now, actions);
+}
+
+void order_book::send(entry& order, time_point now, order_actions& actions)
+{
+    order.send_open = true;
+    order.next_send = now + settings_.repeat_period;
+    actions.sends.push_back({order.record.target, order.record.order_id,
+                             fencing_number_, order.record.intent});
+}
+
+} // namespace hibiscusferry
--- a/modules/authority/orders/order_book.hpp
+++ b/modules/authority/orders/order_book.hpp
@@ -96,7 +96,8 @@
 {
     order_record record;
     /** "draining", "writing", "target_running", "target_silent",
-        "fence_not_raised", "overdue" or "former_sender_may_send". */
+        "fence_not_raised", "overdue", "unreadable_row" or
+        "former_sender_may_send". */
     std::string reason;
 };
 
@@ -112,8 +113,11 @@
     in the row, but gives no other one until each process that may have sent
     it has taken itself off the row's senders or cannot run any more.
 
-    One object for one holding; made when the lease is acquired. When it is
-    lost, call retire() and keep the object until is_retired().
+    One object for one holding; made when the lease is acquired. Routers get
+    no permission from this holder before is_ready() and before the drains
+    that the first readings asked for have begun. When the lease is lost, call
+    retire() and keep the object until is_retired(); make no other one for
+    the service before that.
 */
 class order_book
 {
@@ -166,8 +170,10 @@
     /** Whether the target serves, apart from any order. */
     void set_available(const std::string& target, bool available);
 
-    /** The target is gone from the list and will not come back. */
-    order_actions target_gone(const std::string& target, time_point now);
+    /** The service's targets as listed now. A target that is gone will not
+        come back under its id; its order is abandoned. */
+    order_actions set_targets(const std::vector<std::string>& targets,
+                              time_point now);
 
     /** A process cannot send any more: its host is gone from the list for
         longer than the list lags, or its host runs a later incarnation on
@@ -206,37 +212,48 @@
     struct entry
     {
         order_record record;
-        bool has_row = false;
-        row_version version = 0;
+        /** The version of the row; none while there is no row. */
+        std::optional<row_version> version;
         /** The value being written, while `write` is there. */
         order_record next;
         std::optional<settled_write> write;
         time_point first_seen;
+        /** The row's value is not what this version writes. */
+        bool unreadable = false;
         bool draining = false;
+        bool drained = false;
         bool send_open = false;
         bool silent = false;
-        /** Own sends may take effect until then. */
+        /** An own send without an answer may take effect until then. */
         time_point quiet_from;
         time_point next_send;
     };
 
-    entry* find(const std::string& target);
-    bool is_adopted(const entry& order) const;
-    bool is_barred_by_sender(const entry& order, time_point now) const;
-    bool may_change(const std::string& target) const;
-    std::vector<process_identity> senders_left(const entry& order) const;
+    bool is_raised(const std::string& target) const;
+    bool is_busy(const entry& order) const;
+    bool is_overdue(const entry& order, time_point now) const;
+    bool has_own_send(const entry& order, time_point now) const;
+    bool has_foreign_sender(const entry& order) const;
+    bool is_rescan_due(time_point now) const;
+    std::size_t away_besides(const std::string& target) const;
     std::string reason_for(const entry& order, time_point now) const;
+    result<void> check_request(const std::string& target,
+                               const order_intent& intent,
+                               time_point now) const;
 
     void load_row(const table_row& row, time_point now);
-    void start_write(entry& order, order_record next, time_point now,
-                     order_actions& actions);
+    void write(entry& order, order_record next, bool fenced, time_point now,
+               order_actions& actions);
     void write_committed(entry& order, time_point now, order_actions& actions);
-    void write_rejected(entry& order);
-    void write_settled_state(entry& order, order_state state, time_point now,
-                             order_actions& actions);
-    void write_sent_state(entry& order, time_point now, order_actions& actions);
+    void write_rejected(entry& order, time_point now);
+    void write_sent(entry& order, time_point now, order_actions& actions);
+    void write_outcome(entry& order, order_state state, time_point now,
+                       order_actions& actions);
     void advance(entry& order, time_point now, order_actions& actions);
-    void advance_retired(entry& order, time_point now, order_actions& actions);
+    void advance_unsettled(entry& order, time_point now,
+                           order_actions& actions);
+    void advance_own_sends(entry& order, time_point now,
+                           order_actions& actions);
     void send(entry& order, time_point now, order_actions& actions);
 
     order_settings settings_;
@@ -252,6 +269,7 @@
     std::string scan_after_;
     time_point next_scan_;
     std::map<std::string, entry> entries_;
+    std::set<std::string> targets_;
     std::set<std::string> raised_;
     std::set<std::string> unavailable_;
     std::vector<process_identity> cannot_run_;
