--- a/modules/authority/lease/lease_holder_test.cpp
+++ b/modules/authority/lease/lease_holder_test.cpp
@@ -198,9 +198,8 @@
 
 BOOST_AUTO_TEST_CASE(leases_are_spread_over_the_hosts)
 {
-    std::vector<std::string> hosts;
-    for (int host = 0; host < 8; ++host)
-        hosts.push_back("host-" + std::to_string(host));
+    const std::vector<std::string> hosts = {"h1", "h2", "h3", "h4",
+                                            "h5", "h6", "h7", "h8"};
     identifier_source identifiers(1);
     std::size_t most = 0;
     for (const std::string& self : hosts)
--- a/modules/authority/orders/order_book.cpp
+++ b/modules/authority/orders/order_book.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-constexpr std::size_t ORDER_SCAN_LIMIT = 500;
-constexpr std::size_t KEPT_ENDED_SENDERS = 64;
+constexpr std::size_t order_scan_limit = 500;
+constexpr std::size_t kept_ended_senders = 64;
 
 /** Whether an order of this kind takes the engine away from serving. */
 bool takes_engine_away(order_action action)
@@ -136,7 +136,7 @@
     {
         scanning_ = true;
         actions.scan = order_scan{order_prefix(settings_.service), scan_after_,
-                                  ORDER_SCAN_LIMIT};
+                                  order_scan_limit};
     }
     for (auto& [target, order] : entries_)
         advance(order, now, actions);
@@ -155,7 +155,7 @@
     }
     for (const table_row& row : rows.value())
         load_row(row, now);
-    if (rows.value().size() >= ORDER_SCAN_LIMIT)
+    if (rows.value().size() >= order_scan_limit)
     {
         scan_after_ = rows.value().back().key;
         next_scan_ = now;
@@ -280,7 +280,7 @@
     if (includes(cannot_run_, sender))
         return;
     cannot_run_.push_back(sender);
-    if (cannot_run_.size() > KEPT_ENDED_SENDERS)
+    if (cannot_run_.size() > kept_ended_senders)
         cannot_run_.erase(cannot_run_.begin());
 }
 
--- a/modules/authority/store/settled_write_test.cpp
+++ b/modules/authority/store/settled_write_test.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr milliseconds WRITE_RETRY{500};
+constexpr milliseconds write_retry{500};
 
 result<commit_receipt> lost()
 {
@@ -21,7 +21,7 @@
     transaction.write_id = id;
     transaction.conditions.push_back({"k", from});
     transaction.writes.push_back({"k", "{\"write_id\":\"" + id + "\"}"});
-    return {transaction, "k", WRITE_RETRY};
+    return {transaction, "k", write_retry};
 }
 
 } // namespace
@@ -35,12 +35,12 @@
     const time_point start{};
     const row_version version = table.commit(*write.due(start)).version;
     BOOST_TEST((write.finish(lost(), start) == write_state::open));
-    BOOST_TEST(!write.due(start + WRITE_RETRY / 2));
+    BOOST_TEST(!write.due(start + write_retry / 2));
 
     const std::optional<table_transaction> copy =
-        write.due(start + WRITE_RETRY);
+        write.due(start + write_retry);
     BOOST_REQUIRE(copy);
-    BOOST_TEST((write.finish(table.commit(*copy), start + WRITE_RETRY) ==
+    BOOST_TEST((write.finish(table.commit(*copy), start + write_retry) ==
                 write_state::committed));
     BOOST_TEST(write.version() == version);
     BOOST_TEST((write.first_sent() == start));
@@ -53,8 +53,8 @@
     const time_point start{};
     const table_transaction late = *write.due(start);
     write.finish(lost(), start);
-    const table_transaction copy = *write.due(start + WRITE_RETRY);
-    BOOST_TEST((write.finish(table.commit(copy), start + WRITE_RETRY) ==
+    const table_transaction copy = *write.due(start + write_retry);
+    BOOST_TEST((write.finish(table.commit(copy), start + write_retry) ==
                 write_state::committed));
     BOOST_TEST(!table.commit(late).committed);
 }
@@ -68,8 +68,8 @@
     write.finish(lost(), start);
     settled_write other = write_of("w2", std::nullopt);
     table.commit(*other.due(start));
-    const table_transaction copy = *write.due(start + WRITE_RETRY);
-    BOOST_TEST((write.finish(table.commit(copy), start + WRITE_RETRY) ==
+    const table_transaction copy = *write.due(start + write_retry);
+    BOOST_TEST((write.finish(table.commit(copy), start + write_retry) ==
                 write_state::rejected));
     BOOST_TEST(!table.commit(late).committed);
     BOOST_TEST(write.conflict()->version == 1U);
