Know which entry hosts are up by probing few of them; model of authority

Cause: the platform's list lags, and no row is written for a host. A Promela model of leases, fences and orders with variants that the checker rejects.

--- /dev/null
+++ b/models/authority.pml
@@ -0,0 +1,305 @@
+// Who may give orders, and what takes effect at a target.
+//
+// Two controllers, one target, the lease with its fencing number, and the
+// target's order row. As modules/authority does it: lease_holder,
+// fence_raiser, order_book, settled_write.
+//
+// Assumed:
+// - A lease can pass to the other controller at any moment; the former holder
+//   learns of it late or never. So safety rests on no clock, and a pause may
+//   lie between any two steps, also between the check of the lease and the
+//   sending.
+// - A write reaches the store twice: once as the sender's last repetition,
+//   whose answer it gets, and once as an earlier copy, which takes effect
+//   before that, after that, or never. So answers are lost and writes late.
+// - A sent order arrives late or never, but not after its sender has had an
+//   answer or has closed the connection and let the delivery bound pass.
+// - A process is called gone when it cannot run any more and nothing of it is
+//   on its way.
+// - A target keeps the greatest fencing number through a crash, and forgets
+//   its orders. It answers the order that it carried out last as done, and
+//   refuses any order while one is at work.
+// - Bounds (lower ones for progress): HOLDINGS changes of holder, ORDERS orders, one killed controller,
+//   one crash of the target, LOSSES lost messages, COPIES early copies.
+//
+// Safety: what takes effect is the target's row, sent by a holder; no earlier
+// order takes effect after a later one.
+// Progress, under weak fairness and with a finite number of faults: an order
+// that was sent is settled.
+//
+// verify: safety
+// verify: safety -DIGNORES
+// verify: liveness settles -DFEWER
+// verify: liveness settles -DFEWER -DIGNORES
+// reject: safety -DNO_RAISE
+// reject: safety -DNO_FENCE_CONDITION
+// reject: safety -DNO_VERSION_CONDITION
+// reject: safety -DSEND_UNWRITTEN
+// reject: safety -DIGNORES -DNO_WAIT_FOR_SENDERS
+// reject: safety -DIGNORES -DGONE_WHILE_PAUSED
+// reject: liveness settles -DFEWER -DNO_TAKEOVER
+
+#ifdef FEWER
+#define HOLDINGS 2
+#define ORDERS 1
+#else
+#define HOLDINGS 3
+#define ORDERS 2
+#endif
+#define LOSSES 1
+#define COPIES 1
+#define NOBODY 2
+#define BIT(p) (1 << (p))
+
+#ifdef IGNORES
+#define CHECKS 0
+#else
+#define CHECKS 1
+#endif
+
+#ifdef NO_FENCE_CONDITION
+#define FENCE_HOLDS(f) true
+#else
+#define FENCE_HOLDS(f) (fence == f)
+#endif
+
+#ifdef NO_VERSION_CONDITION
+#define VERSION_HOLDS(v) true
+#else
+#define VERSION_HOLDS(v) (row_version == v)
+#endif
+
+mtype = { absent, intended, sent, done };
+mtype = { none, open, running, finished, refused, unknown };
+
+// The store: the fence row and the order row.
+byte fence, holder = NOBODY;
+byte row_version, row_order, row_senders, row_writer;
+mtype row_state = absent;
+
+// An early copy of a write, still on its way.
+bit copy;
+byte copy_process, copy_fence, copy_version, copy_order, copy_senders;
+mtype copy_state = absent;
+bit copy_fenced;
+byte copies;
+
+// Orders on their way, and what came back.
+byte message_order[2], message_fence[2];
+mtype answer[2] = none;
+byte losses;
+
+// The target; `newest` is the greatest order that ever took effect.
+byte target_fence, target_order, newest;
+bit target_busy, target_crashed;
+
+byte next_order, gone;
+bit killed;
+
+inline apply(p, f, v, state, order, senders, fenced)
+{
+    if
+    :: (!fenced || FENCE_HOLDS(f)) && VERSION_HOLDS(v) ->
+        assert(!fenced || state != sent || holder == p);
+        row_state = state;
+        row_order = order;
+        row_senders = senders;
+        row_writer = p + 1;
+        row_version++
+    :: else
+    fi
+}
+
+inline read_row()
+{
+    version = row_version;
+    state = row_state;
+    order = row_order;
+    senders = row_senders
+}
+
+// One settled write: perhaps an early copy, then the copy that is answered.
+inline write(new_state, new_order, new_senders, fenced)
+{
+    if
+    :: atomic { copies < COPIES && !copy ->
+        copies++;
+        copy_process = p;
+        copy_fence = f;
+        copy_version = version;
+        copy_state = new_state;
+        copy_order = new_order;
+        copy_senders = new_senders;
+        copy_fenced = fenced;
+        copy = 1 }
+    :: true
+    fi;
+    atomic {
+        if
+        :: row_version == version + 1 && row_writer == p + 1
+        :: else ->
+            apply(p, f, version, new_state, new_order, new_senders, fenced)
+        fi;
+        committed = (row_version == version + 1 && row_writer == p + 1);
+        lost = lost || (fenced && fence != f && !committed);
+        read_row()
+    }
+}
+
+inline deliver(p)
+{
+    d_step {
+        if
+        :: CHECKS && message_fence[p] < target_fence -> answer[p] = refused
+        :: else ->
+            if
+            :: target_busy -> answer[p] = running
+            :: !target_busy && message_order[p] == target_order ->
+                answer[p] = finished
+            :: else ->
+                assert(message_order[p] >= newest);
+                assert(message_order[p] == row_order);
+                assert(row_state == sent || row_state == done);
+                target_order = message_order[p];
+                newest = target_order;
+                target_busy = 1;
+                answer[p] = running
+            fi
+        fi;
+        message_order[p] = 0;
+        message_fence[p] = 0
+    }
+}
+
+inline send_order()
+{
+    d_step {
+        message_order[p] = order;
+        message_fence[p] = f;
+        answer[p] = open
+    };
+    answer[p] != open;
+    if
+    :: answer[p] == finished ->
+        write(done, order, (CHECKS -> 0 : senders & ~BIT(p)), 1)
+    :: answer[p] == refused -> lost = 1
+    :: else
+    fi;
+    answer[p] = none
+}
+
+#ifdef NO_WAIT_FOR_SENDERS
+#define BARRED 0
+#else
+#define BARRED (!CHECKS && (senders & ~BIT(p) & ~gone) != 0)
+#endif
+
+proctype controller(byte p)
+{
+    byte f, version, order, senders;
+    mtype state = absent;
+    bit committed, lost, adopted;
+
+end_idle:
+    if
+#ifdef NO_TAKEOVER
+    :: atomic { fence == 0 -> fence++; holder = p; f = fence }
+#else
+    :: atomic { fence < HOLDINGS && holder != p ->
+        fence++; holder = p; f = fence }
+#endif
+    fi;
+    lost = 0;
+    adopted = 0;
+#ifndef NO_RAISE
+    if
+    :: d_step { target_fence < f -> target_fence = f }
+    :: target_fence >= f
+    fi;
+#endif
+    atomic { read_row() };
+
+end_hold:
+    do
+    :: lost -> break
+    :: !lost && fence != f -> break
+    :: !lost && version != row_version -> atomic { read_row() }
+    :: atomic { !lost && !killed && fence < HOLDINGS -> killed = 1 };
+        goto dead
+    :: !lost && (state == absent || state == done) &&
+        next_order < ORDERS && !BARRED ->
+        atomic { next_order++; order = next_order };
+        adopted = 0;
+#ifdef SEND_UNWRITTEN
+        send_order();
+#endif
+        write(intended, order, 0, 1)
+    :: !lost && state == intended ->
+        write(sent, order, senders | BIT(p), 1);
+        adopted = committed
+    :: !lost && state == sent && !adopted ->
+        write(sent, order, senders | BIT(p), 1);
+        adopted = committed
+    :: !lost && state == sent && adopted -> send_order()
+    od;
+
+    // No longer the holder: leaves the row's senders.
+    do
+    :: !CHECKS && (senders & BIT(p)) != 0 ->
+        write(state, order, senders & ~BIT(p), 0)
+    :: CHECKS || (senders & BIT(p)) == 0 ->
+        atomic {
+            if
+            :: version == row_version || CHECKS -> break
+            :: else -> read_row()
+            fi
+        }
+    od;
+    goto end_idle;
+
+dead:
+    gone = gone | BIT(p)
+}
+
+active proctype network()
+{
+end:
+    do
+    :: message_order[0] != 0 -> deliver(0)
+    :: message_order[1] != 0 -> deliver(1)
+    :: atomic { losses < LOSSES && message_order[0] != 0 ->
+        losses++; message_order[0] = 0; message_fence[0] = 0;
+        answer[0] = unknown }
+    :: atomic { losses < LOSSES && message_order[1] != 0 ->
+        losses++; message_order[1] = 0; message_fence[1] = 0;
+        answer[1] = unknown }
+    :: atomic { copy ->
+        apply(copy_process, copy_fence, copy_version, copy_state, copy_order,
+            copy_senders, copy_fenced);
+        copy = 0 }
+    :: atomic { copy -> copy = 0 }
+#ifdef GONE_WHILE_PAUSED
+    :: gone == 0 -> gone = 1
+#endif
+    od
+}
+
+active proctype target()
+{
+end:
+    do
+    :: target_busy -> target_busy = 0
+    :: atomic { !target_crashed && target_order != 0 ->
+        target_crashed = 1; target_order = 0; target_busy = 0 }
+    od
+}
+
+init
+{
+    atomic {
+        run controller(0);
+        run controller(1)
+    }
+}
+
+ltl settles { [] ((row_state == sent) -> <> (row_state == done)) }
--- a/modules/membership/messages/membership_message.hpp
+++ b/modules/membership/messages/membership_message.hpp
@@ -44,10 +44,9 @@
 /** What a message is for. */
 enum class membership_message_kind : std::uint8_t
 {
-    probe,         ///< asks the receiver to acknowledge
-    acknowledge,   ///< answers a probe
-    probe_request, ///< asks the receiver to probe `subject` for the sender
-    introduce      ///< as probe, from a host that starts or was cut off
+    probe,        ///< asks the receiver to acknowledge
+    acknowledge,  ///< answers a probe
+    probe_request ///< asks the receiver to probe `subject` for the sender
 };
 
 /** A message between two entry hosts, over UDP or a peer connection. */
--- /dev/null
+++ b/modules/membership/view/membership_view.cpp
@@ -0,0 +1,511 @@
+#include "membership/view/membership_view.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::hours absence_kept{1};
+
+/** Bounds the relayed probes that one host carries at once. */
+constexpr std::size_t most_relayed_probes = 32;
+
+bool is_up(member_state state)
+{
+    return state == member_state::alive || state == member_state::suspect;
+}
+
+} // namespace
+
+membership_view::membership_view(std::string self,
+                                 const membership_settings& settings,
+                                 std::uint64_t seed, time_point now)
+    : self_(std::move(self))
+    , settings_(settings)
+    , generator_(seed)
+    , last_tick_(now)
+    , next_probe_(now)
+    , next_rejoin_(now)
+{
+    // Hosts that start together do not probe in step.
+    next_probe_ += std::chrono::milliseconds(
+        generator_() % static_cast<std::uint64_t>(std::max<std::int64_t>(
+                           settings_.probe_period.count(), 1)));
+}
+
+// ========================================================================
+// Events
+
+membership_actions membership_view::list_read(const host_list_reading& reading,
+                                              time_point now)
+{
+    membership_actions actions;
+    if (reading.revision < revision_)
+        return actions;
+    revision_ = reading.revision;
+
+    std::map<std::string, entry> listed;
+    for (const listed_host& host : reading.hosts)
+    {
+        if (host.kind != host_kind::entry)
+            continue;
+        const auto known = hosts_.find(host.id);
+        entry& taken = listed[host.id];
+        if (known != hosts_.end())
+            taken = known->second;
+        else
+            actions.changes.push_back({host.id, member_state::alive});
+        taken.listing = host;
+        absent_since_.erase(host.id);
+    }
+    for (const auto& [host, known] : hosts_)
+    {
+        if (listed.count(host) == 0)
+        {
+            absent_since_.emplace(host, now);
+            actions.changes.push_back({host, member_state::excluded});
+        }
+    }
+    hosts_.swap(listed);
+    for (auto& [host, known] : hosts_)
+    {
+        if (known.listing.state == host_state::leaving && is_up(known.state))
+            set_state(host, known, member_state::leaving, known.incarnation,
+                      now, actions);
+    }
+    for (auto absent = absent_since_.begin(); absent != absent_since_.end();)
+    {
+        absent = now - absent->second > absence_kept
+                     ? absent_since_.erase(absent)
+                     : std::next(absent);
+    }
+    return actions;
+}
+
+membership_actions membership_view::tick(time_point now)
+{
+    membership_actions actions;
+    if (now - last_tick_ > 2 * settings_.probe_period)
+        recover_from_pause(now);
+    last_tick_ = now;
+    if (probe_ && !probe_->asked_others &&
+        now >= probe_->sent + settings_.direct_limit)
+        ask_others(actions);
+    if (now >= next_probe_)
+    {
+        finish_probe(now, actions);
+        start_probe(now, actions);
+        next_probe_ = now + settings_.probe_period;
+    }
+    if (now >= next_rejoin_)
+    {
+        probe_excluded(actions);
+        next_rejoin_ = now + settings_.rejoin_period;
+    }
+    expire_suspects(now, actions);
+    relayed_.erase(
+        std::remove_if(relayed_.begin(), relayed_.end(),
+                       [&](const relayed_probe& relayed)
+                       { return now - relayed.sent > settings_.probe_period; }),
+        relayed_.end());
+    return actions;
+}
+
+membership_actions membership_view::received(const membership_message& message,
+                                             time_point now)
+{
+    membership_actions actions;
+    const auto sender = hosts_.find(message.sender);
+    if (sender == hosts_.end() || message.sender == self_)
+        return actions;
+
+    hear_sender(message, sender->second, now, actions);
+    for (const member_rumour& rumour : message.rumours)
+        apply(rumour, now, actions);
+    for (const member_digest& digest : message.digests)
+        actions.digests.push_back({message.sender, digest});
+
+    switch (message.kind)
+    {
+    case membership_message_kind::probe:
+        answer_probe(message, actions);
+        break;
+    case membership_message_kind::acknowledge:
+        acknowledged(message, actions);
+        break;
+    case membership_message_kind::probe_request:
+        relay_probe(message, now, actions);
+        break;
+    }
+    return actions;
+}
+
+void membership_view::leave()
+{
+    leaving_ = true;
+    spread({self_, member_state::leaving, incarnation_});
+}
+
+void membership_view::set_digest(std::uint8_t topic, const std::string& bytes)
+{
+    if (bytes.empty())
+        digests_.erase(topic);
+    else
+        digests_[topic] = bytes;
+}
+
+// ========================================================================
+// State
+
+std::vector<std::string> membership_view::live_hosts() const
+{
+    return live_hosts("");
+}
+
+std::vector<std::string>
+membership_view::live_hosts(const std::string& region) const
+{
+    std::vector<std::string> names;
+    for (const auto& [host, known] : hosts_)
+    {
+        const bool up = host == self_ ? !leaving_ : is_up(known.state);
+        if (up && (region.empty() || known.listing.region == region))
+            names.push_back(host);
+    }
+    return names;
+}
+
+std::optional<member> membership_view::find(const std::string& host) const
+{
+    const auto found = hosts_.find(host);
+    if (found == hosts_.end())
+        return std::nullopt;
+    return member{found->second.listing, found->second.state,
+                  found->second.incarnation};
+}
+
+std::size_t membership_view::size() const
+{
+    return hosts_.size();
+}
+
+std::optional<std::chrono::milliseconds>
+membership_view::absent_for(const std::string& host, time_point now) const
+{
+    const auto found = absent_since_.find(host);
+    if (found == absent_since_.end())
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                 found->second);
+}
+
+// ========================================================================
+// Private: news
+
+void membership_view::hear_sender(const membership_message& message,
+                                  entry& known, time_point now,
+                                  membership_actions& actions)
+{
+    if (message.sender_leaving)
+    {
+        if (known.state != member_state::leaving)
+            set_state(message.sender, known, member_state::leaving,
+                      message.sender_incarnation, now, actions);
+        return;
+    }
+    // It speaks, so it is up. It learns of a suspicion from the answer and
+    // refutes it with a greater incarnation, which then spreads.
+    if (message.sender_incarnation > known.incarnation)
+        set_state(message.sender, known, member_state::alive,
+                  message.sender_incarnation, now, actions);
+    else if (!is_up(known.state) && known.state != member_state::leaving)
+        spread({message.sender, known.state, known.incarnation});
+}
+
+void membership_view::apply(const member_rumour& rumour, time_point now,
+                            membership_actions& actions)
+{
+    if (rumour.host == self_)
+    {
+        refute(rumour);
+        return;
+    }
+    const auto found = hosts_.find(rumour.host);
+    if (found == hosts_.end())
+        return;
+    entry& known = found->second;
+    const bool is_news =
+        rumour.incarnation > known.incarnation ||
+        (rumour.incarnation == known.incarnation && rumour.state > known.state);
+    if (is_news)
+        set_state(rumour.host, known, rumour.state, rumour.incarnation, now,
+                  actions);
+}
+
+void membership_view::set_state(const std::string& host, entry& known,
+                                member_state state, std::uint32_t incarnation,
+                                time_point now, membership_actions& actions)
+{
+    if (state == member_state::suspect && known.state != member_state::suspect)
+    {
+        known.suspect_since = now;
+        if (std::find(suspects_.begin(), suspects_.end(), host) ==
+            suspects_.end())
+            suspects_.push_back(host);
+    }
+    if (state != known.state)
+        actions.changes.push_back({host, state});
+    known.state = state;
+    known.incarnation = incarnation;
+    spread({host, state, incarnation});
+}
+
+void membership_view::refute(const member_rumour& rumour)
+{
+    if (leaving_ || rumour.state == member_state::alive ||
+        rumour.incarnation < incarnation_)
+        return;
+    incarnation_ = rumour.incarnation + 1;
+    spread({self_, member_state::alive, incarnation_});
+}
+
+void membership_view::spread(const member_rumour& rumour)
+{
+    const auto queued =
+        std::find_if(rumours_.begin(), rumours_.end(),
+                     [&](const queued_rumour& candidate)
+                     { return candidate.rumour.host == rumour.host; });
+    if (queued != rumours_.end())
+        rumours_.erase(queued);
+    rumours_.push_back({rumour, 0});
+}
+
+void membership_view::send(const std::string& host, membership_message message,
+                           membership_actions& actions)
+{
+    message.sender = self_;
+    message.sender_incarnation = incarnation_;
+    message.sender_leaving = leaving_;
+
+    // The least sent news first.
+    std::stable_sort(rumours_.begin(), rumours_.end(),
+                     [](const queued_rumour& left, const queued_rumour& right)
+                     { return left.sent < right.sent; });
+    const std::size_t count = std::min(rumours_.size(), settings_.rumours);
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        message.rumours.push_back(rumours_[index].rumour);
+        ++rumours_[index].sent;
+    }
+    const std::size_t limit = repeat_limit();
+    rumours_.erase(std::remove_if(rumours_.begin(), rumours_.end(),
+                                  [limit](const queued_rumour& candidate)
+                                  { return candidate.sent >= limit; }),
+                   rumours_.end());
+
+    std::size_t room = settings_.digest_bytes;
+    for (const auto& [topic, bytes] : digests_)
+    {
+        if (bytes.size() > room)
+            break;
+        room -= bytes.size();
+        message.digests.push_back({topic, bytes});
+    }
+    actions.sends.push_back({host, std::move(message)});
+}
+
+// ========================================================================
+// Private: probes
+
+void membership_view::start_probe(time_point now, membership_actions& actions)
+{
+    probe_.reset();
+    const std::optional<std::string> host = next_in_round();
+    if (!host)
+        return;
+    probe_ = open_probe{*host, ++last_sequence_, now, false};
+    send_probe(*host, last_sequence_, actions);
+}
+
+void membership_view::send_probe(const std::string& host,
+                                 std::uint32_t sequence,
+                                 membership_actions& actions)
+{
+    membership_message message;
+    message.kind = membership_message_kind::probe;
+    message.sequence = sequence;
+    // A host that is doubted is told so, that it can refute.
+    const entry& known = hosts_.at(host);
+    if (known.state != member_state::alive)
+        message.rumours.push_back({host, known.state, known.incarnation});
+    send(host, std::move(message), actions);
+}
+
+void membership_view::ask_others(membership_actions& actions)
+{
+    probe_->asked_others = true;
+    std::vector<std::string> others = live_hosts();
+    std::shuffle(others.begin(), others.end(), generator_);
+    std::size_t asked = 0;
+    for (const std::string& other : others)
+    {
+        if (asked == settings_.indirect_probes)
+            break;
+        if (other == self_ || other == probe_->host)
+            continue;
+        membership_message message;
+        message.kind = membership_message_kind::probe_request;
+        message.sequence = probe_->sequence;
+        message.subject = probe_->host;
+        send(other, std::move(message), actions);
+        ++asked;
+    }
+}
+
+void membership_view::finish_probe(time_point now, membership_actions& actions)
+{
+    if (!probe_)
+        return;
+    const auto found = hosts_.find(probe_->host);
+    if (found != hosts_.end() && found->second.state == member_state::alive)
+        set_state(found->first, found->second, member_state::suspect,
+                  found->second.incarnation, now, actions);
+    probe_.reset();
+}
+
+void membership_view::probe_excluded(membership_actions& actions)
+{
+    std::vector<std::string> excluded;
+    for (const auto& [host, known] : hosts_)
+    {
+        if (host != self_ && known.state == member_state::excluded)
+            excluded.push_back(host);
+    }
+    if (!excluded.empty())
+    {
+        send_probe(excluded[generator_() % excluded.size()], ++last_sequence_,
+                   actions);
+    }
+}
+
+void membership_view::expire_suspects(time_point now,
+                                      membership_actions& actions)
+{
+    for (std::size_t index = 0; index < suspects_.size();)
+    {
+        const auto found = hosts_.find(suspects_[index]);
+        const bool suspected = found != hosts_.end() &&
+                               found->second.state == member_state::suspect;
+        const bool over = suspected && now >= found->second.suspect_since +
+                                                  settings_.suspicion_limit;
+        if (suspected && !over)
+        {
+            ++index;
+            continue;
+        }
+        suspects_.erase(suspects_.begin() + static_cast<std::ptrdiff_t>(index));
+        if (over)
+            set_state(found->first, found->second, member_state::excluded,
+                      found->second.incarnation, now, actions);
+    }
+}
+
+void membership_view::recover_from_pause(time_point now)
+{
+    probe_.reset();
+    for (const std::string& host : suspects_)
+    {
+        const auto found = hosts_.find(host);
+        if (found != hosts_.end())
+            found->second.suspect_since = now;
+    }
+}
+
+void membership_view::answer_probe(const membership_message& message,
+                                   membership_actions& actions)
+{
+    membership_message answer;
+    answer.kind = membership_message_kind::acknowledge;
+    answer.sequence = message.sequence;
+    answer.subject = self_;
+    const entry& known = hosts_.at(message.sender);
+    if (known.state == member_state::suspect ||
+        known.state == member_state::excluded)
+    {
+        answer.rumours.push_back(
+            {message.sender, known.state, known.incarnation});
+    }
+    send(message.sender, std::move(answer), actions);
+}
+
+void membership_view::relay_probe(const membership_message& message,
+                                  time_point now, membership_actions& actions)
+{
+    if (hosts_.count(message.subject) == 0 || message.subject == self_ ||
+        relayed_.size() >= most_relayed_probes)
+        return;
+    relayed_.push_back(
+        {message.sender, message.sequence, ++last_sequence_, now});
+    send_probe(message.subject, last_sequence_, actions);
+}
+
+void membership_view::acknowledged(const membership_message& message,
+                                   membership_actions& actions)
+{
+    if (probe_ && probe_->sequence == message.sequence &&
+        probe_->host == message.subject)
+    {
+        probe_.reset();
+        return;
+    }
+    const auto relayed =
+        std::find_if(relayed_.begin(), relayed_.end(),
+                     [&](const relayed_probe& candidate)
+                     { return candidate.sequence == message.sequence; });
+    if (relayed == relayed_.end() || message.subject != message.sender)
+        return;
+    membership_message answer;
+    answer.kind = membership_message_kind::acknowledge;
+    answer.sequence = relayed->requester_sequence;
+    answer.subject = message.sender;
+    const std::string requester = relayed->requester;
+    relayed_.erase(relayed);
+    if (hosts_.count(requester) != 0)
+        send(requester, std::move(answer), actions);
+}
+
+std::optional<std::string> membership_view::next_in_round()
+{
+    for (int attempt = 0; attempt < 2; ++attempt)
+    {
+        while (!round_.empty())
+        {
+            const std::string host = round_.back();
+            round_.pop_back();
+            const auto found = hosts_.find(host);
+            if (found != hosts_.end() &&
+                found->second.state != member_state::excluded)
+                return host;
+        }
+        for (const auto& [host, known] : hosts_)
+        {
+            if (host != self_ && known.state != member_state::excluded)
+                round_.push_back(host);
+        }
+        std::shuffle(round_.begin(), round_.end(), generator_);
+    }
+    return std::nullopt;
+}
+
+std::size_t membership_view::repeat_limit() const
+{
+    std::size_t logarithm = 1;
+    for (std::size_t hosts = hosts_.size(); hosts > 1; hosts /= 2)
+        ++logarithm;
+    return settings_.rumour_repeats * logarithm;
+}
+
+} // namespace hibiscusferry
--- a/modules/membership/view/membership_view.hpp
+++ b/modules/membership/view/membership_view.hpp
@@ -88,7 +88,8 @@
     After Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
     Infection-style Process Group Membership Protocol", 2002. Unlike there
     the list decides who belongs: a host that is listed is never forgotten,
-    and one that is not listed is not taken in.
+    and one that is not listed is not taken in. A host that was paused itself
+    blames nobody for it, as in Dadgar, Phillips and Currey, "Lifeguard", 2018.
 
     Nothing here gives authority; leases do that.
 */
@@ -174,6 +175,8 @@
         std::size_t sent = 0;
     };
 
+    void hear_sender(const membership_message& message, entry& known,
+                     time_point now, membership_actions& actions);
     void apply(const member_rumour& rumour, time_point now,
                membership_actions& actions);
     void set_state(const std::string& host, entry& known, member_state state,
@@ -183,12 +186,20 @@
     void spread(const member_rumour& rumour);
     void send(const std::string& host, membership_message message,
               membership_actions& actions);
+
     void start_probe(time_point now, membership_actions& actions);
+    void send_probe(const std::string& host, std::uint32_t sequence,
+                    membership_actions& actions);
     void ask_others(membership_actions& actions);
     void finish_probe(time_point now, membership_actions& actions);
-    void probe_excluded(time_point now, membership_actions& actions);
+    void probe_excluded(membership_actions& actions);
     void expire_suspects(time_point now, membership_actions& actions);
-    void acknowledged(const membership_message& message, time_point now,
+    void recover_from_pause(time_point now);
+    void answer_probe(const membership_message& message,
+                      membership_actions& actions);
+    void relay_probe(const membership_message& message, time_point now,
+                     membership_actions& actions);
+    void acknowledged(const membership_message& message,
                       membership_actions& actions);
     std::optional<std::string> next_in_round();
     std::size_t repeat_limit() const;
@@ -201,12 +212,15 @@
     std::uint32_t last_sequence_ = 0;
     bool leaving_ = false;
     std::map<std::string, entry> hosts_;
+    /** Hosts that were suspected and may still be. */
+    std::vector<std::string> suspects_;
     std::map<std::string, time_point> absent_since_;
     std::vector<std::string> round_;
     std::optional<open_probe> probe_;
     std::vector<relayed_probe> relayed_;
     std::vector<queued_rumour> rumours_;
     std::map<std::uint8_t, std::string> digests_;
+    time_point last_tick_;
     time_point next_probe_;
     time_point next_rejoin_;
 };
