Decide role changes as rent-or-buy over all splits of a pool

Cause: the token mix shifts within minutes and a role change takes an engine away for seconds, so neither a fixed split nor a threshold serves it well.

Change: mix_estimator sums the demand from routers' growing counts; role_work_function keeps the hindsight cost of every split and gives the one to go to; change_expectations overlays own changes on late reports; mix_forecast learns periods; role_policy joins them and returns changes.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -58,6 +58,25 @@
 // 1600-1699 authority and orders
 
 // 1700-1799 roles
+HIBISCUSFERRY_EVENT(1700, info, role_change_wanted,
+                    "The role policy asked for an engine to change its role.",
+                    "")
+HIBISCUSFERRY_EVENT(1701, info, role_pattern_trusted,
+                    "A periodic pattern of the token mix is acted on.", "")
+HIBISCUSFERRY_EVENT(1702, info, role_pattern_dropped,
+                    "A periodic pattern of the token mix no longer holds and "
+                    "is not acted on.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1703, warning, role_policy_held_back,
+    "No role is changed while reports are stale or the fleet is degraded.",
+    "Look for silent routers or engines in the status; see the field hold.")
+HIBISCUSFERRY_EVENT(1704, info, role_policy_resumed,
+                    "Roles are changed again after a hold.", "")
+HIBISCUSFERRY_EVENT(
+    1705, warning, role_expectation_expired,
+    "A role change was never seen in the engine's reports.",
+    "Compare the engine's reported role with the outcome of its last order.")
 
 // 1800-1899 configuration
 
--- /dev/null
+++ b/modules/roles/model/role_change.cpp
@@ -0,0 +1,20 @@
+#include "roles/model/role_change.hpp"
+
+namespace hibiscusferry
+{
+
+std::string_view to_text(change_reason reason)
+{
+    switch (reason)
+    {
+    case change_reason::regret:
+        return "regret";
+    case change_reason::forecast:
+        return "forecast";
+    case change_reason::least_mixed:
+        break;
+    }
+    return "least_mixed";
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/roles/policy/role_policy.cpp
@@ -0,0 +1,429 @@
+#include "roles/policy/role_policy.hpp"
+
+#include "roles/errors/roles_error.hpp"
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** Below this confidence in the routers' reports nothing is changed. */
+constexpr double least_confidence = 0.6;
+/** An engine whose newest report was taken longer ago is silent. */
+constexpr std::chrono::seconds silent_after{30};
+/** Nothing is changed for so long after an engine was lost. */
+constexpr std::chrono::seconds settle_after_loss{20};
+/** A change that was asked for and has not started by then is dropped. */
+constexpr std::chrono::seconds start_allowance{30};
+/** A pause of the process is not charged for longer than this. */
+constexpr std::chrono::seconds greatest_charge{5};
+/** Coming slots that a plan looks at. */
+constexpr std::size_t planned_slots = 30;
+/** A weight below it means that only the number of changes matters. */
+constexpr double least_goodput_weight = 0.001;
+
+constexpr std::array<engine_role, 3> all_roles{
+    engine_role::prefill, engine_role::decode, engine_role::mixed};
+
+bool are_valid(const role_policy_settings& settings)
+{
+    const engine_capacity& capacity = settings.capacity;
+    return settings.rules.goodput_weight >= 0 &&
+           settings.rules.goodput_weight <= 1 &&
+           settings.rules.change_duration.count() > 0 &&
+           capacity.prefill_tokens_per_second > 0 &&
+           capacity.decode_tokens_per_second > 0 &&
+           capacity.mixed_efficiency > 0 && capacity.mixed_efficiency <= 1;
+}
+
+} // namespace
+
+std::string_view to_text(role_hold hold)
+{
+    switch (hold)
+    {
+    case role_hold::stale_reports:
+        return "stale_reports";
+    case role_hold::degraded_fleet:
+        return "degraded_fleet";
+    case role_hold::none:
+        break;
+    }
+    return "none";
+}
+
+role_policy::role_policy(const role_policy_settings& settings)
+    : settings_(settings)
+{
+}
+
+result<role_policy> role_policy::create(const role_policy_settings& settings)
+{
+    if (!are_valid(settings))
+        return make_error_code(roles_error::invalid_settings);
+    return role_policy(settings);
+}
+
+void role_policy::on_rules(const role_rules& rules)
+{
+    settings_.rules = rules;
+}
+
+void role_policy::on_router_report(const router_load_report& report,
+                                   time_point now)
+{
+    pool_of(report.model).estimator.on_report(report, now);
+}
+
+void role_policy::on_engine_report(const engine_report& report, time_point now)
+{
+    engine_entry& entry = engines_[report.engine];
+    if (!entry.report.engine.empty() &&
+        report.taken_at <= entry.report.taken_at)
+        return;
+    entry.report = report;
+    pool_of(report.model);
+    expectations_.on_report(report, now);
+    // An order that is past its deadline cannot take the engine away later.
+    if (entry.away_until && report.taken_at > *entry.away_until &&
+        report.state == engine_state::serving)
+        entry.away_until.reset();
+}
+
+void role_policy::on_engine_joined(const engine_report& first, time_point now)
+{
+    on_engine_report(first, now);
+}
+
+void role_policy::on_engine_lost(const std::string& engine, time_point now)
+{
+    const std::map<std::string, engine_entry>::iterator found =
+        engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    pool_of(found->second.report.model).lost_at = now;
+    engines_.erase(found);
+    expectations_.forget(engine);
+}
+
+void role_policy::on_change_started(const std::string& engine, engine_role to,
+                                    time_point deadline, time_point now)
+{
+    const std::map<std::string, engine_entry>::iterator found =
+        engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    found->second.asked_until.reset();
+    found->second.away_until = deadline;
+    if (settings_.use_expectations)
+        expectations_.expect(engine, to, deadline, now);
+}
+
+void role_policy::on_change_finished(const std::string& engine,
+                                     engine_role role, time_point now)
+{
+    const std::map<std::string, engine_entry>::iterator found =
+        engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    found->second.asked_until.reset();
+    found->second.away_until.reset();
+    found->second.changed_at = now;
+    if (settings_.use_expectations)
+    {
+        expectations_.expect(engine, role, now, now);
+        expectations_.on_finished(engine, now);
+    }
+}
+
+void role_policy::on_change_failed(const std::string& engine, time_point now)
+{
+    const std::map<std::string, engine_entry>::iterator found =
+        engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    found->second.asked_until.reset();
+    found->second.away_until.reset();
+    found->second.changed_at = now;
+    expectations_.withdraw(engine);
+}
+
+std::vector<role_change> role_policy::decide(time_point now)
+{
+    expire(now);
+    std::vector<role_change> changes;
+    for (std::map<std::string, model_pool>::iterator pool = pools_.begin();
+         pool != pools_.end(); ++pool)
+        decide_for(pool->first, pool->second, now, changes);
+    return changes;
+}
+
+std::vector<role_pool_status> role_policy::status(time_point now)
+{
+    std::vector<role_pool_status> pools;
+    for (std::map<std::string, model_pool>::iterator entry = pools_.begin();
+         entry != pools_.end(); ++entry)
+    {
+        model_pool& pool = entry->second;
+        role_pool_status shown;
+        shown.model = entry->first;
+        shown.split = split_of(entry->first);
+        shown.estimate = pool.estimator.estimate(now);
+        shown.hold = pool.hold;
+        shown.regret = pool.work.regret(shown.split);
+        shown.forecast_trusted = pool.forecast.trusted_period() != 0;
+        shown.forecast_period =
+            mix_forecast::slot *
+            static_cast<std::int64_t>(pool.forecast.trusted_period());
+        shown.away = away_count();
+        shown.expectations = expectations_.size();
+        pools.push_back(shown);
+    }
+    return pools;
+}
+
+std::vector<std::string> role_policy::take_expired()
+{
+    std::vector<std::string> taken;
+    taken.swap(expired_);
+    return taken;
+}
+
+role_policy::model_pool& role_policy::pool_of(const std::string& model)
+{
+    return pools_[model];
+}
+
+engine_role role_policy::effective_role(const engine_entry& entry) const
+{
+    return expectations_.expected_role(entry.report.engine)
+        .value_or(entry.report.role);
+}
+
+bool role_policy::is_away(const engine_entry& entry) const
+{
+    if (entry.asked_until || entry.away_until)
+        return true;
+    // A report from before a change finished shows what is over.
+    const bool outdated =
+        entry.changed_at && entry.report.taken_at <= *entry.changed_at;
+    return entry.report.state == engine_state::changing && !outdated;
+}
+
+bool role_policy::can_change(const engine_entry& entry, time_point now) const
+{
+    return !is_away(entry) && entry.report.state != engine_state::leaving &&
+           now - entry.report.taken_at <= silent_after;
+}
+
+role_split role_policy::split_of(const std::string& model) const
+{
+    role_split split;
+    for (const std::pair<const std::string, engine_entry>& named : engines_)
+    {
+        const engine_entry& entry = named.second;
+        if (entry.report.model == model &&
+            entry.report.state != engine_state::leaving)
+            ++split.of(effective_role(entry));
+    }
+    return split;
+}
+
+std::size_t role_policy::away_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        engines_.begin(), engines_.end(),
+        [this](const std::pair<const std::string, engine_entry>& named)
+        { return is_away(named.second); }));
+}
+
+std::size_t role_policy::away_limit() const
+{
+    return settings_.rules.most_away;
+}
+
+work_function_settings role_policy::work_settings() const
+{
+    const double away_seconds =
+        std::chrono::duration<double>(settings_.rules.change_duration).count();
+    const double weight =
+        std::max(settings_.rules.goodput_weight, least_goodput_weight);
+    work_function_settings work;
+    work.change_cost = away_seconds / weight;
+    work.mixed_efficiency = settings_.capacity.mixed_efficiency;
+    work.least_mixed = static_cast<int>(settings_.rules.least_mixed);
+    return work;
+}
+
+role_hold role_policy::hold_of(const std::string& model, const model_pool& pool,
+                               const mix_estimate& estimate,
+                               time_point now) const
+{
+    if (estimate.confidence < least_confidence)
+        return role_hold::stale_reports;
+
+    std::size_t engines = 0;
+    std::size_t silent = 0;
+    for (const std::pair<const std::string, engine_entry>& named : engines_)
+    {
+        if (named.second.report.model != model)
+            continue;
+        ++engines;
+        if (now - named.second.report.taken_at > silent_after)
+            ++silent;
+    }
+    if (silent * 4 > engines)
+        return role_hold::stale_reports;
+    if (silent >= std::max<std::size_t>(away_limit(), 1) ||
+        (pool.lost_at != time_point() &&
+         now - pool.lost_at < settle_after_loss))
+        return role_hold::degraded_fleet;
+    return role_hold::none;
+}
+
+void role_policy::expire(time_point now)
+{
+    for (std::pair<const std::string, engine_entry>& named : engines_)
+    {
+        std::optional<time_point>& asked_until = named.second.asked_until;
+        if (asked_until && now > *asked_until)
+        {
+            asked_until.reset();
+            expectations_.withdraw(named.first);
+            expired_.push_back(named.first);
+        }
+    }
+    for (const std::string& engine : expectations_.expire(now))
+        expired_.push_back(engine);
+}
+
+void role_policy::decide_for(const std::string& model, model_pool& pool,
+                             time_point now, std::vector<role_change>& changes)
+{
+    const mix_estimate estimate = pool.estimator.estimate(now);
+    role_split split = split_of(model);
+    pool.hold = hold_of(model, pool, estimate, now);
+    const std::chrono::nanoseconds elapsed =
+        pool.updated_at == time_point()
+            ? std::chrono::nanoseconds::zero()
+            : std::min<std::chrono::nanoseconds>(now - pool.updated_at,
+                                                 greatest_charge);
+    pool.updated_at = now;
+    if (split.engines() == 0 || pool.hold == role_hold::stale_reports)
+        return;
+
+    const engine_demand demand = to_engines(estimate.fast, settings_.capacity);
+    pool.work.prepare(work_settings(), split);
+    pool.work.charge(demand, elapsed);
+    pool.forecast.observe(demand, now);
+    if (pool.hold != role_hold::none)
+        return;
+
+    change_reason reason = change_reason::regret;
+    const role_split target = target_of(pool, split, reason);
+    while (split != target)
+    {
+        engine_role from = engine_role::mixed;
+        engine_role to = engine_role::mixed;
+        for (const engine_role role : all_roles)
+        {
+            if (split.of(role) - target.of(role) >
+                split.of(from) - target.of(from))
+                from = role;
+            if (target.of(role) - split.of(role) > target.of(to) - split.of(to))
+                to = role;
+        }
+        if (!ask_for(model, from, to, reason, now, changes))
+            return;
+        --split.of(from);
+        ++split.of(to);
+    }
+}
+
+role_split role_policy::target_of(const model_pool& pool,
+                                  const role_split& present,
+                                  change_reason& reason) const
+{
+    const int lacking =
+        static_cast<int>(settings_.rules.least_mixed) - present.mixed;
+    if (lacking > 0 && present.engines() > present.mixed)
+    {
+        reason = change_reason::least_mixed;
+        role_split target = present;
+        --target.of(present.prefill > present.decode ? engine_role::prefill
+                                                     : engine_role::decode);
+        ++target.mixed;
+        return target;
+    }
+
+    if (settings_.use_forecast && pool.forecast.trusted_period() != 0)
+    {
+        reason = change_reason::forecast;
+        return pool.work.planned_target(
+            present,
+            pool.forecast.coming(settings_.rules.change_duration,
+                                 planned_slots),
+            mix_forecast::slot);
+    }
+    reason = change_reason::regret;
+    return pool.work.target(present);
+}
+
+bool role_policy::ask_for(const std::string& model, engine_role from,
+                          engine_role to, change_reason reason, time_point now,
+                          std::vector<role_change>& changes)
+{
+    if (away_count() >= away_limit())
+        return false;
+    const std::string* const engine = best_engine(model, from, now);
+    if (engine == nullptr)
+        return false;
+    engine_entry& entry = engines_.find(*engine)->second;
+    entry.asked_until = now + start_allowance;
+    if (settings_.use_expectations)
+        expectations_.expect(*engine, to, *entry.asked_until, now);
+    changes.push_back({*engine, model, from, to, reason});
+    return true;
+}
+
+const std::string* role_policy::best_engine(const std::string& model,
+                                            engine_role from,
+                                            time_point now) const
+{
+    std::map<std::string, int> of_zone;
+    for (const std::pair<const std::string, engine_entry>& named : engines_)
+    {
+        if (named.second.report.model == model &&
+            effective_role(named.second) == from)
+            ++of_zone[named.second.report.availability_zone];
+    }
+
+    // From the zone with most of that role, then the one idle soonest, then
+    // the one that was left alone for longest.
+    using preference = std::tuple<int, std::uint32_t, time_point>;
+    const std::string* best = nullptr;
+    preference best_preference;
+    for (const std::pair<const std::string, engine_entry>& named : engines_)
+    {
+        const engine_entry& entry = named.second;
+        if (entry.report.model != model || effective_role(entry) != from ||
+            !can_change(entry, now))
+            continue;
+        const preference candidate{
+            -of_zone[entry.report.availability_zone],
+            entry.report.active_streams,
+            entry.changed_at.value_or(time_point::min())};
+        if (best == nullptr || candidate < best_preference)
+        {
+            best = &named.first;
+            best_preference = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace hibiscusferry
--- a/modules/roles/roles.cpp
+++ b/modules/roles/roles.cpp
@@ -1,1 +1,13 @@
 #include "roles/roles.hpp"
+
+#include "roles/errors/roles_error.cpp"
+#include "roles/estimate/mix_estimator.cpp"
+#include "roles/estimate/mix_forecast.cpp"
+#include "roles/model/engine_role.cpp"
+#include "roles/model/role_change.cpp"
+#include "roles/model/role_split.cpp"
+#include "roles/model/token_demand.cpp"
+#include "roles/policy/change_expectations.cpp"
+#include "roles/policy/pool_capacity.cpp"
+#include "roles/policy/role_policy.cpp"
+#include "roles/policy/role_work_function.cpp"
