Bench the role policy against baselines and an offline plan

Change: roles_bench draws traces from scenario files, runs the decision code on a per-request queue model in virtual time, and compares it with a fixed split, a threshold rule, round robin and a plan that knows the trace.

The policy is late on steps: it waits for a regret of a whole change's cost.

--- /dev/null
+++ b/extras/benches/roles_bench.cpp
@@ -0,0 +1,249 @@
+/** @file
+    The policy bench: goodput and role changes of the role policy, of
+    baselines and of an offline plan, on the same traces in virtual time.
+
+    roles_bench --scenario FILE.toml[,FILE.toml...] --seed 1 --seeds 10
+                --policy all
+*/
+#include "roles/policy_table.hpp"
+
+#include <atomic>
+#include <cstdio>
+#include <gflags/gflags.h>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(scenario, "", "scenario files, separated by commas");
+DEFINE_uint64(seed, 1, "the first seed");
+DEFINE_uint64(seeds, 1, "how many seeds, counted up from --seed");
+DEFINE_string(policy, "all", "policies, separated by commas, or all");
+DEFINE_uint64(threads, 2, "threads, one run each at a time");
+DEFINE_bool(check, false, "exit with 1 when the target is missed");
+DEFINE_bool(tune, false, "try the threshold rule's settings and stop");
+DEFINE_double(threshold_gap, 0.25, "threshold rule: gap of utilisations");
+DEFINE_double(threshold_use, 0.7, "threshold rule: least utilisation");
+DEFINE_double(threshold_hold, 10, "threshold rule: how long it lasts, s");
+DEFINE_double(threshold_rest, 20, "threshold rule: rest after a change, s");
+
+namespace hibiscusferry::roles_bench
+{
+
+namespace
+{
+
+/** The part of the offline plan's goodput that is aimed at. */
+constexpr double target_share = 0.95;
+/** Goodput that differs by less counts as equal: one request in 2,000. */
+constexpr double goodput_tolerance = 0.0005;
+
+std::vector<std::string> split_list(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+threshold_settings threshold_of_flags()
+{
+    return {FLAGS_threshold_gap, FLAGS_threshold_use, FLAGS_threshold_hold,
+            FLAGS_threshold_rest};
+}
+
+/** Runs all policies for all seeds of one scenario. */
+std::vector<seed_results> run_scenario(const scenario& of,
+                                       const std::vector<std::string>& names,
+                                       const threshold_settings& threshold)
+{
+    std::vector<seed_results> results(FLAGS_seeds);
+    std::atomic<std::size_t> next{0};
+    const auto work = [&]()
+    {
+        for (std::size_t number = next++; number < results.size();
+             number = next++)
+        {
+            const std::uint64_t seed = FLAGS_seed + number;
+            const request_trace trace = make_trace(of, seed);
+            results[number].price_requests = price_of(of, trace);
+            for (const std::string& name : names)
+                results[number].by_policy[name] = run_named(
+                    name, of, trace, seed, threshold, results[number]);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::uint64_t count = 0; count < FLAGS_threads; ++count)
+        threads.emplace_back(work);
+    for (std::thread& thread : threads)
+        thread.join();
+    return results;
+}
+
+/** Means and the worst over the seeds of one policy. */
+struct summary
+{
+    double goodput = 0;
+    double worst_goodput = 1;
+    double changes = 0;
+    double most_changes = 0;
+    double share = 0;
+    double worst_share = 1e9;
+    double bound_share = 0;
+    double most_away = 0;
+};
+
+summary summarise(const std::vector<seed_results>& results,
+                  const std::string& name)
+{
+    summary sum;
+    const double count = static_cast<double>(results.size());
+    for (const seed_results& each : results)
+    {
+        const run_result& run = each.by_policy.at(name);
+        sum.goodput += run.goodput / count;
+        sum.worst_goodput = std::min(sum.worst_goodput, run.goodput);
+        sum.changes += run.role_changes / count;
+        sum.most_changes = std::max(sum.most_changes, run.role_changes);
+        sum.most_away = std::max(sum.most_away, run.most_away);
+        if (each.by_policy.count("offline") == 0)
+            continue;
+        const double share = run.goodput / each.by_policy.at("offline").goodput;
+        sum.share += share / count;
+        sum.worst_share = std::min(sum.worst_share, share);
+        sum.bound_share += run.goodput / each.bound / count;
+    }
+    return sum;
+}
+
+void print_summary(const scenario& of, const std::string& name,
+                   const summary& sum)
+{
+    std::printf("%-26s %-16s %7.2f %7.2f %7.1f %5.0f %7.1f %7.1f %7.1f %4.0f\n",
+                of.name.c_str(), name.c_str(), 100 * sum.goodput,
+                100 * sum.worst_goodput, sum.changes, sum.most_changes,
+                100 * sum.share, 100 * sum.worst_share, 100 * sum.bound_share,
+                sum.most_away);
+}
+
+/** Whether the stated target is met; prints what is missed. */
+bool meets_target(const scenario& of, const std::vector<seed_results>& results)
+{
+    const summary own = summarise(results, "policy");
+    const summary offline = summarise(results, "offline");
+    bool met = true;
+    const auto miss = [&](const char* what, double is, double wanted)
+    {
+        std::printf("MISSED %s: %s: %.2f, wanted %.2f\n", of.name.c_str(), what,
+                    is, wanted);
+        met = false;
+    };
+    if (own.share < target_share)
+        miss("share of offline goodput", own.share, target_share);
+    if (own.changes > offline.changes)
+        miss("role changes", own.changes, offline.changes);
+    for (const char* baseline : {"fixed", "threshold"})
+    {
+        const summary other = summarise(results, baseline);
+        if (own.goodput < other.goodput - goodput_tolerance)
+            miss(baseline, 100 * own.goodput, 100 * other.goodput);
+    }
+    return met;
+}
+
+bool load_all(std::vector<scenario>& scenarios)
+{
+    for (const std::string& path : split_list(FLAGS_scenario))
+    {
+        std::string problem;
+        const result<scenario> loaded = load_scenario(path, problem);
+        if (!loaded)
+        {
+            std::fprintf(stderr, "%s: %s\n", path.c_str(), problem.c_str());
+            return false;
+        }
+        scenarios.push_back(loaded.value());
+    }
+    return !scenarios.empty();
+}
+
+/** Tries a grid of settings of the threshold rule over all scenarios. */
+void tune(const std::vector<scenario>& scenarios)
+{
+    double best_value = -1e18;
+    for (const double gap : {0.1, 0.2, 0.3, 0.45})
+    {
+        for (const double use : {0.6, 0.75, 0.9})
+        {
+            for (const double hold : {0.0, 5.0, 15.0, 40.0})
+            {
+                for (const double rest : {0.0, 15.0, 45.0})
+                {
+                    double value = 0;
+                    for (const scenario& of : scenarios)
+                    {
+                        for (const seed_results& each : run_scenario(
+                                 of, {"threshold"}, {gap, use, hold, rest}))
+                        {
+                            const run_result& run =
+                                each.by_policy.at("threshold");
+                            value += run.goodput -
+                                     each.price_requests * run.role_changes /
+                                         (run.good_requests / run.goodput);
+                        }
+                    }
+                    if (value <= best_value)
+                        continue;
+                    best_value = value;
+                    std::printf("gap %.2f use %.2f hold %.0f rest %.0f: mean "
+                                "weighted goodput %.4f\n",
+                                gap, use, hold, rest,
+                                value / static_cast<double>(scenarios.size() *
+                                                            FLAGS_seeds));
+                    std::fflush(stdout);
+                }
+            }
+        }
+    }
+}
+
+int run_all(const std::vector<scenario>& scenarios)
+{
+    const std::vector<std::string> names =
+        FLAGS_policy == "all" ? all_policies() : split_list(FLAGS_policy);
+    std::printf("%-26s %-16s %7s %7s %7s %5s %7s %7s %7s %4s\n", "scenario",
+                "policy", "good%", "worst%", "changes", "most", "of-off%",
+                "worst%", "of-bnd%", "away");
+    bool met = true;
+    for (const scenario& of : scenarios)
+    {
+        const std::vector<seed_results> results =
+            run_scenario(of, names, threshold_of_flags());
+        for (const std::string& name : names)
+            print_summary(of, name, summarise(results, name));
+        if (FLAGS_policy == "all")
+            met = meets_target(of, results) && met;
+        std::fflush(stdout);
+    }
+    return FLAGS_check && !met ? 1 : 0;
+}
+
+} // namespace
+
+} // namespace hibiscusferry::roles_bench
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::vector<hibiscusferry::roles_bench::scenario> scenarios;
+    if (!hibiscusferry::roles_bench::load_all(scenarios))
+    {
+        std::fprintf(stderr, "usage: roles_bench --scenario FILE.toml\n");
+        return 2;
+    }
+    if (FLAGS_tune)
+    {
+        hibiscusferry::roles_bench::tune(scenarios);
+        return 0;
+    }
+    return hibiscusferry::roles_bench::run_all(scenarios);
+}
