--- a/modules/roles/policy/pool_capacity.hpp
+++ b/modules/roles/policy/pool_capacity.hpp
@@ -7,21 +7,17 @@
 namespace hibiscusferry
 {
 
-/** The part of the requests, from 0 to 1, that a split can serve when
-    routing shares the mixed engines out in the best way.
+/** The engine time lost per second to requests that a split serves late or
+    not at all, in engines, when routing shares the mixed engines out well.
 
-    A request needs its prefill and its decode. With p, d and m engines of
-    each role and efficiency e, routing can give any part of e m to either
-    kind, so that the served part is the least of 1, (p + e m) / prefill,
-    (d + e m) / decode and (p + d + e m) / (prefill + decode).
-    @param utilisation  the part of an engine's time that is counted on
+    With p, d and m engines of each role and efficiency e, routing can give
+    any part of e m to either kind of work. Three shortages can arise, and the
+    greatest counts: of prefill, which turns away long prompts and so loses
+    about what is short; of decode, which turns away any request that comes
+    and so loses the same part of all work; and of both together. As answers
+    are late before an engine is wholly busy, it is the mean over several
+    assumptions of how much of an engine's time is usable.
 */
-double served_part(const role_split& split, const engine_demand& demand,
-                   double mixed_efficiency, double utilisation);
-
-/** The engine time lost per second to requests that a split serves late or
-    not at all, in engines. As queues grow before an engine is wholly busy,
-    it is the mean over several usable utilisations. */
 double loss_rate(const role_split& split, const engine_demand& demand,
                  double mixed_efficiency);
 
