Learn from their records how patient to be about a shift

Change: experts of several patiences and one that uses the forecast decide on paper; the policy follows the one with the best record (after Blum and Burch, 2000), so the forecast has to prove itself.

The records flatter impatient experts on square waves, as they know nothing of the lag and of the time to drain.

--- a/modules/roles/model/role_split.cpp
+++ b/modules/roles/model/role_split.cpp
@@ -48,4 +48,19 @@
            2;
 }
 
+role_step first_step(const role_split& from, const role_split& to)
+{
+    role_step step;
+    for (const engine_role role :
+         {engine_role::prefill, engine_role::decode, engine_role::mixed})
+    {
+        const int spare = from.of(role) - to.of(role);
+        if (spare > from.of(step.from) - to.of(step.from))
+            step.from = role;
+        if (-spare > to.of(step.to) - from.of(step.to))
+            step.to = role;
+    }
+    return step;
+}
+
 } // namespace hibiscusferry
--- a/modules/roles/model/role_split.hpp
+++ b/modules/roles/model/role_split.hpp
@@ -27,6 +27,17 @@
     same number of engines. */
 int changes_between(const role_split& from, const role_split& to);
 
+/** One change of one engine. */
+struct role_step
+{
+    engine_role from = engine_role::mixed;
+    engine_role to = engine_role::mixed;
+};
+
+/** The first of the changes between two unlike splits of the same number of
+    engines: from the role with most to spare to the one that lacks most. */
+role_step first_step(const role_split& from, const role_split& to);
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/roles/policy/role_policy.cpp
+++ b/modules/roles/policy/role_policy.cpp
@@ -2,7 +2,6 @@
 
 #include "roles/errors/roles_error.hpp"
 #include <algorithm>
-#include <array>
 #include <tuple>
 
 namespace hibiscusferry
@@ -26,9 +25,6 @@
 /** A weight below it means that only the number of changes matters. */
 constexpr double least_goodput_weight = 0.001;
 
-constexpr std::array<engine_role, 3> all_roles{
-    engine_role::prefill, engine_role::decode, engine_role::mixed};
-
 bool are_valid(const role_policy_settings& settings)
 {
     const engine_capacity& capacity = settings.capacity;
@@ -56,6 +52,11 @@
     return "none";
 }
 
+role_policy::model_pool::model_pool(bool use_forecast)
+    : experts(use_forecast)
+{
+}
+
 role_policy::role_policy(const role_policy_settings& settings)
     : settings_(settings)
 {
@@ -174,7 +175,7 @@
         shown.split = split_of(entry->first);
         shown.estimate = pool.estimator.estimate(now);
         shown.hold = pool.hold;
-        shown.regret = pool.work.regret(shown.split);
+        shown.regret = pool.experts.followed().regret(shown.split);
         shown.forecast_trusted = pool.forecast.trusted_period() != 0;
         shown.forecast_period =
             mix_forecast::slot *
@@ -195,7 +196,7 @@
 
 role_policy::model_pool& role_policy::pool_of(const std::string& model)
 {
-    return pools_[model];
+    return pools_.try_emplace(model, settings_.use_forecast).first->second;
 }
 
 engine_role role_policy::effective_role(const engine_entry& entry) const
@@ -246,17 +247,19 @@
     return settings_.rules.most_away;
 }
 
-work_function_settings role_policy::work_settings() const
+expert_settings role_policy::settings_for_experts() const
 {
     const double away_seconds =
         std::chrono::duration<double>(settings_.rules.change_duration).count();
     const double weight =
         std::max(settings_.rules.goodput_weight, least_goodput_weight);
-    work_function_settings work;
-    work.change_cost = away_seconds / weight;
-    work.mixed_efficiency = settings_.capacity.mixed_efficiency;
-    work.least_mixed = static_cast<int>(settings_.rules.least_mixed);
-    return work;
+    expert_settings settings;
+    settings.work.change_cost = away_seconds / weight;
+    settings.work.mixed_efficiency = settings_.capacity.mixed_efficiency;
+    settings.work.least_mixed = static_cast<int>(settings_.rules.least_mixed);
+    settings.change_duration = settings_.rules.change_duration;
+    settings.most_away = static_cast<int>(settings_.rules.most_away);
+    return settings;
 }
 
 role_hold role_policy::hold_of(const std::string& model, const model_pool& pool,
@@ -317,9 +320,12 @@
         return;
 
     const engine_demand demand = to_engines(estimate.fast, settings_.capacity);
-    pool.work.prepare(work_settings(), split);
-    pool.work.charge(demand, elapsed);
     pool.forecast.observe(demand, now);
+    pool.experts.prepare(settings_for_experts(), split);
+    pool.experts.advance(
+        demand, elapsed,
+        pool.forecast.coming(settings_.rules.change_duration, planned_slots),
+        mix_forecast::slot, pool.hold == role_hold::none, now);
     if (pool.hold != role_hold::none)
         return;
 
@@ -327,25 +333,15 @@
     const role_split target = target_of(pool, split, reason);
     while (split != target)
     {
-        engine_role from = engine_role::mixed;
-        engine_role to = engine_role::mixed;
-        for (const engine_role role : all_roles)
-        {
-            if (split.of(role) - target.of(role) >
-                split.of(from) - target.of(from))
-                from = role;
-            if (target.of(role) - split.of(role) > target.of(to) - split.of(to))
-                to = role;
-        }
-        if (!ask_for(model, from, to, reason, now, changes))
+        const role_step step = first_step(split, target);
+        if (!ask_for(model, step.from, step.to, reason, now, changes))
             return;
-        --split.of(from);
-        ++split.of(to);
+        --split.of(step.from);
+        ++split.of(step.to);
     }
 }
 
-role_split role_policy::target_of(const model_pool& pool,
-                                  const role_split& present,
+role_split role_policy::target_of(model_pool& pool, const role_split& present,
                                   change_reason& reason) const
 {
     const int lacking =
@@ -360,17 +356,12 @@
         return target;
     }
 
-    if (settings_.use_forecast && pool.forecast.trusted_period() != 0)
-    {
-        reason = change_reason::forecast;
-        return pool.work.planned_target(
-            present,
-            pool.forecast.coming(settings_.rules.change_duration,
-                                 planned_slots),
-            mix_forecast::slot);
-    }
-    reason = change_reason::regret;
-    return pool.work.target(present);
+    const role_split target = pool.experts.target(present);
+    reason = pool.experts.followed().uses_forecast() &&
+                     pool.forecast.trusted_period() != 0
+                 ? change_reason::forecast
+                 : change_reason::regret;
+    return target;
 }
 
 bool role_policy::ask_for(const std::string& model, engine_role from,
--- a/modules/roles/policy/role_policy.hpp
+++ b/modules/roles/policy/role_policy.hpp
@@ -9,7 +9,7 @@
 #include "roles/model/role_change.hpp"
 #include "roles/model/role_split.hpp"
 #include "roles/policy/change_expectations.hpp"
-#include "roles/policy/role_work_function.hpp"
+#include "roles/policy/role_expert_panel.hpp"
 #include <map>
 #include <optional>
 #include <string>
@@ -120,9 +120,11 @@
 
     struct model_pool
     {
+        explicit model_pool(bool use_forecast);
+
         mix_estimator estimator;
         mix_forecast forecast;
-        role_work_function work;
+        role_expert_panel experts;
         time_point updated_at;
         time_point lost_at;
         role_hold hold = role_hold::none;
@@ -137,13 +139,13 @@
     role_split split_of(const std::string& model) const;
     std::size_t away_count() const;
     std::size_t away_limit() const;
-    work_function_settings work_settings() const;
+    expert_settings settings_for_experts() const;
     role_hold hold_of(const std::string& model, const model_pool& pool,
                       const mix_estimate& estimate, time_point now) const;
     void expire(time_point now);
     void decide_for(const std::string& model, model_pool& pool, time_point now,
                     std::vector<role_change>& changes);
-    role_split target_of(const model_pool& pool, const role_split& present,
+    role_split target_of(model_pool& pool, const role_split& present,
                          change_reason& reason) const;
     bool ask_for(const std::string& model, engine_role from, engine_role to,
                  change_reason reason, time_point now,
--- a/modules/roles/policy/role_work_function.cpp
+++ b/modules/roles/policy/role_work_function.cpp
@@ -24,13 +24,18 @@
 
 } // namespace
 
+bool operator==(const work_function_settings& left,
+                const work_function_settings& right)
+{
+    return left.change_cost == right.change_cost &&
+           left.mixed_efficiency == right.mixed_efficiency &&
+           left.least_mixed == right.least_mixed;
+}
+
 void role_work_function::prepare(const work_function_settings& settings,
                                  const role_split& present)
 {
-    const bool same = engines_ == present.engines() &&
-                      settings_.change_cost == settings.change_cost &&
-                      settings_.mixed_efficiency == settings.mixed_efficiency &&
-                      settings_.least_mixed == settings.least_mixed;
+    const bool same = engines_ == present.engines() && settings_ == settings;
     if (same && !values_.empty())
         return;
 
--- a/modules/roles/policy/role_work_function.hpp
+++ b/modules/roles/policy/role_work_function.hpp
@@ -18,6 +18,9 @@
     int least_mixed = 1;
 };
 
+bool operator==(const work_function_settings& left,
+                const work_function_settings& right);
+
 /** Rent-or-buy over all splits of a pool: the work function algorithm for
     metrical task systems (Borodin, Linial and Saks, 1992).
 
--- a/modules/roles/roles.cpp
+++ b/modules/roles/roles.cpp
@@ -9,5 +9,7 @@
 #include "roles/model/token_demand.cpp"
 #include "roles/policy/change_expectations.cpp"
 #include "roles/policy/pool_capacity.cpp"
+#include "roles/policy/role_expert.cpp"
+#include "roles/policy/role_expert_panel.cpp"
 #include "roles/policy/role_policy.cpp"
 #include "roles/policy/role_work_function.cpp"
--- a/modules/roles/roles.hpp
+++ b/modules/roles/roles.hpp
@@ -24,6 +24,8 @@
 #include "roles/model/token_demand.hpp"
 #include "roles/policy/change_expectations.hpp"
 #include "roles/policy/pool_capacity.hpp"
+#include "roles/policy/role_expert.hpp"
+#include "roles/policy/role_expert_panel.hpp"
 #include "roles/policy/role_policy.hpp"
 #include "roles/policy/role_work_function.hpp"
 
