Let the experts' records know of lag and of the time to drain

Cause: on paper an impatient expert followed a square wave at once, while in fact the demand that it sees is late and an engine drains before it changes.

Change: changes on paper begin late by the estimate's and the reports' lag and last as long as the observed ones.

--- a/modules/roles/policy/role_expert.cpp
+++ b/modules/roles/policy/role_expert.cpp
@@ -48,7 +48,7 @@
                 away_.end());
     const double memory = std::chrono::duration<double>(record_memory).count();
     record_ = record_ * std::exp(-seconds / memory) +
-              seconds * loss_rate(serving(), demand,
+              seconds * loss_rate(serving(now), demand,
                                   settings_->work.mixed_efficiency);
     work_.charge(demand, elapsed);
     if (!may_change)
@@ -67,7 +67,9 @@
         const role_step taken = first_step(split_, target);
         --split_.of(taken.from);
         ++split_.of(taken.to);
-        away_.push_back({taken.to, now + settings_->change_duration});
+        const time_point begins_at = now + settings_->lag;
+        away_.push_back({taken.from, taken.to, begins_at,
+                         begins_at + settings_->away_duration});
         record_ += std::max(0.0, price);
     }
 }
@@ -92,11 +94,15 @@
     return uses_forecast_;
 }
 
-role_split role_expert::serving() const
+role_split role_expert::serving(time_point now) const
 {
     role_split present = split_;
     for (const paper_change& change : away_)
+    {
         present.of(change.to) = std::max(0, present.of(change.to) - 1);
+        if (now < change.begins_at)
+            ++present.of(change.from);
+    }
     return present;
 }
 
--- a/modules/roles/policy/role_expert.hpp
+++ b/modules/roles/policy/role_expert.hpp
@@ -14,8 +14,12 @@
 struct expert_settings
 {
     work_function_settings work;
-    /** How long a change takes an engine away. */
+    /** How long a change takes by the document; its price covers it. */
     std::chrono::nanoseconds change_duration{0};
+    /** How long engines really were away, with the time to drain. */
+    std::chrono::nanoseconds away_duration{0};
+    /** How far the demand that decisions see is behind the real one. */
+    std::chrono::nanoseconds lag{0};
     /** Engines that may be away at once. */
     int most_away = 1;
 };
@@ -62,18 +66,20 @@
 private:
     struct paper_change
     {
+        engine_role from;
         engine_role to;
+        time_point begins_at;
         time_point ends_at;
     };
 
-    role_split serving() const;
+    role_split serving(time_point now) const;
 
     double patience_;
     bool uses_forecast_;
     std::optional<expert_settings> settings_;
     role_work_function work_;
     role_split split_;
-    /** Engines that are away on paper: their new role does not serve. */
+    /** Changes on paper. Against the lagging demand they begin late. */
     std::vector<paper_change> away_;
     double record_ = 0;
 };
--- a/modules/roles/policy/role_policy.cpp
+++ b/modules/roles/policy/role_policy.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::seconds start_allowance{30};
 /** A pause of the process is not charged for longer than this. */
 constexpr std::chrono::seconds greatest_charge{5};
+/** How far the averaged demand is behind the offered one, with a stream's
+    tokens counted as they come. */
+constexpr std::chrono::seconds estimate_lag{5};
 /** Coming slots that a plan looks at. */
 constexpr std::size_t planned_slots = 30;
 /** A weight below it means that only the number of changes matters. */
@@ -120,6 +123,7 @@
         return;
     found->second.asked_until.reset();
     found->second.away_until = deadline;
+    found->second.started_at = now;
     if (settings_.use_expectations)
         expectations_.expect(engine, to, deadline, now);
 }
@@ -132,6 +136,8 @@
     if (found == engines_.end())
         return;
     found->second.asked_until.reset();
+    if (found->second.away_until)
+        learn_away_duration(now - found->second.started_at);
     found->second.away_until.reset();
     found->second.changed_at = now;
     if (settings_.use_expectations)
@@ -247,6 +253,12 @@
     return settings_.rules.most_away;
 }
 
+void role_policy::learn_away_duration(std::chrono::nanoseconds sample)
+{
+    away_duration_ =
+        away_duration_.count() > 0 ? (away_duration_ * 3 + sample) / 4 : sample;
+}
+
 expert_settings role_policy::settings_for_experts() const
 {
     const double away_seconds =
@@ -258,6 +270,10 @@
     settings.work.mixed_efficiency = settings_.capacity.mixed_efficiency;
     settings.work.least_mixed = static_cast<int>(settings_.rules.least_mixed);
     settings.change_duration = settings_.rules.change_duration;
+    settings.away_duration = away_duration_.count() > 0
+                                 ? away_duration_
+                                 : settings.change_duration * 3 / 2;
+    settings.lag = estimate_lag + expectations_.observed_lag();
     settings.most_away = static_cast<int>(settings_.rules.most_away);
     return settings;
 }
--- a/modules/roles/policy/role_policy.hpp
+++ b/modules/roles/policy/role_policy.hpp
@@ -112,6 +112,8 @@
         engine_report report;
         /** A change was asked for and has not started; until then at most. */
         std::optional<time_point> asked_until;
+        /** When the change under way was started. */
+        time_point started_at;
         /** A change is under way; the deadline of its order. */
         std::optional<time_point> away_until;
         /** When the last change finished. */
@@ -139,6 +141,7 @@
     role_split split_of(const std::string& model) const;
     std::size_t away_count() const;
     std::size_t away_limit() const;
+    void learn_away_duration(std::chrono::nanoseconds sample);
     expert_settings settings_for_experts() const;
     role_hold hold_of(const std::string& model, const model_pool& pool,
                       const mix_estimate& estimate, time_point now) const;
@@ -157,6 +160,8 @@
     std::map<std::string, engine_entry> engines_;
     std::map<std::string, model_pool> pools_;
     change_expectations expectations_;
+    /** Mean time from a change's start to its end; zero when none is known. */
+    std::chrono::nanoseconds away_duration_{0};
     std::vector<std::string> expired_;
 };
 
