Begin all policies with a split that no policy has chosen

Cause: the first split was chosen by the policy's own loss, so each change to that loss also moved the baselines.

Change: it is in proportion to the scenario's first mix. Tried and dropped: two efficiencies of a mixed engine, for prefill and for decode.

--- a/extras/benches/roles/policy_table.hpp
+++ b/extras/benches/roles/policy_table.hpp
@@ -35,27 +35,14 @@
     return (away_s / weight - away_s) / trace.mean_engine_seconds;
 }
 
-/** The split that serves a scenario's mean mix best; where all begin. */
+/** The split in proportion to a scenario's first mix; where all begin. */
 inline role_split first_split(const scenario& of)
 {
-    const double total = of.load * of.engines;
-    const engine_demand mean{total * of.share, total * (1.0 - of.share)};
-    role_split best;
-    double least = std::numeric_limits<double>::infinity();
     const int mixed = static_cast<int>(of.rules.least_mixed);
-    for (int prefill = 0; prefill <= of.engines - mixed; ++prefill)
-    {
-        const role_split split{prefill, of.engines - mixed - prefill, mixed};
-        const double loss =
-            loss_rate(split, {mean.prefill * 1.2, mean.decode * 1.2},
-                      of.mixed_efficiency);
-        if (loss < least)
-        {
-            least = loss;
-            best = split;
-        }
-    }
-    return best;
+    const int rest = of.engines - mixed;
+    const int prefill =
+        std::clamp(static_cast<int>(std::lround(rest * of.share)), 1, rest - 1);
+    return {prefill, rest - prefill, mixed};
 }
 
 /** The best of several plans, each carried out in the queue model.
