Buy no change for a loss that the routers do not see

Cause: where the charged loss is higher than the real one, changes were made that brought nothing.

Change: losses are scaled by the ratio of the refused part to the charged one, averaged over half a minute and between 0.3 and 1. Tried and dropped: to begin with the ski-rental's whole patience.

--- a/modules/roles/estimate/mix_estimator.cpp
+++ b/modules/roles/estimate/mix_estimator.cpp
@@ -135,6 +135,9 @@
         output_tokens_ = slow.decoded_tokens / slow.finished_requests;
     estimated.fast = demand_of(fast, output_tokens_);
     estimated.slow = demand_of(slow, output_tokens_);
+    if (fast.requests > 0)
+        estimated.refused_part =
+            std::min(1.0, fast.refused_requests / fast.requests);
     // What waits has to be served on top of what arrives.
     estimated.fast.prefill_tokens_per_second +=
         estimated.waiting_prefill_tokens /
--- a/modules/roles/estimate/mix_estimator.hpp
+++ b/modules/roles/estimate/mix_estimator.hpp
@@ -18,6 +18,8 @@
     token_demand fast;
     /** Over the last minute. */
     token_demand slow;
+    /** The part of the offered requests that was refused, from 0 to 1. */
+    double refused_part = 0;
     /** Prompt tokens that wait at the routers. */
     double waiting_prefill_tokens = 0;
     /** The part of the routers heard of lately whose reports are fresh,
--- a/modules/roles/policy/role_expert.cpp
+++ b/modules/roles/policy/role_expert.cpp
@@ -36,7 +36,7 @@
 }
 
 void role_expert::advance(const engine_demand& demand,
-                          std::chrono::nanoseconds elapsed,
+                          std::chrono::nanoseconds elapsed, double loss_scale,
                           const std::vector<engine_demand>& coming,
                           std::chrono::nanoseconds step, bool may_change,
                           time_point now)
@@ -47,10 +47,11 @@
                                { return change.ends_at <= now; }),
                 away_.end());
     const double memory = std::chrono::duration<double>(record_memory).count();
-    record_ = record_ * std::exp(-seconds / memory) +
-              seconds * loss_rate(serving(now), demand,
-                                  settings_->work.mixed_efficiency);
-    work_.charge(demand, elapsed);
+    record_ =
+        record_ * std::exp(-seconds / memory) +
+        seconds * loss_scale *
+            loss_rate(serving(now), demand, settings_->work.mixed_efficiency);
+    work_.charge(demand, elapsed, loss_scale);
     if (!may_change)
         return;
 
--- a/modules/roles/policy/role_expert.hpp
+++ b/modules/roles/policy/role_expert.hpp
@@ -46,9 +46,11 @@
     void prepare(const expert_settings& settings, const role_split& present);
 
     /** Lives through a demand that lasted for `elapsed`, then decides.
+        @param loss_scale  what the loss_rate() is multiplied by, as refusals
+                           show less of a loss
         @param coming  the foretold demand in steps of `step`, or empty */
     void advance(const engine_demand& demand, std::chrono::nanoseconds elapsed,
-                 const std::vector<engine_demand>& coming,
+                 double loss_scale, const std::vector<engine_demand>& coming,
                  std::chrono::nanoseconds step, bool may_change,
                  time_point now);
 
--- a/modules/roles/policy/role_expert_panel.cpp
+++ b/modules/roles/policy/role_expert_panel.cpp
@@ -35,12 +35,14 @@
 
 void role_expert_panel::advance(const engine_demand& demand,
                                 std::chrono::nanoseconds elapsed,
+                                double loss_scale,
                                 const std::vector<engine_demand>& coming,
                                 std::chrono::nanoseconds step, bool may_change,
                                 time_point now)
 {
     for (role_expert& expert : experts_)
-        expert.advance(demand, elapsed, coming, step, may_change, now);
+        expert.advance(demand, elapsed, loss_scale, coming, step, may_change,
+                       now);
 }
 
 role_split role_expert_panel::target(const role_split& present)
--- a/modules/roles/policy/role_expert_panel.hpp
+++ b/modules/roles/policy/role_expert_panel.hpp
@@ -28,7 +28,7 @@
 
     /** See role_expert::advance. */
     void advance(const engine_demand& demand, std::chrono::nanoseconds elapsed,
-                 const std::vector<engine_demand>& coming,
+                 double loss_scale, const std::vector<engine_demand>& coming,
                  std::chrono::nanoseconds step, bool may_change,
                  time_point now);
 
--- a/modules/roles/policy/role_policy.cpp
+++ b/modules/roles/policy/role_policy.cpp
@@ -2,6 +2,7 @@
 
 #include "roles/errors/roles_error.hpp"
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace hibiscusferry
@@ -23,6 +24,11 @@
 /** How far the averaged demand is behind the offered one, with a stream's
     tokens counted as they come. */
 constexpr std::chrono::seconds estimate_lag{5};
+/** Over how long the charged loss is compared with the seen one. */
+constexpr std::chrono::seconds scale_time_constant{30};
+/** Charged losses are not scaled down further: routers may queue where they
+    could refuse. */
+constexpr double least_loss_scale = 0.3;
 /** Coming slots that a plan looks at. */
 constexpr std::size_t planned_slots = 30;
 /** A weight below it means that only the number of changes matters. */
@@ -253,6 +259,25 @@
     return settings_.rules.most_away;
 }
 
+double role_policy::loss_scale(model_pool& pool, const engine_demand& demand,
+                               const role_split& split,
+                               const mix_estimate& estimate,
+                               std::chrono::nanoseconds elapsed) const
+{
+    const double weight =
+        1.0 - std::exp(-std::chrono::duration<double>(elapsed) /
+                       std::chrono::duration<double>(scale_time_constant));
+    const double charged =
+        loss_rate(split, demand, settings_.capacity.mixed_efficiency);
+    const double seen =
+        estimate.refused_part * (demand.prefill + demand.decode);
+    pool.charged_loss += weight * (charged - pool.charged_loss);
+    pool.seen_loss += weight * (seen - pool.seen_loss);
+    if (pool.charged_loss <= pool.seen_loss)
+        return 1.0;
+    return std::max(least_loss_scale, pool.seen_loss / pool.charged_loss);
+}
+
 void role_policy::learn_away_duration(std::chrono::nanoseconds sample)
 {
     away_duration_ =
@@ -338,8 +363,9 @@
     const engine_demand demand = to_engines(estimate.fast, settings_.capacity);
     pool.forecast.observe(demand, now);
     pool.experts.prepare(settings_for_experts(), split);
+    const double scale = loss_scale(pool, demand, split, estimate, elapsed);
     pool.experts.advance(
-        demand, elapsed,
+        demand, elapsed, scale,
         pool.forecast.coming(settings_.rules.change_duration, planned_slots),
         mix_forecast::slot, pool.hold == role_hold::none, now);
     if (pool.hold != role_hold::none)
--- a/modules/roles/policy/role_policy.hpp
+++ b/modules/roles/policy/role_policy.hpp
@@ -127,6 +127,9 @@
         mix_estimator estimator;
         mix_forecast forecast;
         role_expert_panel experts;
+        /** Averages of the loss that was charged and of the one seen. */
+        double charged_loss = 0;
+        double seen_loss = 0;
         time_point updated_at;
         time_point lost_at;
         role_hold hold = role_hold::none;
@@ -141,6 +144,9 @@
     role_split split_of(const std::string& model) const;
     std::size_t away_count() const;
     std::size_t away_limit() const;
+    double loss_scale(model_pool& pool, const engine_demand& demand,
+                      const role_split& split, const mix_estimate& estimate,
+                      std::chrono::nanoseconds elapsed) const;
     void learn_away_duration(std::chrono::nanoseconds sample);
     expert_settings settings_for_experts() const;
     role_hold hold_of(const std::string& model, const model_pool& pool,
--- a/modules/roles/policy/role_work_function.cpp
+++ b/modules/roles/policy/role_work_function.cpp
@@ -58,10 +58,11 @@
 }
 
 void role_work_function::charge(const engine_demand& demand,
-                                std::chrono::nanoseconds duration)
+                                std::chrono::nanoseconds duration,
+                                double loss_scale)
 {
     add_losses(values_, demand,
-               std::chrono::duration<double>(duration).count());
+               loss_scale * std::chrono::duration<double>(duration).count());
     relax(values_);
 
     double least = values_[0];
--- a/modules/roles/policy/role_work_function.hpp
+++ b/modules/roles/policy/role_work_function.hpp
@@ -46,8 +46,10 @@
     void prepare(const work_function_settings& settings,
                  const role_split& present);
 
-    /** Charges every split for a demand that lasted for `duration`. */
-    void charge(const engine_demand& demand, std::chrono::nanoseconds duration);
+    /** Charges every split for a demand that lasted for `duration`.
+        @param loss_scale  what the loss_rate() is multiplied by */
+    void charge(const engine_demand& demand, std::chrono::nanoseconds duration,
+                double loss_scale = 1.0);
 
     /** The split to go to from `present`, or `present` itself. */
     role_split target(const role_split& present) const;
