Route hot prefixes to several targets, know services whole, ask seldom

Change: a prefix gets as many targets as its part of the router's requests deserves, the better of two among them; services of up to 512 targets are known whole; loads are asked for by turns, three a second.

--- /dev/null
+++ b/extras/benches/routing/cache_trace.hpp
@@ -0,0 +1,443 @@
+#ifndef HIBISCUSFERRY_EXTRAS_BENCHES_ROUTING_CACHE_TRACE_HPP
+#define HIBISCUSFERRY_EXTRAS_BENCHES_ROUTING_CACHE_TRACE_HPP
+
+#include "routing/routing.hpp"
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+/** @file
+    Routers before engines with prefix caches, in virtual time: the same trace
+    of prompts under different ways of choosing a target.
+*/
+namespace hibiscusferry::bench
+{
+
+/** How a router chooses. */
+enum class choice_kind
+{
+    two_choices, ///< by load alone, the better of two
+    least_load,  ///< by load alone, the least of all
+    affinity,    ///< prefix affinity with bounded load
+    cache_events ///< an engine that is said to hold the prefix, or affinity
+};
+
+struct trace_settings
+{
+    std::size_t routers = 8;
+    std::size_t engines = 14;
+    std::size_t targets_per_router = 24;
+    double requests_per_second = 100;
+    double seconds = 60;
+    std::size_t prefixes = 2000;
+    /** Part of the requests that have one and the same prefix. */
+    double hot_share = 0;
+    /** Prefixes that an engine's cache holds. */
+    std::size_t cache_size = 60;
+    /** How often a router asks each target it knows for its load. */
+    double report_interval = 1;
+    std::uint64_t seed = 1;
+};
+
+struct trace_result
+{
+    double hit_share = 0;
+    /** Load reports that each router asked for a second. */
+    double reports_per_second = 0;
+    /** Work of the busiest engine over the mean. */
+    double imbalance = 0;
+    double mean_wait_ms = 0;
+    double wait_95_ms = 0;
+    std::size_t not_placed = 0;
+};
+
+constexpr double prefix_tokens = 4096;
+constexpr double suffix_tokens = 400;
+constexpr double prefill_seconds_per_token = 50e-6;
+constexpr double decode_seconds = 4;
+constexpr double report_lag_seconds = 0.2;
+constexpr double event_lag_seconds = 2;
+/** One in this many cache events is lost. */
+constexpr std::uint64_t event_loss = 5;
+
+inline time_point moment(double seconds)
+{
+    return time_point(std::chrono::hours(1) +
+                      std::chrono::duration_cast<boot_clock::duration>(
+                          std::chrono::duration<double>(seconds)));
+}
+
+/** An engine that prefills one request after the other and keeps the newest
+    prefixes. */
+class cached_engine
+{
+public:
+    explicit cached_engine(std::size_t cache_size)
+        : cache_size_(cache_size)
+    {
+    }
+
+    struct admission
+    {
+        bool hit = false;
+        double prefilled_at = 0;
+        /** The prefix that made room, or 0. */
+        std::uint64_t evicted = 0;
+    };
+
+    admission take(std::uint64_t prefix, double now)
+    {
+        admission taken;
+        const auto cached = by_prefix_.find(prefix);
+        taken.hit = cached != by_prefix_.end();
+        if (taken.hit)
+            newest_first_.erase(cached->second);
+        newest_first_.push_front(prefix);
+        by_prefix_[prefix] = newest_first_.begin();
+        if (newest_first_.size() > cache_size_)
+        {
+            taken.evicted = newest_first_.back();
+            by_prefix_.erase(newest_first_.back());
+            newest_first_.pop_back();
+        }
+        const double tokens = suffix_tokens + (taken.hit ? 0 : prefix_tokens);
+        const double begin = std::max(now, busy_until_);
+        busy_until_ = begin + tokens * prefill_seconds_per_token;
+        work_ += tokens;
+        taken.prefilled_at = busy_until_;
+        prefills_.push_back({busy_until_, tokens});
+        streams_.push_back(busy_until_ + decode_seconds);
+        return taken;
+    }
+
+    load_report load(double now)
+    {
+        while (!prefills_.empty() && prefills_.front().first <= now)
+            prefills_.pop_front();
+        while (!streams_.empty() && streams_.front() <= now)
+            streams_.pop_front();
+        load_report report;
+        double waiting = 0;
+        for (const std::pair<double, double>& one : prefills_)
+            waiting += one.second;
+        report.waiting_prefill_tokens = static_cast<std::uint64_t>(waiting);
+        report.active_streams = static_cast<std::uint32_t>(streams_.size());
+        return report;
+    }
+
+    double work() const
+    {
+        return work_;
+    }
+
+private:
+    std::size_t cache_size_;
+    std::list<std::uint64_t> newest_first_;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+        by_prefix_;
+    double busy_until_ = 0;
+    double work_ = 0;
+    std::deque<std::pair<double, double>> prefills_;
+    std::deque<double> streams_;
+};
+
+/** Runs one trace. */
+class cache_trace
+{
+public:
+    cache_trace(const trace_settings& settings, choice_kind kind)
+        : settings_(settings)
+        , kind_(kind)
+        , random_(settings.seed)
+    {
+        std::vector<std::string> ids;
+        for (std::size_t index = 0; index < settings.routers; ++index)
+            ids.push_back("router-" + std::to_string(index));
+        std::vector<target_address> targets;
+        for (std::size_t index = 0; index < settings.engines; ++index)
+        {
+            targets.push_back({std::to_string(index),
+                               "zone-" + std::to_string(index % 3), "10.0.0.1",
+                               1, false});
+            engines_.emplace_back(settings.cache_size);
+        }
+        target_table_settings table_settings;
+        table_settings.subset.targets_per_router = settings.targets_per_router;
+        table_settings.target_concurrency = 10000;
+        table_settings.reports_per_second = 10000;
+        table_settings.report_interval = std::chrono::milliseconds(
+            static_cast<std::int64_t>(settings.report_interval * 1000));
+        for (std::size_t index = 0; index < settings.routers; ++index)
+        {
+            picker_settings picking;
+            picking.availability_zone = "zone-" + std::to_string(index % 3);
+            routers_.push_back({target_table(ids[index], table_settings),
+                                target_picker(picking, index + 1)});
+            // Routers do not all ask in the same second.
+            routers_.back().table.set_targets(
+                ids, targets,
+                moment(std::fmod(static_cast<double>(index),
+                                 settings.report_interval)));
+        }
+        draw_prefixes();
+    }
+
+    trace_result run()
+    {
+        std::exponential_distribution<double> pause(
+            settings_.requests_per_second);
+        std::uniform_int_distribution<std::size_t> router(0,
+                                                          routers_.size() - 1);
+        double next_report = 0;
+        for (double now = pause(random_); now < settings_.seconds;
+             now += pause(random_))
+        {
+            while (next_report <= now)
+            {
+                finish_until(next_report);
+                report_loads(next_report);
+                next_report += 1.0;
+            }
+            finish_until(now);
+            send(router(random_), now);
+        }
+        return summary();
+    }
+
+private:
+    struct router_state
+    {
+        target_table table;
+        target_picker picker;
+    };
+
+    struct running
+    {
+        double when = 0;
+        bool ends = false;
+        std::size_t router = 0;
+        std::string target;
+        std::string attempt;
+
+        bool operator<(const running& other) const
+        {
+            return when > other.when;
+        }
+    };
+
+    struct cache_event
+    {
+        double visible_at = 0;
+        std::uint64_t prefix = 0;
+        std::size_t engine = 0;
+        bool stored = false;
+    };
+
+    /** Prefixes by Zipf's law with exponent 0.9. */
+    void draw_prefixes()
+    {
+        std::vector<double> weights;
+        for (std::size_t rank = 1; rank <= settings_.prefixes; ++rank)
+            weights.push_back(1 / std::pow(static_cast<double>(rank), 0.9));
+        popularity_ = std::discrete_distribution<std::size_t>(weights.begin(),
+                                                              weights.end());
+    }
+
+    void report_loads(double now)
+    {
+        std::vector<load_report> reports;
+        for (cached_engine& engine : engines_)
+            reports.push_back(engine.load(now));
+        for (router_state& router : routers_)
+        {
+            for (const std::string& id :
+                 router.table.due_for_report(moment(now + report_lag_seconds)))
+            {
+                ++reports_;
+                router.table.report(id, reports[std::stoul(id)], moment(now),
+                                    moment(now + report_lag_seconds));
+            }
+        }
+        while (!events_.empty() && events_.front().visible_at <= now)
+        {
+            const cache_event& one = events_.front();
+            std::vector<std::size_t>& holders = holders_[one.prefix];
+            holders.erase(
+                std::remove(holders.begin(), holders.end(), one.engine),
+                holders.end());
+            if (one.stored)
+                holders.push_back(one.engine);
+            events_.pop_front();
+        }
+    }
+
+    void finish_until(double now)
+    {
+        while (!running_.empty() && running_.top().when <= now)
+        {
+            const running one = running_.top();
+            running_.pop();
+            target_table& table = routers_[one.router].table;
+            if (one.ends)
+                table.attempt_ended(one.target, one.attempt, moment(one.when));
+            else
+                table.attempt_prefilled(one.target, one.attempt,
+                                        moment(one.when));
+        }
+    }
+
+    std::string choose(router_state& router, std::uint64_t prefix, double now)
+    {
+        pick_request request;
+        request.prefill_tokens = prefix_tokens + suffix_tokens;
+        request.hand_over_allowed = false;
+        request.prefix = prefix;
+        if (kind_ == choice_kind::two_choices)
+            request.prefix = 0;
+        if (kind_ == choice_kind::least_load)
+            return least_loaded(router);
+        if (kind_ == choice_kind::cache_events)
+        {
+            std::string holder = best_holder(router, prefix);
+            if (!holder.empty())
+                return holder;
+        }
+        const result<pick> chosen =
+            router.picker.choose(router.table, nullptr, request, moment(now));
+        return chosen ? chosen.value().target : std::string();
+    }
+
+    static std::string least_loaded(const router_state& router)
+    {
+        const std::vector<target_entry>& targets = router.table.targets();
+        return std::min_element(
+                   targets.begin(), targets.end(),
+                   [&router](const target_entry& left,
+                             const target_entry& right)
+                   { return wait_of(router, left) < wait_of(router, right); })
+            ->address.id;
+    }
+
+    /** The least loaded engine that is said to hold the prefix, if its load
+        is within the bound that affinity has. */
+    std::string best_holder(router_state& router, std::uint64_t prefix)
+    {
+        double sum = 0;
+        for (const target_entry& entry : router.table.targets())
+            sum += wait_of(router, entry);
+        const double bound =
+            1.25 * sum / static_cast<double>(router.table.targets().size()) +
+            (prefix_tokens + suffix_tokens) * prefill_seconds_per_token * 1e9;
+        const target_entry* best = nullptr;
+        for (const std::size_t holder : holders_[prefix])
+        {
+            const target_entry* const entry =
+                router.table.find(std::to_string(holder));
+            if (entry != nullptr && wait_of(router, *entry) <= bound &&
+                (best == nullptr ||
+                 wait_of(router, *entry) < wait_of(router, *best)))
+            {
+                best = entry;
+            }
+        }
+        return best == nullptr ? std::string() : best->address.id;
+    }
+
+    static double wait_of(const router_state& router, const target_entry& entry)
+    {
+        return static_cast<double>(router.picker.expected_wait(entry).count());
+    }
+
+    void send(std::size_t router_index, double now)
+    {
+        std::bernoulli_distribution is_hot(settings_.hot_share);
+        const std::uint64_t prefix =
+            is_hot(random_) ? 1 : popularity_(random_) + 1;
+        router_state& router = routers_[router_index];
+        const std::string target = choose(router, prefix, now);
+        if (target.empty())
+        {
+            ++counts_.not_placed;
+            return;
+        }
+        const std::size_t engine = std::stoul(target);
+        const cached_engine::admission taken =
+            engines_[engine].take(prefix, now);
+        const std::string attempt = std::to_string(++attempts_);
+        router.table.attempt_started(
+            target, attempt, prefix_tokens + suffix_tokens, moment(now));
+        running_.push(
+            {taken.prefilled_at, false, router_index, target, attempt});
+        running_.push({taken.prefilled_at + decode_seconds, true, router_index,
+                       target, attempt});
+        publish(engine, prefix, taken, now);
+        if (now < settings_.seconds / 3)
+            return;
+        hits_ += taken.hit ? 1 : 0;
+        waits_.push_back((taken.prefilled_at - now) * 1000);
+    }
+
+    void publish(std::size_t engine, std::uint64_t prefix,
+                 const cached_engine::admission& taken, double now)
+    {
+        if (!taken.hit && random_() % event_loss != 0)
+            events_.push_back({now + event_lag_seconds, prefix, engine, true});
+        if (taken.evicted != 0 && random_() % event_loss != 0)
+        {
+            events_.push_back(
+                {now + event_lag_seconds, taken.evicted, engine, false});
+        }
+    }
+
+    trace_result summary()
+    {
+        trace_result result = counts_;
+        const double count = static_cast<double>(waits_.size());
+        result.reports_per_second =
+            static_cast<double>(reports_) /
+            (settings_.seconds * static_cast<double>(routers_.size()));
+        result.hit_share = static_cast<double>(hits_) / count;
+        double sum = 0;
+        for (const double wait : waits_)
+            sum += wait;
+        result.mean_wait_ms = sum / count;
+        std::sort(waits_.begin(), waits_.end());
+        result.wait_95_ms = waits_[waits_.size() * 95 / 100];
+        double most = 0;
+        double total = 0;
+        for (const cached_engine& engine : engines_)
+        {
+            most = std::max(most, engine.work());
+            total += engine.work();
+        }
+        result.imbalance = most * static_cast<double>(engines_.size()) / total;
+        return result;
+    }
+
+    trace_settings settings_;
+    choice_kind kind_;
+    std::mt19937_64 random_;
+    std::discrete_distribution<std::size_t> popularity_;
+    std::vector<cached_engine> engines_;
+    std::vector<router_state> routers_;
+    std::priority_queue<running> running_;
+    std::deque<cache_event> events_;
+    std::unordered_map<std::uint64_t, std::vector<std::size_t>> holders_;
+    std::uint64_t attempts_ = 0;
+    std::size_t hits_ = 0;
+    std::size_t reports_ = 0;
+    std::vector<double> waits_;
+    trace_result counts_;
+};
+
+} // namespace hibiscusferry::bench
+
+#endif
--- a/modules/routing/choice/target_picker.cpp
+++ b/modules/routing/choice/target_picker.cpp
@@ -95,7 +95,8 @@
             error = routing_error::not_permitted;
             continue;
         }
-        candidates_.push_back({&entry, nanoseconds_of(expected_wait(entry))});
+        candidates_.push_back(
+            {&entry, nanoseconds_of(expected_wait(entry)), 0});
     }
     return candidates_.empty() ? error : std::error_code();
 }
@@ -151,45 +152,58 @@
             return *preferred;
         }
     }
-    if (!request.urgent)
-        return better_of_two();
-    return *std::min_element(candidates_.begin(), candidates_.end(),
-                             [](const candidate& left, const candidate& right)
-                             { return left.wait < right.wait; });
+    return better_of_two(candidates_.size());
 }
 
 const target_picker::candidate*
-target_picker::preferred_by(const pick_request& request) const
+target_picker::preferred_by(const pick_request& request)
 {
+    const double count = static_cast<double>(candidates_.size());
     double sum = 0;
-    for (const candidate& one : candidates_)
+    for (candidate& one : candidates_)
+    {
         sum += one.wait;
-    const double mean = sum / static_cast<double>(candidates_.size());
+        one.preference = rendezvous_weight(request.prefix, one.entry->hash);
+    }
     // To go elsewhere costs a prefill that the cache would have saved.
     const double bound =
-        settings_.load_bound * mean +
+        settings_.load_bound * sum / count +
         request.prefill_tokens * nanoseconds_of(settings_.prefill_token);
 
+    const double deserved = popularity_.count(request.prefix) * count;
+    const std::size_t replicas =
+        static_cast<std::size_t>(std::clamp(std::ceil(deserved), 1.0, count));
+    if (replicas > 1)
+    {
+        order_by_preference(replicas);
+        const candidate& drawn = better_of_two(replicas);
+        if (drawn.wait <= bound)
+            return &drawn;
+    }
+
     const candidate* preferred = nullptr;
-    std::uint64_t greatest = 0;
     for (const candidate& one : candidates_)
     {
-        if (one.wait > bound)
-            continue;
-        const std::uint64_t weight =
-            rendezvous_weight(request.prefix, one.entry->hash);
-        if (preferred == nullptr || weight > greatest)
-        {
+        if (one.wait <= bound &&
+            (preferred == nullptr || one.preference > preferred->preference))
             preferred = &one;
-            greatest = weight;
-        }
     }
     return preferred;
 }
 
-const target_picker::candidate& target_picker::better_of_two()
+void target_picker::order_by_preference(std::size_t count)
+{
+    if (count >= candidates_.size())
+        return;
+    std::nth_element(candidates_.begin(),
+                     candidates_.begin() + static_cast<std::ptrdiff_t>(count),
+                     candidates_.end(),
+                     [](const candidate& left, const candidate& right)
+                     { return left.preference > right.preference; });
+}
+
+const target_picker::candidate& target_picker::better_of_two(std::size_t count)
 {
-    const std::size_t count = candidates_.size();
     const std::size_t first = draw() % count;
     if (count == 1)
         return candidates_[first];
--- a/modules/routing/choice/target_picker.hpp
+++ b/modules/routing/choice/target_picker.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_ROUTING_CHOICE_TARGET_PICKER_HPP
 
 #include "routing/choice/prefix_key.hpp"
+#include "routing/choice/prefix_popularity.hpp"
 #include "routing/choice/routing_error.hpp"
 #include "routing/targets/send_permission.hpp"
 #include "routing/targets/target_table.hpp"
@@ -20,7 +21,6 @@
     std::uint64_t prefix = 0;
     double prefill_tokens = 0;
     double decode_tokens = 0;
-    bool urgent = false;
     /** Targets that must not be used: those already tried. */
     std::vector<std::string> excluded;
     /** Whether KV cache may be handed over from one target to another; not
@@ -67,13 +67,21 @@
 
 /** Chooses a target from a target_table.
 
-    With a prefix, the first target in the prefix's rendezvous order whose
-    load is within a bound of the mean: "Consistent Hashing with Bounded
-    Loads", Mirrokni, Thorup and Zadimoghaddam, SODA 2018, on rendezvous
-    hashing. Without one, the better of two drawn at random (Mitzenmacher,
-    "The Power of Two Choices in Randomized Load Balancing", 2001), or the
-    least loaded for urgent requests. Load is expected waiting time: prefill
-    tokens ahead, active streams, and the way to another availability zone.
+    With a prefix, the targets are taken in the prefix's rendezvous order. A
+    prefix has one target, or as many of the first ones as its part of the
+    router's requests deserves; among several, the better of two drawn at
+    random. One whose load is beyond a bound of the mean is passed over for
+    the next in order: "Consistent Hashing with Bounded Loads", Mirrokni,
+    Thorup and Zadimoghaddam, SODA 2018. Loads are old when they are known,
+    and many routers know the same: the bound alone would send all of them to
+    the same next target, so that a prefix that most requests have needs the
+    number of its targets from its popularity.
+
+    Without a prefix, the better of two drawn at random (Mitzenmacher, "The
+    Power of Two Choices in Randomized Load Balancing", 2001); the least
+    loaded of all would draw every router to the same target until its next
+    report. Load is expected waiting time: prefill tokens ahead, active
+    streams, and the way to another availability zone.
 
     A long prompt is prefilled at one target and decoded at another when the
     time that its KV cache takes to be handed over is less than what is saved.
@@ -102,6 +110,8 @@
         const target_entry* entry = nullptr;
         /** Expected wait in nanoseconds. */
         double wait = 0;
+        /** Place in the prefix's rendezvous order: the greatest first. */
+        std::uint64_t preference = 0;
     };
 
     std::error_code gather(const target_table& table,
@@ -111,8 +121,9 @@
     void split_by_phase(bool hand_over_allowed);
     const candidate& choose_first(const pick_request& request,
                                   bool& by_affinity);
-    const candidate* preferred_by(const pick_request& request) const;
-    const candidate& better_of_two();
+    const candidate* preferred_by(const pick_request& request);
+    void order_by_preference(std::size_t count);
+    const candidate& better_of_two(std::size_t count);
     const candidate* best_decoder(const candidate& first) const;
     double decode_wait(const candidate& decoder) const;
     bool hand_over_pays(const candidate& first, const candidate& decoder,
@@ -121,6 +132,7 @@
 
     picker_settings settings_;
     std::uint64_t random_state_;
+    prefix_popularity popularity_;
     /** Scratch space of choose(), kept to save allocations. */
     std::vector<candidate> candidates_;
     std::vector<candidate> decoders_;
--- a/modules/routing/routing.cpp
+++ b/modules/routing/routing.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/attempts/attempt_ledger.cpp"
 #include "routing/choice/prefix_key.cpp"
+#include "routing/choice/prefix_popularity.cpp"
 #include "routing/choice/routing_error.cpp"
 #include "routing/choice/target_picker.cpp"
 #include "routing/connections/connection_health.cpp"
--- a/modules/routing/routing.hpp
+++ b/modules/routing/routing.hpp
@@ -15,6 +15,7 @@
 
 #include "routing/attempts/attempt_ledger.hpp"
 #include "routing/choice/prefix_key.hpp"
+#include "routing/choice/prefix_popularity.hpp"
 #include "routing/choice/routing_error.hpp"
 #include "routing/choice/target_picker.hpp"
 #include "routing/connections/connection_health.hpp"
--- a/modules/routing/targets/target_subset.hpp
+++ b/modules/routing/targets/target_subset.hpp
@@ -12,9 +12,9 @@
 /** How a service's targets are divided among the routers. */
 struct subset_settings
 {
-    /** Targets of a service that a router knows; a smaller service is known
-        whole. */
-    std::size_t targets_per_router = 24;
+    /** Targets of a service that a router knows; a service of less than
+        twice as many is known whole. */
+    std::size_t targets_per_router = 256;
 };
 
 /** Chooses the targets of one service that this router uses.
--- a/modules/routing/targets/target_table.cpp
+++ b/modules/routing/targets/target_table.cpp
@@ -111,18 +111,48 @@
 
 std::vector<std::string> target_table::due_for_report(time_point now)
 {
-    std::vector<std::string> due;
+    allow_asking(now);
+    std::vector<target_entry*> due;
     for (target_entry& entry : targets_)
     {
         const bool is_out = entry.health == target_health::out;
-        const time_point when = is_out ? entry.probe_at : entry.next_report;
-        if (entry.delisted || now < when)
-            continue;
-        entry.next_report = now + settings_.report_interval;
-        entry.probe_at = now + settings_.greatest_probe_pause;
-        due.push_back(entry.address.id);
+        if (!entry.delisted &&
+            now >= (is_out ? entry.probe_at : entry.next_report))
+        {
+            due.push_back(&entry);
+        }
     }
-    return due;
+    std::sort(due.begin(), due.end(),
+              [](const target_entry* left, const target_entry* right)
+              { return left->next_report < right->next_report; });
+
+    std::vector<std::string> ids;
+    for (target_entry* const entry : due)
+    {
+        if (askable_ < 1)
+            break;
+        askable_ -= 1;
+        entry->next_report = now + settings_.report_interval;
+        entry->probe_at = now + settings_.greatest_probe_pause;
+        ids.push_back(entry->address.id);
+    }
+    return ids;
+}
+
+void target_table::allow_asking(time_point now)
+{
+    const std::chrono::duration<double> elapsed = now - asked_at_;
+    const double most = std::max(1.0, settings_.reports_per_second);
+    askable_ = std::min(most, askable_ + elapsed.count() *
+                                             settings_.reports_per_second);
+    asked_at_ = now;
+}
+
+void target_table::ask_soon(const std::string& target, time_point now)
+{
+    target_entry* const entry = find_entry(target);
+    if (entry != nullptr)
+        entry->next_report = std::min(entry->next_report, now);
 }
 
 void target_table::refused(const std::string& target, target_state state,
--- a/modules/routing/targets/target_table.hpp
+++ b/modules/routing/targets/target_table.hpp
@@ -42,8 +42,10 @@
 struct target_table_settings
 {
     subset_settings subset;
-    /** How often a target's load is asked for. */
+    /** How often a target's load is asked for, at most ... */
     std::chrono::milliseconds report_interval{1000};
+    /** ... and how many loads are asked for a second, over all targets. */
+    double reports_per_second = 3;
     /** How long a refusal as not run keeps new work away from a target that
         is changing, or busy, unless its own report says otherwise. */
     std::chrono::milliseconds refusal_pause{500};
@@ -91,10 +93,15 @@
     void report(const std::string& target, const load_report& report,
                 time_point asked_at, time_point now);
 
-    /** The targets whose load is to be asked for now: those with an old
-        report, and out targets whose probe is due. */
+    /** The targets whose load is to be asked for now: out targets whose
+        probe is due, and those with the oldest reports, as many as may be
+        asked for a second. Call a few times a second. */
     std::vector<std::string> due_for_report(time_point now);
 
+    /** Asks for a target's load at the next opportunity: a change of it was
+        announced to be over, so its role may be another. */
+    void ask_soon(const std::string& target, time_point now);
+
     /** The target refused work as not run.
         @param state  what it said of itself: leaving counts for good; serving
                       means that it is busy */
@@ -146,10 +153,14 @@
     keep_or_drop_rest(std::vector<target_entry>& renewed);
     void index_targets();
     static void update_load(target_entry& entry);
+    void allow_asking(time_point now);
 
     std::string router_id_;
     target_table_settings settings_;
     std::size_t further_cells_ = 0;
+    /** Loads that may still be asked for, as of `asked_at_`. */
+    double askable_ = 0;
+    time_point asked_at_;
     std::vector<target_entry> targets_;
     std::unordered_map<std::string, std::size_t> indexes_;
 };
