Give the store writes of authority a name of their own

Cause: claims and authority each define an enum write_state; a program that uses both does not compile. Change: the one of authority is write_progress; the process's adapters are platform_adapters, as platform_service now names an endpoint's context. Before: two definitions of one name. After: one each.

--- a/daemons/controller/main.cpp
+++ b/daemons/controller/main.cpp
@@ -7,7 +7,7 @@
 
 result<void> add_services(process_core& core)
 {
-    return add_kernel_services<admin_service, platform_service,
+    return add_kernel_services<admin_service, platform_adapters,
                                host_list_service, document_service,
                                editor_service, operator_page>(core);
 }
--- a/modules/authority/lease/lease_holder.cpp
+++ b/modules/authority/lease/lease_holder.cpp
@@ -90,11 +90,11 @@
     lease_actions actions;
     if (!write_ || write_->write_id() != write_id)
         return actions;
-    const write_state state = write_->finish(answer, now);
-    if (state == write_state::open)
+    const write_progress state = write_->finish(answer, now);
+    if (state == write_progress::open)
         return actions;
 
-    const lease_change change = state == write_state::committed
+    const lease_change change = state == write_progress::committed
                                     ? write_committed(now)
                                     : write_rejected(now);
     write_.reset();
--- a/modules/authority/orders/order_book.cpp
+++ b/modules/authority/orders/order_book.cpp
@@ -184,12 +184,12 @@
     entry& order = found->second;
     switch (order.write->finish(answer, now))
     {
-    case write_state::open:
+    case write_progress::open:
         break;
-    case write_state::committed:
+    case write_progress::committed:
         write_committed(order, now, actions);
         break;
-    case write_state::rejected:
+    case write_progress::rejected:
         write_rejected(order, now);
         break;
     }
--- a/modules/authority/store/settled_write.cpp
+++ b/modules/authority/store/settled_write.cpp
@@ -33,7 +33,7 @@
 
 std::optional<table_transaction> settled_write::due(time_point now)
 {
-    if (state_ != write_state::open || in_flight_)
+    if (state_ != write_progress::open || in_flight_)
         return std::nullopt;
     if (first_sent_ && now < next_send_)
         return std::nullopt;
@@ -43,10 +43,10 @@
     return transaction_;
 }
 
-write_state settled_write::finish(const result<commit_receipt>& answer,
-                                  time_point now)
+write_progress settled_write::finish(const result<commit_receipt>& answer,
+                                     time_point now)
 {
-    if (state_ != write_state::open)
+    if (state_ != write_progress::open)
         return state_;
     in_flight_ = false;
     if (!answer)
@@ -57,7 +57,7 @@
     }
     if (answer.value().committed)
     {
-        state_ = write_state::committed;
+        state_ = write_progress::committed;
         version_ = answer.value().version;
         return state_;
     }
@@ -67,7 +67,7 @@
 
 void settled_write::settle_conflict(const commit_receipt& receipt)
 {
-    state_ = write_state::rejected;
+    state_ = write_progress::rejected;
     const auto row = std::find_if(
         receipt.conflicts.begin(), receipt.conflicts.end(),
         [this](const table_row& candidate) { return candidate.key == key_; });
@@ -75,14 +75,14 @@
         return;
     if (write_id_of(row->value) == transaction_.write_id)
     {
-        state_ = write_state::committed;
+        state_ = write_progress::committed;
         version_ = row->version;
         return;
     }
     conflict_ = *row;
 }
 
-write_state settled_write::state() const
+write_progress settled_write::state() const
 {
     return state_;
 }
--- a/modules/authority/store/settled_write.hpp
+++ b/modules/authority/store/settled_write.hpp
@@ -11,7 +11,7 @@
 {
 
 /** How a write stands. */
-enum class write_state
+enum class write_progress
 {
     open,      ///< sent or to be sent; it may take effect at any time
     committed, ///< it took effect
@@ -40,9 +40,9 @@
     std::optional<table_transaction> due(time_point now);
 
     /** Takes the answer to the transaction into account. */
-    write_state finish(const result<commit_receipt>& answer, time_point now);
+    write_progress finish(const result<commit_receipt>& answer, time_point now);
 
-    write_state state() const;
+    write_progress state() const;
     const std::string& write_id() const;
 
     /** When the first copy was sent. */
@@ -60,7 +60,7 @@
     table_transaction transaction_;
     std::string key_;
     std::chrono::milliseconds retry_period_;
-    write_state state_ = write_state::open;
+    write_progress state_ = write_progress::open;
     bool in_flight_ = false;
     std::optional<time_point> first_sent_;
     time_point next_send_;
--- a/modules/authority/store/settled_write_test.cpp
+++ b/modules/authority/store/settled_write_test.cpp
@@ -34,14 +34,14 @@
     settled_write write = write_of("w1", std::nullopt);
     const time_point start{};
     const row_version version = table.commit(*write.due(start)).version;
-    BOOST_TEST((write.finish(lost(), start) == write_state::open));
+    BOOST_TEST((write.finish(lost(), start) == write_progress::open));
     BOOST_TEST(!write.due(start + write_retry / 2));
 
     const std::optional<table_transaction> copy =
         write.due(start + write_retry);
     BOOST_REQUIRE(copy);
     BOOST_TEST((write.finish(table.commit(*copy), start + write_retry) ==
-                write_state::committed));
+                write_progress::committed));
     BOOST_TEST(write.version() == version);
     BOOST_TEST((write.first_sent() == start));
 }
@@ -55,7 +55,7 @@
     write.finish(lost(), start);
     const table_transaction copy = *write.due(start + write_retry);
     BOOST_TEST((write.finish(table.commit(copy), start + write_retry) ==
-                write_state::committed));
+                write_progress::committed));
     BOOST_TEST(!table.commit(late).committed);
 }
 
@@ -70,7 +70,7 @@
     table.commit(*other.due(start));
     const table_transaction copy = *write.due(start + write_retry);
     BOOST_TEST((write.finish(table.commit(copy), start + write_retry) ==
-                write_state::rejected));
+                write_progress::rejected));
     BOOST_TEST(!table.commit(late).committed);
     BOOST_TEST(write.conflict()->version == 1U);
 }
--- a/modules/controller/editing/editor_service.cpp
+++ b/modules/controller/editing/editor_service.cpp
@@ -47,8 +47,8 @@
 
 result<void> editor_service::start()
 {
-    const result<platform_service*> platform =
-        core_.services().find<platform_service>(platform_service::name);
+    const result<platform_adapters*> platform =
+        core_.services().find<platform_adapters>(platform_adapters::name);
     const result<host_list_service*> hosts =
         core_.services().find<host_list_service>(host_list_service::name);
     if (!platform || !hosts)
@@ -109,7 +109,7 @@
     if (const commit_step* const commit =
             std::get_if<commit_step>(&wanted.step))
     {
-        table_->commit(commit->transaction, platform_service::call_limit,
+        table_->commit(commit->transaction, platform_adapters::call_limit,
                        [this, request](const result<commit_receipt>& answer) {
                            carry_out(editor_.commit_answered(request, answer,
                                                              core_.now()));
@@ -117,7 +117,7 @@
         return;
     }
     table_->read(
-        std::get<read_step>(wanted.step).key, platform_service::call_limit,
+        std::get<read_step>(wanted.step).key, platform_adapters::call_limit,
         [this, request](const result<table_row>& answer)
         { carry_out(editor_.read_answered(request, answer, core_.now())); });
 }
--- a/modules/router/claims/claim_service.cpp
+++ b/modules/router/claims/claim_service.cpp
@@ -107,8 +107,8 @@
 
 result<void> claim_service::start()
 {
-    const result<platform_service*> platform =
-        core_.services().find<platform_service>(platform_service::name);
+    const result<platform_adapters*> platform =
+        core_.services().find<platform_adapters>(platform_adapters::name);
     const result<service_directory*> directory =
         core_.services().find<service_directory>(service_directory::name);
     const result<admin_service*> admin =
@@ -204,7 +204,7 @@
 
 void claim_service::carry_out(const read_claim& wanted)
 {
-    table_->read(wanted.row_key, platform_service::call_limit,
+    table_->read(wanted.row_key, platform_adapters::call_limit,
                  [this, key = wanted.row_key](const result<table_row>& answer)
                  { carry_out(registry_.row_read(key, answer, core_.now())); });
 }
@@ -251,7 +251,7 @@
 void claim_service::carry_out(const store_body& wanted)
 {
     objects_->write(
-        wanted.object_name, wanted.bytes, platform_service::call_limit,
+        wanted.object_name, wanted.bytes, platform_adapters::call_limit,
         [this, key = wanted.row_key](const result<void>& answer)
         { carry_out(registry_.body_stored(key, answer, core_.now())); });
 }
@@ -259,7 +259,8 @@
 void claim_service::carry_out(const scan_claims& wanted)
 {
     table_->scan(
-        wanted.prefix, wanted.after, wanted.limit, platform_service::call_limit,
+        wanted.prefix, wanted.after, wanted.limit,
+        platform_adapters::call_limit,
         [this,
          prefix = wanted.prefix](const result<std::vector<table_row>>& rows)
         { carry_out(registry_.rows_scanned(prefix, rows, core_.now())); });
@@ -286,7 +287,7 @@
             std::get_if<commit_step>(&wanted.step))
     {
         table_->commit(
-            commit->transaction, platform_service::call_limit,
+            commit->transaction, platform_adapters::call_limit,
             [this, batch = wanted.batch](const result<commit_receipt>& answer) {
                 carry_out(batcher_.commit_answered(batch, answer, core_.now()));
             });
@@ -294,7 +295,7 @@
     }
     const read_step& read = std::get<read_step>(wanted.step);
     table_->read(
-        read.key, platform_service::call_limit,
+        read.key, platform_adapters::call_limit,
         [this, batch = wanted.batch](const result<table_row>& answer)
         { carry_out(batcher_.read_answered(batch, answer, core_.now())); });
 }
--- a/modules/runtime/documents/document_service.cpp
+++ b/modules/runtime/documents/document_service.cpp
@@ -2,7 +2,7 @@
 
 #include "runtime/admin/admin_service.hpp"
 #include "runtime/hosts/host_list_service.hpp"
-#include "runtime/platform/platform_service.hpp"
+#include "runtime/platform/platform_adapters.hpp"
 #include <nlohmann/json.hpp>
 
 namespace hibiscusferry
@@ -72,8 +72,8 @@
 
 result<void> document_service::start()
 {
-    const result<platform_service*> platform =
-        core_.services().find<platform_service>(platform_service::name);
+    const result<platform_adapters*> platform =
+        core_.services().find<platform_adapters>(platform_adapters::name);
     const result<host_list_service*> hosts =
         core_.services().find<host_list_service>(host_list_service::name);
     const result<admin_service*> admin =
@@ -119,7 +119,7 @@
 
 void document_service::carry_out(const read_document_row& wanted)
 {
-    table_->read(wanted.key, platform_service::call_limit,
+    table_->read(wanted.key, platform_adapters::call_limit,
                  [this, key = wanted.key](const result<table_row>& answer)
                  { carry_out(replica_.row_read(key, answer, core_.now())); });
 }
--- a/modules/runtime/hosts/host_list_service.cpp
+++ b/modules/runtime/hosts/host_list_service.cpp
@@ -1,6 +1,6 @@
 #include "runtime/hosts/host_list_service.hpp"
 
-#include "runtime/platform/platform_service.hpp"
+#include "runtime/platform/platform_adapters.hpp"
 #include <algorithm>
 
 namespace hibiscusferry
@@ -37,8 +37,8 @@
 
 result<void> host_list_service::start()
 {
-    const result<platform_service*> platform =
-        core_.services().find<platform_service>(platform_service::name);
+    const result<platform_adapters*> platform =
+        core_.services().find<platform_adapters>(platform_adapters::name);
     if (!platform)
         return platform.error();
     list_ = &platform.value()->hosts();
@@ -55,7 +55,7 @@
     if (is_asking_)
         return;
     is_asking_ = true;
-    list_->read(platform_service::call_limit,
+    list_->read(platform_adapters::call_limit,
                 [this](const result<host_list_reading>& answer)
                 { take(answer); });
 }
--- a/modules/runtime/platform/platform_service.hpp
+++ b/modules/runtime/platform/platform_adapters.hpp
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSFERRY_RUNTIME_PLATFORM_PLATFORM_SERVICE_HPP
-#define HIBISCUSFERRY_RUNTIME_PLATFORM_PLATFORM_SERVICE_HPP
+#ifndef HIBISCUSFERRY_RUNTIME_PLATFORM_PLATFORM_ADAPTERS_HPP
+#define HIBISCUSFERRY_RUNTIME_PLATFORM_PLATFORM_ADAPTERS_HPP
 
 #include "platform/platform.hpp"
 #include "runtime/process/process_core.hpp"
@@ -9,7 +9,7 @@
 {
 
 /** The platform's adapters of a process, found by name in the kernel. */
-class platform_service final : public kernel_service
+class platform_adapters final : public kernel_service
 {
 public:
     static constexpr const char* name = "platform";
@@ -18,7 +18,7 @@
     static constexpr std::chrono::milliseconds call_limit{2000};
 
     /** Over HTTP, at the endpoints of the process's settings. */
-    explicit platform_service(process_core& core);
+    explicit platform_adapters(process_core& core);
 
     table_store& table();
     object_store& objects();
--- a/modules/runtime/runtime.hpp
+++ b/modules/runtime/runtime.hpp
@@ -19,7 +19,7 @@
 #include "runtime/admin/admin_service.hpp"
 #include "runtime/documents/document_service.hpp"
 #include "runtime/hosts/host_list_service.hpp"
-#include "runtime/platform/platform_service.hpp"
+#include "runtime/platform/platform_adapters.hpp"
 #include "runtime/process/daemon_main.hpp"
 #include "runtime/process/process_core.hpp"
 
