Measure hand-over of KV cache on the same trace

Change: it is not switched off under overload, as was advised, since engines that only prefill would idle.

--- a/extras/benches/routing_bench.cpp
+++ b/extras/benches/routing_bench.cpp
@@ -2,9 +2,10 @@
     Measures routing: cache hits and waits against least load on the same
     trace, cost per decision, and memory.
 
-    routing_bench --part=cache|cells|lag|cost|memory|all
+    routing_bench --part=cache|cells|lag|hand_over|cost|memory|all
 */
 #include "routing/cache_trace.hpp"
+#include "routing/hand_over.hpp"
 #include "routing/routing.hpp"
 
 #include <chrono>
@@ -17,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-DEFINE_string(part, "all", "cache, cells, lag, cost, memory or all");
+DEFINE_string(part, "all", "cache, cells, lag, hand_over, cost, memory or all");
 DEFINE_double(hot_share, 0, "lag: part of the requests with one prefix");
 DEFINE_uint64(seed, 1, "seed of the trace");
 
@@ -140,6 +141,54 @@
     print_lag(full, 1000);
 }
 
+void print_hand_over(const char* name, const hand_over_settings& settings)
+{
+    const hand_over_result result = hand_over_run(settings).run();
+    std::printf("%-26s %8.0f %9.0f/%-5.0f %8.1f%% %10.0f ms %10.0f ms "
+                "%10.1f%%\n",
+                name, settings.requests_per_second, settings.prompt_tokens,
+                settings.answer_tokens, 100 * result.in_time,
+                result.first_token_95_ms, result.between_95_ms,
+                100 * result.handed_over);
+}
+
+void measure_hand_over()
+{
+    std::printf("hand-over: 14 engines, 8 routers; in time: first token "
+                "340 ms, 47 ms between\n");
+    std::printf("%-26s %8s %15s %9s %13s %13s %11s\n", "engines", "rate",
+                "prompt/answer", "in time", "first p95", "between p95",
+                "handed over");
+    struct load_point
+    {
+        double rate;
+        double prompt;
+        double answer;
+    };
+    const load_point points[] = {{15, 4000, 100},
+                                 {25, 4000, 100},
+                                 {15, 1000, 300},
+                                 {30, 1000, 300},
+                                 {8, 8000, 100}};
+    for (const load_point& point : points)
+    {
+        hand_over_settings settings;
+        settings.seed = FLAGS_seed;
+        settings.requests_per_second = point.rate;
+        settings.prompt_tokens = point.prompt;
+        settings.answer_tokens = point.answer;
+        print_hand_over("14 mixed, none", settings);
+        settings.hand_over_allowed = true;
+        print_hand_over("14 mixed, where it pays", settings);
+        settings.mixed_engines = 4;
+        settings.prefill_engines = 4;
+        settings.decode_engines = 6;
+        print_hand_over("4 prefill 6 decode 4 mixed", settings);
+        settings.hand_over_allowed = false;
+        print_hand_over("the same, none", settings);
+    }
+}
+
 std::vector<target_address> make_targets(std::size_t count)
 {
     std::vector<target_address> targets;
@@ -247,11 +296,9 @@
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::map<std::string, void (*)()> parts = {
-        {"cache", measure_cache},
-        {"cells", measure_cells},
-        {"lag", measure_lag},
-        {"cost", measure_cost},
-        {"memory", measure_memory}};
+        {"cache", measure_cache}, {"cells", measure_cells},
+        {"lag", measure_lag},     {"hand_over", measure_hand_over},
+        {"cost", measure_cost},   {"memory", measure_memory}};
     for (auto part = parts.begin(); part != parts.end(); ++part)
     {
         if (FLAGS_part == "all" || FLAGS_part == part->first)
--- a/modules/admission/limits/overload_gate.hpp
+++ b/modules/admission/limits/overload_gate.hpp
@@ -21,9 +21,8 @@
 };
 
 /** Says whether a service is overloaded, with hysteresis in both the wait
-    and the time. The daemon reports it (metrics, alarm 1302) and stops what
-    only helps in good times: hand-over of KV cache and retries. It refuses
-    nothing by itself; the fair_queue does. */
+    and the time. The daemon reports it (metrics, alarm 1302) and sends nothing
+    again meanwhile. It refuses nothing by itself; the fair_queue does. */
 class overload_gate
 {
 public:
--- a/modules/routing/choice/target_picker.hpp
+++ b/modules/routing/choice/target_picker.hpp
@@ -23,8 +23,9 @@
     double decode_tokens = 0;
     /** Targets that must not be used: those already tried. */
     std::vector<std::string> excluded;
-    /** Whether KV cache may be handed over from one target to another; not
-        under overload, nor for application servers. */
+    /** Whether KV cache may be handed over from one target to another: false
+        for application servers, and for engines that cannot. Without it,
+        targets that only prefill are of no use. */
     bool hand_over_allowed = true;
 };
 
