--- a/modules/roles/estimate/mix_forecast.cpp
+++ b/modules/roles/estimate/mix_forecast.cpp
@@ -13,8 +13,12 @@
 constexpr double trust_from = 0.7;
 /** A trusted period is dropped below this. */
 constexpr double distrust_below = 0.5;
-/** How many slots a period's error is remembered, in periods. */
+/** How long a period's error is remembered: in periods, and at least in
+    slots, as a mean over few slots is small by chance for some period. */
 constexpr double memory_periods = 2.0;
+constexpr double least_memory_slots = 60.0;
+/** Slots that must have been seen before any period is trusted. */
+constexpr std::size_t least_seen_slots = 60;
 /** Slots over which the variance is averaged. */
 constexpr double variance_memory_slots = 120.0;
 /** The least variance worth foretelling, in engines squared. */
@@ -76,12 +80,14 @@
     for (std::size_t period = least_period_slots;
          period <= greatest_period_slots && period <= closed_; ++period)
     {
-        const double decay =
-            1.0 - 1.0 / (memory_periods * static_cast<double>(period));
+        const double memory = std::max(
+            least_memory_slots, memory_periods * static_cast<double>(period));
+        const double decay = 1.0 - 1.0 / memory;
         period_weight_[period] = period_weight_[period] * decay + 1.0;
         period_error_[period] = period_error_[period] * decay +
                                 squared_difference(closed, slots_ago(period));
-        if (closed_ + 1 < 3 * period || variance < least_variance)
+        if (closed_ + 1 < std::max(least_seen_slots, 3 * period) ||
+            variance < least_variance)
             continue;
         // For independent slots the error is twice the variance.
         const double error = period_error_[period] / period_weight_[period];
--- a/modules/roles/policy/role_expert_panel.cpp
+++ b/modules/roles/policy/role_expert_panel.cpp
@@ -10,8 +10,7 @@
 
 /** Factors on the cost of a change. The last one all but never changes. */
 constexpr std::array<double, 5> patiences{0.25, 0.5, 1.0, 3.0, 1000.0};
-/** The one that is followed at first: half the ski-rental's patience, as
-    most shifts outlast it. */
+/** The one that is followed at first: the ski-rental rule. */
 constexpr std::size_t first_followed = 1;
 
 } // namespace
--- a/modules/roles/policy/role_policy.cpp
+++ b/modules/roles/policy/role_policy.cpp
@@ -15,6 +15,8 @@
 constexpr double least_confidence = 0.6;
 /** An engine whose newest report was taken longer ago is silent. */
 constexpr std::chrono::seconds silent_after{30};
+/** A report that is older when it arrives comes from nowhere. */
+constexpr std::chrono::minutes longest_report_lag{5};
 /** Nothing is changed for so long after an engine was lost. */
 constexpr std::chrono::seconds settle_after_loss{20};
 /** A change that was asked for and has not started by then is dropped. */
@@ -91,6 +93,10 @@
 
 void role_policy::on_engine_report(const engine_report& report, time_point now)
 {
+    const std::map<std::string, time_point>::const_iterator lost =
+        lost_engines_.find(report.engine);
+    if (lost != lost_engines_.end() && report.taken_at <= lost->second)
+        return;
     engine_entry& entry = engines_[report.engine];
     if (!entry.report.engine.empty() &&
         report.taken_at <= entry.report.taken_at)
@@ -117,6 +123,7 @@
         return;
     pool_of(found->second.report.model).lost_at = now;
     engines_.erase(found);
+    lost_engines_[engine] = now;
     expectations_.forget(engine);
 }
 
@@ -331,6 +338,12 @@
 
 void role_policy::expire(time_point now)
 {
+    for (std::map<std::string, time_point>::iterator lost =
+             lost_engines_.begin();
+         lost != lost_engines_.end();)
+        lost = now - lost->second > longest_report_lag
+                   ? lost_engines_.erase(lost)
+                   : std::next(lost);
     for (std::pair<const std::string, engine_entry>& named : engines_)
     {
         std::optional<time_point>& asked_until = named.second.asked_until;
--- a/modules/roles/policy/role_policy.hpp
+++ b/modules/roles/policy/role_policy.hpp
@@ -82,6 +82,7 @@
     /** Also makes an engine known that has not joined yet. */
     void on_engine_report(const engine_report& report, time_point now);
     void on_engine_joined(const engine_report& first, time_point now);
+    /** Reports that were taken before do not bring it back. */
     void on_engine_lost(const std::string& engine, time_point now);
 
     //======================================================================
@@ -164,6 +165,7 @@
 
     role_policy_settings settings_;
     std::map<std::string, engine_entry> engines_;
+    std::map<std::string, time_point> lost_engines_;
     std::map<std::string, model_pool> pools_;
     change_expectations expectations_;
     /** Mean time from a change's start to its end; zero when none is known. */
--- a/modules/roles/policy/role_work_function.hpp
+++ b/modules/roles/policy/role_work_function.hpp
@@ -28,10 +28,12 @@
     hindsight could have served the demand so far and end in that split: the
     losses on the way plus its changes. The present split is left when its
     own value has risen to that of another split plus the changes to get
-    there, so when the regret of staying equals the cost of changing. For
-    two splits this is the ski-rental rule of Karlin, Manasse, Rudolph and
-    Sleator (1988; Karlin et al., 1994): a swing that turns back before that
-    lowers the regret again and no change is made.
+    there. That is when the regret of staying equals the cost of changing
+    there and back: the other split's value began with the way there. With
+    half the cost of a change given, the rule for two splits is the ski-rental
+    rule of Karlin, Manasse, Rudolph and Sleator (1988; Karlin et al., 1994),
+    which changes once the regret equals the cost of one change. A swing that
+    turns back before lowers the regret again and no change is made.
 
     Large pools are held in blocks of engines so that the number of splits
     stays bounded.
@@ -62,8 +64,9 @@
                               const std::vector<engine_demand>& coming,
                               std::chrono::nanoseconds step) const;
 
-    /** The regret of staying in `present` as a part of the cost of the
-        change that is nearest to paying; 1 when a change is due. */
+    /** How much better another split's value is than that of `present`, as a
+        part of the cost of the changes to get there, from 0 to 1; 1 when a
+        change is due. */
     double regret(const role_split& present) const;
 
 private:
