--- /dev/null
+++ b/extras/benches/admission_bench.cpp
@@ -0,0 +1,265 @@
+/** @file
+    Measures admission: goodput and urgent work under a flood, fairness
+    against the known bound, cost per decision, and the limits over all hosts.
+
+    admission_bench --part=flood|fairness|cost|memory|limits|all
+*/
+#include "admission/admission.hpp"
+#include "admission/flood.hpp"
+#include "admission/global_limits.hpp"
+#include "admission/queue_policies.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <gflags/gflags.h>
+#include <malloc.h>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+DEFINE_string(part, "all", "flood, fairness, cost, memory, limits or all");
+DEFINE_uint64(seed, 1, "seed of the workload");
+
+using namespace hibiscusferry;
+using namespace hibiscusferry::bench;
+
+namespace
+{
+
+// ------------------------------------------------------------------------
+// Fairness
+
+/** Largest gap in served tokens between customers that always wait, with
+    `slots` requests running at once and charged costs that are wrong. */
+double largest_gap(queue_policy& policy, double error_sigma, int slots,
+                   double& greatest_cost)
+{
+    constexpr int customers = 10;
+    constexpr int requests = 600;
+    std::mt19937_64 random(FLAGS_seed);
+    std::lognormal_distribution<double> error(0, error_sigma);
+    std::vector<double> actual;
+    request_number number = 0;
+    for (int index = 0; index < requests; ++index)
+    {
+        for (int customer = 0; customer < customers; ++customer)
+        {
+            // Customers differ in the size of their requests.
+            std::uniform_real_distribution<double> cost(1,
+                                                        20.0 + 20 * customer);
+            queued_request request;
+            request.number = ++number;
+            request.customer = std::to_string(customer);
+            request.cost = cost(random);
+            request.deadline = at(1e6);
+            actual.push_back(request.cost * error(random));
+            greatest_cost =
+                std::max({greatest_cost, request.cost, actual.back()});
+            policy.offer(request, at(0));
+        }
+    }
+    std::vector<double> served(customers, 0);
+    std::vector<int> left(customers, requests);
+    std::deque<queued_request> running;
+    double largest = 0;
+    while (*std::min_element(left.begin(), left.end()) > slots)
+    {
+        const queued_request taken = *policy.take(at(0));
+        running.push_back(taken);
+        --left[std::stoul(taken.customer)];
+        if (static_cast<int>(running.size()) < slots)
+            continue;
+        const queued_request ended = running.front();
+        running.pop_front();
+        policy.finish(ended, actual[ended.number - 1]);
+        served[std::stoul(ended.customer)] += actual[ended.number - 1];
+        const auto range = std::minmax_element(served.begin(), served.end());
+        largest = std::max(largest, *range.second - *range.first);
+    }
+    return largest;
+}
+
+void measure_fairness()
+{
+    std::printf("fairness: 10 customers always waiting, request sizes 1:10; "
+                "gap over the bound of 2 x greatest cost\n");
+    std::printf("%-14s %8s %8s %12s %12s %8s\n", "policy", "error", "slots",
+                "gap", "bound", "ratio");
+    const std::pair<double, int> cases[] = {{0.0, 1}, {0.4, 1}, {0.4, 32}};
+    std::map<std::string, policy_maker> makers = policies(1000000);
+    for (const std::pair<double, int>& one : cases)
+    {
+        for (auto entry = makers.begin(); entry != makers.end(); ++entry)
+        {
+            const std::unique_ptr<queue_policy> policy = entry->second();
+            double greatest = 0;
+            const double gap =
+                largest_gap(*policy, one.first, one.second, greatest);
+            std::printf("%-14s %8.1f %8d %12.0f %12.0f %8.2f\n",
+                        entry->first.c_str(), one.first, one.second, gap,
+                        2 * greatest, gap / (2 * greatest));
+        }
+    }
+}
+
+// ------------------------------------------------------------------------
+// Cost
+
+double nanoseconds_each(std::size_t count, const std::function<void()>& work)
+{
+    const std::chrono::steady_clock::time_point begin =
+        std::chrono::steady_clock::now();
+    work();
+    const std::chrono::duration<double, std::nano> elapsed =
+        std::chrono::steady_clock::now() - begin;
+    return elapsed.count() / static_cast<double>(count);
+}
+
+void measure_cost()
+{
+    std::printf("cost: each customer has 4 requests waiting; ns each\n");
+    std::printf("%10s %10s %10s %10s %12s\n", "customers", "offer", "take",
+                "finish", "limit");
+    for (const std::size_t customers : {10U, 100U, 1000U, 10000U})
+    {
+        const std::size_t total = customers * 4;
+        const std::size_t rounds = std::max<std::size_t>(1, 200000 / total);
+        service_document document;
+        document.service = "s";
+        document.limits.queue_length = static_cast<std::uint32_t>(total * 2);
+        std::vector<queued_request> requests(total);
+        for (std::size_t index = 0; index < customers; ++index)
+        {
+            customer_entry entry;
+            entry.name = "customer-" + std::to_string(index);
+            entry.tokens_per_second = 1000;
+            document.customers.push_back(entry);
+        }
+        for (std::size_t index = 0; index < total; ++index)
+        {
+            requests[index] = {index + 1,
+                               document.customers[index % customers].name,
+                               index % 5 == 0 ? queue_lane::urgent
+                                              : queue_lane::normal,
+                               1.0 + static_cast<double>(index % 97),
+                               at(1e6),
+                               std::chrono::milliseconds(0)};
+        }
+        fair_queue queue({document.limits.queue_length});
+        queue.configure(document, at(0));
+        customer_limits limits("host", 1, at(0));
+        limits.configure(document, at(0));
+        double offer = 0;
+        double take = 0;
+        double finish = 0;
+        double limit = 0;
+        for (std::size_t round = 0; round < rounds; ++round)
+        {
+            limit += nanoseconds_each(
+                total,
+                [&]
+                {
+                    for (const queued_request& one : requests)
+                        limits.admit("s", one.customer, one.lane, one.cost,
+                                     at(0));
+                });
+            offer +=
+                nanoseconds_each(total,
+                                 [&]
+                                 {
+                                     for (const queued_request& one : requests)
+                                         queue.offer(one, at(0));
+                                 });
+            take += nanoseconds_each(total,
+                                     [&]
+                                     {
+                                         while (queue.take(at(0)))
+                                         {
+                                         }
+                                     });
+            finish += nanoseconds_each(
+                total,
+                [&]
+                {
+                    for (const queued_request& one : requests)
+                        queue.finish(one.number, one.cost * 1.1);
+                });
+        }
+        const double count = static_cast<double>(rounds);
+        std::printf("%10zu %10.0f %10.0f %10.0f %12.0f\n", customers,
+                    offer / count, take / count, finish / count, limit / count);
+    }
+}
+
+// ------------------------------------------------------------------------
+// Memory
+
+double allocated_kilobytes()
+{
+    return static_cast<double>(mallinfo2().uordblks) / 1024;
+}
+
+void measure_memory()
+{
+    for (const std::size_t customers : {150U, 1500U, 15000U})
+    {
+        service_document document;
+        document.service = "s";
+        document.limits.queue_length = 256;
+        for (std::size_t index = 0; index < customers; ++index)
+        {
+            customer_entry entry;
+            entry.name = "customer-" + std::to_string(index);
+            entry.tokens_per_second = 1000;
+            document.customers.push_back(entry);
+        }
+        const double before = allocated_kilobytes();
+        fair_queue queue({256});
+        queue.configure(document, at(0));
+        for (request_number number = 1; number <= 256; ++number)
+        {
+            queue.offer({number, document.customers[number % customers].name,
+                         queue_lane::normal, 1, at(1e6),
+                         std::chrono::milliseconds(0)},
+                        at(0));
+        }
+        const double with_queue = allocated_kilobytes();
+        customer_limits limits("host", 1, at(0));
+        limits.configure(document, at(0));
+        const double with_limits = allocated_kilobytes();
+        std::printf("memory: %6zu customers: fair_queue with 256 waiting "
+                    "%.0f KB, customer_limits %.0f KB\n",
+                    customers, with_queue - before, with_limits - with_queue);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::map<std::string, std::function<void()>> parts = {
+        {"flood",
+         []
+         {
+             measure_flood(FLAGS_seed);
+         }},
+        {"fairness", measure_fairness},
+        {"cost", measure_cost},
+        {"memory", measure_memory},
+        {"limits", []
+         {
+             measure_limits(FLAGS_seed);
+         }}};
+    for (auto part = parts.begin(); part != parts.end(); ++part)
+    {
+        if (FLAGS_part == "all" || FLAGS_part == part->first)
+            part->second();
+    }
+    return 0;
+}
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -25,6 +25,16 @@
     "A task of the process ended by an unexpected error; the process goes on.",
     "Report it with the fields of the event.")
 
+HIBISCUSFERRY_EVENT(1005, alarm, document_unreadable,
+                    "A document in force could not be read by this process; "
+                    "the version before it stays in use here.",
+                    "Upgrade the process: the document was written for a newer "
+                    "version.")
+HIBISCUSFERRY_EVENT(1006, warning, rotation_state_changed,
+                    "The process entered or left the balancer's rotation, or "
+                    "stays in it for another reason.",
+                    "")
+
 // 1100-1199 requests (router)
 HIBISCUSFERRY_EVENT(1100, info, request_received,
                     "A request was accepted from a caller.", "")
@@ -48,16 +58,146 @@
                     "The caller went away before its answer was complete.", "")
 
 // 1200-1299 claims (at most once)
+HIBISCUSFERRY_EVENT(
+    1200, warning, claim_not_written,
+    "A call that may run at most once was refused as not run: the store did "
+    "not take its claim in time.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1201, alarm, claim_outcome_unknown,
+    "A call that may run at most once may have run, and nothing can tell.",
+    "Find out at the target whether the call ran and tell the customer; the "
+    "call is listed under unresolved/ in the table until it is settled.")
+HIBISCUSFERRY_EVENT(1202, warning, claim_owner_lost,
+                    "The process that claimed a call is gone or has not "
+                    "recorded an outcome in time.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1203, info, claim_settled_by_status,
+    "The target's status look-up told the answer of a call that was in doubt.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1204, info, claim_barred,
+    "The target's status look-up told that a call did not run and is barred.",
+    "")
+HIBISCUSFERRY_EVENT(1205, warning, claim_key_reused,
+                    "A caller used an idempotency key again with another "
+                    "body; the call was refused.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1206, alarm, claim_contradicted,
+    "A target gave an answer to a call that had been recorded as not run.",
+    "The call may have run twice: look the key up at the target and report "
+    "the target's fault to its team.")
+HIBISCUSFERRY_EVENT(
+    1207, alarm, claim_record_unreadable,
+    "The row of a claim could not be read; calls with its key are answered "
+    "as unknown.",
+    "Read the row in the table; a newer version of the system may have "
+    "written it.")
+HIBISCUSFERRY_EVENT(
+    1208, alarm, claim_answer_not_kept,
+    "The body of an answer could not be kept for replay; the call did run.",
+    "Look at the object store. A caller that asks again is told that the "
+    "call ran, without the body.")
 
 // 1300-1399 admission and fair share
+HIBISCUSFERRY_EVENT(1300, info, customer_limited,
+                    "A customer is over its rate; its requests beyond it are "
+                    "refused with Retry-After.",
+                    "")
+HIBISCUSFERRY_EVENT(1301, warning, queue_shed,
+                    "A full queue refused the newest request of the customer "
+                    "that filled it most.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1302, alarm, overload_began,
+    "Requests of a service wait longer than its overload limit at this host.",
+    "See whether targets are out or changing; otherwise the service gets more "
+    "work than it can do: lower the limits of its heaviest customers in the "
+    "document.")
+HIBISCUSFERRY_EVENT(1303, info, overload_ended,
+                    "Requests of a service wait no longer than usual again.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1304, warning, limit_on_even_part,
+    "The demand of a customer over all hosts has not been heard; this host "
+    "keeps to an even part of the customer's limit.",
+    "")
+HIBISCUSFERRY_EVENT(1305, warning, retry_budget_empty,
+                    "A service's retry budget is used up; its failed requests "
+                    "are not sent again until it has earned more.",
+                    "")
 
 // 1400-1499 targets and routing
+HIBISCUSFERRY_EVENT(1400, info, target_added,
+                    "A target is used by this router from now on.", "")
+HIBISCUSFERRY_EVENT(1401, info, target_removed,
+                    "A target is not used by this router any more.", "")
+HIBISCUSFERRY_EVENT(1402, info, target_leaving,
+                    "A target said that it is leaving, or is listed so; it "
+                    "gets no new work.",
+                    "")
+HIBISCUSFERRY_EVENT(1403, warning, target_suspect,
+                    "An attempt failed by a target's doing; it is used only "
+                    "if no other can be.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1404, alarm, target_out,
+    "A target failed several attempts in a row and is not used; it is probed "
+    "until it answers.",
+    "Look at the target. Nothing has to be done in this system: it is used "
+    "again as soon as it answers a probe.")
+HIBISCUSFERRY_EVENT(1405, info, target_back,
+                    "A target that was out has answered a probe.", "")
+HIBISCUSFERRY_EVENT(1406, info, target_stopped,
+                    "New work to a target was stopped for a planned change, "
+                    "and this was confirmed.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1407, alarm, permission_lapsed,
+    "No controller was heard for a whole term; new work goes only to targets "
+    "that cannot be changing.",
+    "See whether the controllers run, and whether this host reaches them and "
+    "the table service.")
+HIBISCUSFERRY_EVENT(1408, info, permission_regained,
+                    "A controller was heard again.", "")
+HIBISCUSFERRY_EVENT(
+    1409, alarm, role_missing,
+    "No known target of a service can prefill, or none can decode; targets "
+    "of another cell are used too.",
+    "See the time line of the service's roles and the targets that are out.")
+HIBISCUSFERRY_EVENT(1410, warning, connection_replaced,
+                    "A connection fell silent while a new one to the same "
+                    "target works; it was replaced.",
+                    "")
+HIBISCUSFERRY_EVENT(1411, info, stream_resumed,
+                    "A broken stream goes on over another connection.", "")
 
 // 1500-1599 membership and peers
 
 // 1600-1699 authority and orders
 
 // 1700-1799 roles
+HIBISCUSFERRY_EVENT(1700, info, role_change_wanted,
+                    "The role policy asked for an engine to change its role.",
+                    "")
+HIBISCUSFERRY_EVENT(1701, info, role_pattern_trusted,
+                    "A periodic pattern of the token mix is acted on.", "")
+HIBISCUSFERRY_EVENT(1702, info, role_pattern_dropped,
+                    "A periodic pattern of the token mix no longer holds and "
+                    "is not acted on.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1703, warning, role_policy_held_back,
+    "No role is changed while reports are stale or the fleet is degraded.",
+    "Look for silent routers or engines in the status; see the field hold.")
+HIBISCUSFERRY_EVENT(1704, info, role_policy_resumed,
+                    "Roles are changed again after a hold.", "")
+HIBISCUSFERRY_EVENT(
+    1705, warning, role_expectation_expired,
+    "A role change was never seen in the engine's reports.",
+    "Compare the engine's reported role with the outcome of its last order.")
 
 // 1800-1899 configuration
 
