Commit operators' changes and take them over on every host

Cause: racing operators, lost answers, hosts with old copies and a store outage must neither revert a document nor empty the rotation. Change: document_editor commits a change conditional on document, index and change id, settles lost answers, tells losers the current document, and calls a change accepted when most hosts of each region hold it; document_replica learns from the store and from peers, with confirmations that carry their age, and says whether the host belongs in rotation. A host that starts without the store waits until no change counts on what its former process confirmed: without that wait a model of the protocol allowed an accepted change to be missing in a group that stays.

--- a/modules/configuration/editor/document_editor.hpp
+++ b/modules/configuration/editor/document_editor.hpp
@@ -38,7 +38,7 @@
     accepted,         ///< committed, and held by most hosts of each region
     conflict,         ///< not written: another version is current
     change_id_reused, ///< not written: the id belongs to another change
-    not_written,      ///< certainly not written; the store did not answer
+    not_written,      ///< not written by this request, for certain; ask again
     unknown           ///< may be written yet; ask again with the same id
 };
 
@@ -95,7 +95,7 @@
 {
     std::size_t open_changes = 64;
     /** How long a change is tried at the store. */
-    std::chrono::milliseconds write_time{5000};
+    std::chrono::milliseconds write_time{9000};
     /** When the operator gets an answer at the latest. */
     std::chrono::milliseconds answer_time{13000};
     /** How often hosts that have not confirmed are asked. */
@@ -151,59 +151,53 @@
 private:
     enum class change_stage
     {
-        reading_change,   ///< has the change been made before?
-        reading_document, ///< the current document
-        reading_index,    ///< the current index
-        writing,          ///< the transaction is being settled
-        confirming        ///< hosts are taking it over
+        reading_document, ///< which version is current?
+        reading_change,   ///< has this change been made before?
+        reading_index,
+        writing,   ///< the transaction is being settled
+        confirming ///< hosts are taking it over
     };
 
     struct open_change
     {
+        std::string request_id;
         document_change change;
-        change_stage stage = change_stage::reading_change;
+        change_stage stage = change_stage::reading_document;
         bool is_answered = false;
-        bool is_in_doubt = false;
         time_point write_until;
         time_point answer_at;
         time_point wake = time_point::max();
         table_row document_row;
+        document_record current;
         table_row index_row;
         document_version version = 0;
         std::optional<store_write> write;
         std::set<std::string> confirmed;
     };
 
-    void read_next(const std::string& id, open_change& subject,
-                   actions& wanted);
-    void change_row_read(const std::string& id, open_change& subject,
-                         const result<table_row>& answer, time_point now,
-                         actions& wanted);
-    void document_row_read(const std::string& id, open_change& subject,
-                           const result<table_row>& answer, actions& wanted);
-    void index_row_read(const std::string& id, open_change& subject,
-                        const result<table_row>& answer, time_point now,
-                        actions& wanted);
-    void begin_write(const std::string& id, open_change& subject,
-                     time_point now, actions& wanted);
-    void proceed(const std::string& id, open_change& subject,
-                 std::optional<store_step> step, time_point now,
-                 actions& wanted);
-    void write_ended(const std::string& id, open_change& subject,
-                     time_point now, actions& wanted);
-    void begin_confirming(const std::string& id, open_change& subject,
-                          time_point now, actions& wanted);
-    void ask_hosts(open_change& subject, time_point now, actions& wanted);
+    void begin_stage(open_change& subject, change_stage stage, actions& wanted);
+    void take_row(open_change& subject, const table_row& row, time_point now,
+                  actions& wanted);
+    void take_document(open_change& subject, const table_row& row,
+                       actions& wanted);
+    void take_change(open_change& subject, const table_row& row, time_point now,
+                     actions& wanted);
+    void begin_write(open_change& subject, time_point now, actions& wanted);
+    void proceed(open_change& subject, std::optional<store_step> step,
+                 time_point now, actions& wanted);
+    void begin_confirming(open_change& subject, time_point now,
+                          actions& wanted);
+    void confirm(open_change& subject, time_point now, actions& wanted);
+    void pass_deadline(open_change& subject, actions& wanted);
+    void pass_wake(open_change& subject, time_point now, actions& wanted);
     std::vector<std::string> missing_regions(const open_change& subject) const;
-    void answer(const std::string& id, open_change& subject,
-                answer_change verdict, actions& wanted);
-    void finish_if_done(const std::string& id);
+    void answer(open_change& subject, change_verdict verdict, actions& wanted);
+    void erase_if_done(const std::string& request_id);
 
     std::string process_;
     editor_limits limits_;
     std::vector<fleet_host> hosts_;
     std::map<std::string, open_change> changes_;
-    std::set<std::string> finished_;
     std::uint64_t last_write_ = 0;
 };
 
--- /dev/null
+++ b/modules/configuration/replica/configuration_property_test.cpp
@@ -0,0 +1,69 @@
+#include "configuration/testing/configuration_simulation.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusferry;
+using namespace hibiscusferry::testing;
+
+namespace
+{
+
+constexpr std::uint64_t fuzz_runs = 150;
+constexpr std::uint64_t plant_runs = 40;
+
+std::size_t breaches_with(fleet_plant plant)
+{
+    std::size_t breaches = 0;
+    for (std::uint64_t seed = 1; seed <= plant_runs; ++seed)
+    {
+        breaches += configuration_simulation(seed, plant).run().breaches.size();
+    }
+    return breaches;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_property_test)
+
+BOOST_AUTO_TEST_CASE(accepted_documents_are_in_force_and_never_revert)
+{
+    for (std::uint64_t seed = 1; seed <= fuzz_runs; ++seed)
+    {
+        const configuration_report report =
+            configuration_simulation(seed).run();
+        for (const std::string& breach : report.breaches)
+            BOOST_ERROR("seed " << seed << ": " << breach);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(planted_faults_are_found)
+{
+    BOOST_TEST(breaches_with(fleet_plant::ignores_conditions) > 0U);
+    BOOST_TEST(breaches_with(fleet_plant::forgets_age) > 0U);
+    BOOST_TEST(breaches_with(fleet_plant::confirms_for_hosts) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_fleet_stays_in_rotation_when_all_lose_the_store)
+{
+    event_queue events;
+    choices random(1);
+    simulated_fleet fleet(events, random, fleet_settings());
+    events.run_until(events.now() + std::chrono::seconds(5));
+    for (std::size_t host = 0; host < fleet.size(); ++host)
+        fleet.cut_store(host, true);
+    events.run_until(events.now() + std::chrono::minutes(5));
+    for (std::size_t host = 0; host < fleet.size(); ++host)
+        BOOST_TEST(
+            (fleet.replica(host).rotation() == rotation_state::store_lost));
+
+    // A host that starts anew learns from most of its region before it
+    // serves; one that hears nobody leaves.
+    fleet.restart(0);
+    fleet.set_group(1, 1);
+    BOOST_TEST(!fleet.replica(0).is_in_rotation());
+    events.run_until(events.now() + std::chrono::seconds(30));
+    BOOST_TEST(fleet.replica(0).is_in_rotation());
+    BOOST_TEST(!fleet.replica(1).is_in_rotation());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/configuration/replica/document_replica.hpp
+++ b/modules/configuration/replica/document_replica.hpp
@@ -67,6 +67,9 @@
     /** The store is read when the last confirmation is older than this. */
     std::chrono::milliseconds poll_age{3000};
     std::chrono::milliseconds query_interval{1000};
+    /** Peers that answered within this count as heard by a host that is out
+        of rotation. */
+    std::chrono::milliseconds hearing_window{8000};
     /** A query or read without an answer is forgotten after this. */
     std::chrono::milliseconds answer_time{2000};
     /** Bytes of texts in a reply; one document is always sent. */
@@ -86,9 +89,11 @@
     A host without a recent confirmation stays in rotation only while it
     hears peers and can reach more than half of the listed hosts of its
     region: a change is not called accepted before more than half of each
-    region hold it, so such a group has every accepted change. A host that
-    has just started is out until it has a confirmation, or has heard from
-    that many of its region. Used from one thread.
+    region hold it, so such a group has every accepted change. A host
+    that has just started is out until it has a confirmation. Without one it
+    waits for the bound and a hearing window, and then for that many of its
+    region: by then no change counts on what its former process confirmed. Used
+   from one thread.
 */
 class document_replica
 {
@@ -144,10 +149,6 @@
         std::string peer;
         time_point begun;
     };
-    struct open_index_read
-    {
-        time_point begun;
-    };
     /** An index read from the store whose documents are being fetched. */
     struct pending_index
     {
@@ -156,24 +157,25 @@
         std::set<std::string> missing;
     };
 
-    void read_index(time_point now, actions& wanted);
-    void index_read(const result<table_row>& answer, time_point now,
-                    actions& wanted);
+    void poll_store(time_point now, actions& wanted);
+    void index_read(const result<table_row>& answer, actions& wanted);
     void document_read(const std::string& key, const result<table_row>& answer,
-                       time_point now, actions& wanted);
-    void complete_pending(time_point now, actions& wanted);
-    void ask_peer(time_point now, actions& wanted);
+                       actions& wanted);
+    void query_peers(time_point now, actions& wanted);
+    void send_query_to(const std::string& peer, time_point now,
+                       actions& wanted);
     void take(const document_record& document, actions& wanted);
-    void confirm(document_version revision, time_point moment);
+    void confirm(time_point moment);
     void judge_rotation(time_point now, actions& wanted);
     rotation_state judged_rotation(time_point now) const;
-    bool hears_most_of_region(time_point now) const;
+    bool has_heard_most_of_region(time_point now) const;
 
     std::string own_host_;
     std::string region_;
     std::uint64_t seed_;
     replica_limits limits_;
-    std::vector<fleet_host> peers_;
+    std::vector<std::string> peers_;
+    std::vector<std::string> region_peers_;
     std::size_t region_hosts_ = 1;
     std::size_t reachable_ = 1;
 
@@ -182,13 +184,17 @@
     std::optional<time_point> confirmed_at_;
     rotation_state rotation_ = rotation_state::starting;
 
-    std::optional<open_index_read> index_read_;
+    /** When the index read that is under way was begun. */
+    std::optional<time_point> index_read_begun_;
     std::optional<pending_index> pending_;
     std::map<std::uint64_t, open_query> queries_;
     std::uint64_t last_query_ = 0;
+    std::size_t next_region_peer_ = 0;
     std::optional<time_point> last_reply_;
-    /** Hosts of the region whose documents have been taken over whole. */
-    std::set<std::string> heard_hosts_;
+    std::optional<time_point> first_tick_;
+    /** When hosts of the region were last heard, their documents taken over
+        whole. */
+    std::map<std::string, time_point> heard_hosts_;
     time_point next_query_{};
     time_point next_poll_{};
 };
--- a/modules/configuration/replica/replica_message.hpp
+++ b/modules/configuration/replica/replica_message.hpp
@@ -25,6 +25,8 @@
     std::uint64_t query_id = 0;
     /** The answerer holds all documents up to this version. */
     document_version revision = 0;
+    /** Whether the answerer has ever known its documents to be current. */
+    bool is_started = false;
     /** How long ago, when the reply was made, it was certain that no newer
         version had been committed; none: never. */
     std::optional<std::chrono::milliseconds> confirmation_age;
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -102,5 +102,41 @@
 // 1700-1799 roles
 
 // 1800-1899 configuration
+HIBISCUSFERRY_EVENT(1800, info, document_committed,
+                    "A change of a document is committed in the table.", "")
+HIBISCUSFERRY_EVENT(
+    1801, info, document_accepted,
+    "A change of a document is held by most hosts of each region.", "")
+HIBISCUSFERRY_EVENT(1802, warning, document_conflict,
+                    "A change of a document was refused: another version is "
+                    "current.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1803, alarm, document_not_confirmed,
+    "A change is committed, but most hosts of a region have not confirmed "
+    "it in time.",
+    "Look at the hosts and the links of the regions named; the change takes "
+    "effect there when they hear of it, and cannot be taken back but by "
+    "another change.")
+HIBISCUSFERRY_EVENT(1804, info, document_taken,
+                    "A document is in force on this host.", "")
+HIBISCUSFERRY_EVENT(
+    1805, alarm, serving_without_store,
+    "The host and most hosts of its region have lost the table service; "
+    "they serve on with the documents they have.",
+    "Look at the table service and the link to it. No change can be accepted "
+    "until this region hears of it.")
+HIBISCUSFERRY_EVENT(
+    1806, alarm, rotation_left,
+    "The host has left the rotation: it hears neither the table service nor "
+    "most hosts of its region.",
+    "Look at the host's links; it returns by itself.")
+HIBISCUSFERRY_EVENT(1807, info, rotation_entered,
+                    "The host's documents are current; it is in rotation.", "")
+HIBISCUSFERRY_EVENT(
+    1808, alarm, document_unreadable,
+    "The row of a document or of the index could not be read.",
+    "Read the row in the table; a newer version of the system may have "
+    "written it.")
 
 // 1900-1999 platform adapters
