--- /dev/null
+++ b/models/configuration.pml
@@ -0,0 +1,388 @@
+/*
+ * Documents in force on every host: one document, HOSTS hosts of one region,
+ * two operators who race, the table service.
+ *
+ * Assumptions:
+ * - The table commits a change if the document has the version that the
+ *   operator named and the change id is new. A commit's answer may be lost,
+ *   and the commit may arrive at any later moment; the operator then asks
+ *   again with the same change id.
+ * - Replies from the table and from peers arrive at any later moment
+ *   (interleaving, with LATE_REPLIES), or never; so a peer's copy may be old.
+ *   One reply a host is under way at a time. With two operators replies come
+ *   at once, to keep the search small.
+ * - A host restarts with nothing, RESTARTS times in a run.
+ * - A change is accepted when more than half of the hosts have confirmed it,
+ *   each at a moment of its own; a confirmation given by a process that has
+ *   since died may be counted, for as long as the staleness bound.
+ * - Time: the bound passes at once for all (process bound_passes). By then a
+ *   host in rotation without the store has taken over the documents of those
+ *   it reaches, and leaves the rotation unless they are more than half; one
+ *   with the store has read it. A host that starts without the store waits
+ *   until confirmations of its former process count no more, and counts only
+ *   peers that it asked after that.
+ * - Progress: weak fairness; every host asks the table and a peer in turn, an
+ *   operator all hosts in turn (IN_TURN).
+ */
+// verify: safety
+// verify: safety -DOPERATORS=1 -DLATE_REPLIES
+// verify: liveness in_force -DOPERATORS=1 -DRESTARTS=0 -DIN_TURN
+// reject: safety -DOPERATORS=1 -DLATE_REPLIES -DTAKES_OLD_COPY
+// reject: safety -DIGNORES_CONDITION
+// reject: safety -DACCEPTS_AT_COMMIT
+// reject: safety -DMINORITY_STAYS
+// reject: safety -DSTARTS_AT_ONCE
+// reject: safety -DOPERATORS=1 -DLATE_REPLIES -DCOUNTS_OLD_REPLIES
+// reject: safety -DNEW_ID_AFTER_LOST_ANSWER
+// reject: liveness in_force -DOPERATORS=1 -DRESTARTS=0 -DIN_TURN -DNEVER_READS
+
+#define HOSTS 3
+#define MAJORITY 2
+#ifndef OPERATORS
+#define OPERATORS 2
+#endif
+#ifndef RESTARTS
+#define RESTARTS 1
+#endif
+#ifndef LOST
+#define LOST 1
+#endif
+
+/* The table: the version, and whether each operator's change is in. */
+byte table_version = 0;
+bool written[2];
+byte winner[4] = 9;
+
+/* The hosts. */
+byte held[HOSTS];
+bool started[HOSTS];
+byte heard[HOSTS];        /* bit set of peers */
+byte confirmed[2]; /* bit sets of hosts */
+byte stale[2];     /* those that have restarted since */
+
+byte accepted = 0;
+byte restarts = RESTARTS;
+byte lost_answers = LOST;
+byte operators_done = 0;
+
+#ifdef STARTS_AT_ONCE
+#define MAY_START(host) true
+#else
+#define MAY_START(host) (((stale[0] | stale[1]) & BIT(host)) == 0)
+#endif
+
+/* For progress: table and peers are asked in turn. */
+#ifdef IN_TURN
+#define IS_TURN(kind) (turn == kind)
+#define PASS_TURN turn = 1 - turn;
+#else
+#define IS_TURN(kind) true
+#define PASS_TURN skip;
+#endif
+
+/* Leaving an atomic sequence lets all else happen before the reply comes. */
+#ifdef LATE_REPLIES
+#define REPLY_UNDER_WAY } ; atomic {
+#else
+#define REPLY_UNDER_WAY skip;
+#endif
+
+#ifdef COUNTS_OLD_REPLIES
+#define IS_RECENT(moment) true
+#else
+#define IS_RECENT(moment) (moment == operators_done)
+#endif
+
+#define BIT(host) (1 << (host))
+#define COUNT(set) (((set) & 1) + (((set) >> 1) & 1) + (((set) >> 2) & 1))
+
+inline commit(operator, expected, done)
+{
+    if
+#ifdef IGNORES_CONDITION
+    :: !written[operator] ->
+#else
+    :: table_version == expected && !written[operator] ->
+#endif
+        written[operator] = true;
+#ifdef IGNORES_CONDITION
+        table_version = expected + 1;
+#else
+        table_version++;
+#endif
+        assert(winner[table_version] == 9); /* one winner a version */
+        winner[table_version] = operator;
+        done = true
+    :: else -> done = written[operator]
+    fi
+}
+
+bool late[2];
+byte late_expected[2];
+
+proctype operator(byte me)
+{
+    byte expected;
+    byte version;
+    byte next;
+    bool done;
+
+    expected = 0;
+ask:
+    atomic {
+        if
+        :: commit(me, expected, done)
+        :: lost_answers > 0 && !late[me] ->
+            lost_answers--;
+            commit(me, expected, done);
+            goto ask_again
+        :: lost_answers > 0 && !late[me] ->
+            lost_answers--;
+            late[me] = true;
+            late_expected[me] = expected;
+            goto ask_again
+        fi
+    };
+    if
+    :: done -> goto confirm
+    :: else -> goto conflict
+    fi;
+
+ask_again:
+#ifdef NEW_ID_AFTER_LOST_ANSWER
+    /* a change already made is made once more */
+    atomic {
+        if
+        :: written[me] ->
+            table_version++;
+            winner[table_version] = me
+        :: else
+        fi;
+        assert(winner[1] != me || winner[2] != me)
+    };
+#endif
+    goto ask;
+
+conflict:
+    /* Told the current version; starts from it. */
+    atomic {
+        if
+        :: written[me] -> goto confirm
+        :: else -> expected = table_version
+        fi
+    };
+    goto ask;
+
+confirm:
+    atomic {
+        assert(written[me]); /* what is told as committed is committed */
+        if
+        :: winner[1] == me -> version = 1
+        :: winner[2] == me -> version = 2
+        :: else -> version = 3
+        fi
+    };
+#ifdef ACCEPTS_AT_COMMIT
+    confirmed[me] = 7;
+#endif
+    do
+    :: COUNT(confirmed[me]) >= MAJORITY -> break
+    :: else ->
+        atomic {
+#ifdef IN_TURN
+            next = (next + 1) % HOSTS;
+#else
+            if
+            :: next = 0
+            :: next = 1
+            :: next = 2
+            fi;
+#endif
+            if
+            :: held[next] >= version ->
+                confirmed[me] = confirmed[me] | BIT(next);
+                stale[me] = stale[me] & (7 - BIT(next))
+            :: else
+            fi
+#ifndef IN_TURN
+            ;
+            next = 0
+#endif
+        }
+    od;
+    atomic {
+        if
+        :: version > accepted -> accepted = version
+        :: else
+        fi;
+        /* Confirmations count no more; hearings before now neither. */
+        next = 0;
+        do
+        :: next < HOSTS ->
+            if
+            :: !started[next] -> heard[next] = 0
+            :: else
+            fi;
+            next++
+        :: else -> break
+        od;
+        next = 0;
+        stale[me] = 0;
+        confirmed[me] = 0;
+        version = 0;
+        expected = 0;
+        done = false;
+        operators_done++
+    }
+}
+
+active proctype late_commits()
+{
+    bool done;
+end:
+    do
+    :: atomic { late[0] -> late[0] = false; commit(0, late_expected[0], done);
+                late_expected[0] = 0; done = false }
+    :: atomic { late[1] -> late[1] = false; commit(1, late_expected[1], done);
+                late_expected[1] = 0; done = false }
+    od
+}
+
+inline take(me, version)
+{
+#ifdef TAKES_OLD_COPY
+    assert(version >= held[me]);
+    held[me] = version
+#else
+    if
+    :: version > held[me] -> held[me] = version
+    :: else
+    fi
+#endif
+}
+
+proctype host(byte me)
+{
+    byte version;
+    byte peer;
+    bool peer_started;
+    byte asked_at;
+    byte turn = 0;
+end:
+    do
+    :: atomic {
+           IS_TURN(0) ->
+           PASS_TURN
+#ifdef NEVER_READS
+           goto end
+#else
+           version = table_version;
+           REPLY_UNDER_WAY
+           take(me, version);
+           started[me] = true;
+           heard[me] = 0;
+           version = 0
+#endif
+       }
+    :: atomic {
+           IS_TURN(1) ->
+           PASS_TURN
+           if
+           :: peer = (me + 1) % HOSTS
+           :: peer = (me + 2) % HOSTS
+           fi;
+           version = held[peer];
+           peer_started = started[peer];
+           asked_at = operators_done;
+           REPLY_UNDER_WAY
+           take(me, version);
+           if
+           :: peer_started && !started[me] && IS_RECENT(asked_at) ->
+               heard[me] = heard[me] | BIT(peer)
+           :: else
+           fi;
+           version = 0;
+           peer = 0;
+           asked_at = 0;
+           peer_started = false
+       }
+    :: atomic {
+           (!started[me] && COUNT(heard[me]) >= MAJORITY &&
+            MAY_START(me)) ->
+           started[me] = true;
+           heard[me] = 0
+       }
+    :: atomic {
+           restarts > 0 ->
+           restarts--;
+           stale[0] = stale[0] | (confirmed[0] & BIT(me));
+           stale[1] = stale[1] | (confirmed[1] & BIT(me));
+           held[me] = 0;
+           started[me] = false;
+           heard[me] = 0
+       }
+    od
+}
+
+/* The staleness bound passes with one group of hosts cut off from the store
+   and from the others. */
+active proctype bound_passes()
+{
+    byte group;
+    byte newest;
+    byte index;
+end:
+    do
+    :: atomic {
+           accepted > 0 ->
+           if
+           :: group = 1 :: group = 2 :: group = 3 :: group = 4
+           :: group = 5 :: group = 6 :: group = 7
+           fi;
+           /* Only hosts that have started count. */
+           index = 0;
+           do
+           :: index < HOSTS ->
+               if
+               :: (group & BIT(index)) && !started[index] ->
+                   group = group & (7 - BIT(index))
+               :: (group & BIT(index)) && started[index] &&
+                  held[index] > newest -> newest = held[index]
+               :: else
+               fi;
+               index++
+           :: else -> break
+           od;
+           /* Those that stay in rotation have what was accepted. */
+#ifdef MINORITY_STAYS
+           assert(group == 0 || newest >= accepted);
+#else
+           assert(COUNT(group) < MAJORITY || newest >= accepted);
+#endif
+           group = 0;
+           newest = 0;
+           index = 0
+       }
+    od
+}
+
+init
+{
+    byte index = 0;
+    atomic {
+        do
+        :: index < HOSTS -> started[index] = true; run host(index); index++
+        :: else -> break
+        od;
+        run operator(0);
+        if
+        :: OPERATORS > 1 -> run operator(1)
+        :: else
+        fi;
+        index = 0
+    }
+}
+
+/* Both changes are accepted, and the newest is in force on every host. */
+ltl in_force { <> (operators_done == OPERATORS && held[0] == table_version &&
+                   held[1] == table_version && held[2] == table_version) }
--- a/modules/configuration/replica/document_replica.cpp
+++ b/modules/configuration/replica/document_replica.cpp
@@ -128,7 +128,8 @@
     }
     else if (reply.is_started)
     {
-        heard_hosts_[peer] = now;
+        // As of the question: the answer may have been long under way.
+        heard_hosts_[peer] = begun;
         if (reply.confirmation_age)
             confirm(begun - *reply.confirmation_age);
     }
