--- a/extras/benches/configuration_bench.cpp
+++ b/extras/benches/configuration_bench.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <gflags/gflags.h>
 #include <string>
+#include <variant>
 #include <vector>
 
 DEFINE_uint64(runs, 2000, "seeded runs under faults");
@@ -229,6 +230,61 @@
     }
 }
 
+// ========================================================================
+// Cost of a decision
+// ========================================================================
+
+/** A query answered by one replica and its reply taken by another, nothing
+    being new, with a tick of each. */
+void measure_cost(std::size_t hosts, std::size_t documents)
+{
+    std::vector<fleet_host> fleet;
+    for (std::size_t host = 0; host < hosts; ++host)
+        fleet.push_back({"host-" + std::to_string(host), "region"});
+    document_replica asked("host-0", "region", 1, replica_limits());
+    document_replica asking("host-1", "region", 2, replica_limits());
+    asked.fleet_changed(fleet);
+    asking.fleet_changed({fleet[0], fleet[1]});
+    time_point now{std::chrono::hours(1)};
+    asking.tick(now);
+    document_reply all{1,  documents, true, std::chrono::milliseconds(0),
+                       {}, true};
+    for (std::size_t number = 1; number <= documents; ++number)
+    {
+        all.documents.push_back({"service-" + std::to_string(number), number,
+                                 "change", "operator",
+                                 std::string(FLAGS_text_bytes, 't')});
+    }
+    asking.reply_received("host-0", all, now);
+    asked.tick(now);
+
+    constexpr std::uint64_t rounds = 20000;
+    std::uint64_t replies = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::uint64_t round = 0; round < rounds; ++round)
+    {
+        now += replica_limits().query_interval;
+        for (const replica_action& action : asking.tick(now))
+        {
+            const send_query* const sent = std::get_if<send_query>(&action);
+            if (sent == nullptr)
+                continue;
+            const document_reply reply = asking.answer_query(sent->query, now);
+            asking.reply_received(sent->peer, reply, now);
+            ++replies;
+        }
+        asked.tick(now);
+    }
+    const std::chrono::nanoseconds spent =
+        std::chrono::steady_clock::now() - begin;
+    std::printf("  %4zu hosts, %4zu documents: %lld ns a second of a node "
+                "(%llu replies)\n",
+                hosts, documents,
+                static_cast<long long>(
+                    static_cast<std::uint64_t>(spent.count()) / rounds),
+                static_cast<unsigned long long>(replies));
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -237,5 +293,9 @@
     run_under_faults();
     if (FLAGS_changes > 0)
         measure_time_to_force();
+    std::printf("\ncost of the replica's decisions\n");
+    for (const std::size_t hosts : {8U, 50U, 370U})
+        measure_cost(hosts, 10);
+    measure_cost(370, 1000);
     return 0;
 }
