Connect the system's processes: proven WebSocket connections

Cause: membership, configuration and permissions need a way between controllers and routers. Change: the module peers sends CBOR messages over websocketpp. Both ends prove by HMAC-SHA256 that they know the shared key before a message is read; silent connections are found by probes and replaced by new ones; queues are bounded; a bad frame closes its own connection only.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -176,6 +176,34 @@
 
 // 1500-1599 membership and peers
 
+// 1550-1599 connections between processes
+HIBISCUSFERRY_EVENT(1550, info, peer_connected,
+                    "A connection to another process of the system was proven "
+                    "and is in use.",
+                    "")
+HIBISCUSFERRY_EVENT(1551, info, peer_disconnected,
+                    "A proven connection to another process ended.", "")
+HIBISCUSFERRY_EVENT(
+    1552, alarm, peer_not_proven,
+    "A connection did not prove that it knows the shared key; it was closed.",
+    "Compare peer_key in the settings of both hosts; if they agree, find out "
+    "who connects from the address given.")
+HIBISCUSFERRY_EVENT(
+    1553, warning, peer_frame_malformed,
+    "A frame could not be read, or was of another version; its connection was "
+    "closed.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1554, warning, peer_suspect,
+    "A connection to another process did not answer a probe; a new one is "
+    "tried beside it.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1555, warning, peer_messages_dropped,
+    "Messages to another process were dropped: it cannot be reached, or takes "
+    "them too slowly.",
+    "")
+
 // 1600-1699 authority and orders
 
 // 1700-1799 roles
--- /dev/null
+++ b/modules/peers/peers.cpp
@@ -0,0 +1,13 @@
+#include "peers/peers.hpp"
+
+#include "peers/authentication/peer_handshake.cpp"
+#include "peers/errors/peers_error.cpp"
+#include "peers/liveness/peer_liveness.cpp"
+#include "peers/message/cbor_reader.cpp"
+#include "peers/message/peer_envelope.cpp"
+#include "peers/message/peer_message.cpp"
+#include "peers/queue/peer_queue.cpp"
+#include "peers/queue/retry_pause.cpp"
+#include "peers/transport/peer_links.cpp"
+#include "peers/transport/peer_transport.cpp"
+#include "peers/transport/websocket_endpoint.cpp"
