Let the controller set the term of the permission to send

Cause: with a term of 6 s, as long as a controller's lease, all traffic to engines that can change would wait after each loss of a controller, until its successor answers. Change: the announcement's term holds, up to 60 s; the note says what a controller must keep to for each way out. A test for skipped tokens that are fetched by a resume.

--- a/modules/routing/streams/stream_assembler_test.cpp
+++ b/modules/routing/streams/stream_assembler_test.cpp
@@ -207,6 +207,26 @@
     BOOST_TEST(stream.is_complete());
 }
 
+BOOST_AUTO_TEST_CASE(skipped_tokens_are_fetched_by_a_resume)
+{
+    stream_assembler stream;
+    const auto one_token = [](std::uint64_t offset)
+    {
+        return stream_event{{"g", offset}, true, 1};
+    };
+    BOOST_TEST((stream.receive(one_token(1)) == stream_step::deliver));
+    BOOST_TEST((stream.receive(one_token(3)) == stream_step::gap));
+    BOOST_TEST((stream.receive(one_token(2)) == stream_step::gap));
+    BOOST_TEST(!stream.done());
+    BOOST_TEST(stream.interrupted()->offset == 1);
+    stream.resumed();
+    BOOST_TEST((stream.receive(one_token(2)) == stream_step::deliver));
+    BOOST_TEST((stream.receive(one_token(3)) == stream_step::deliver));
+    BOOST_TEST(
+        (stream.receive({{"g", 5}, true, 3}) == stream_step::misaligned));
+    BOOST_TEST(stream.has_failed());
+}
+
 BOOST_AUTO_TEST_CASE(an_unfinished_answer_never_looks_finished)
 {
     stream_assembler cut;
--- a/modules/routing/targets/send_permission.cpp
+++ b/modules/routing/targets/send_permission.cpp
@@ -51,7 +51,7 @@
     }
     const bool is_new = !heard_any_ || last_.version < announcement.version;
     const time_point lapses_at =
-        asked_at + std::min(announcement.term, permission_term);
+        asked_at + std::min(announcement.term, greatest_permission_term);
     lapses_at_ = heard_any_ ? std::max(lapses_at_, lapses_at) : lapses_at;
     last_ = announcement;
     heard_any_ = true;
--- a/modules/routing/targets/send_permission.hpp
+++ b/modules/routing/targets/send_permission.hpp
@@ -26,11 +26,14 @@
 bool operator<(const announcement_version& left,
                const announcement_version& right);
 
-/** How long a router may send to targets after it asked for permission. A
-    controller that plans a change waits this long, from its announcement,
-    for a router that does not confirm. */
+/** How long a router may send to targets after it asked for permission, if
+    the controller says nothing else. A controller that plans a change waits
+    this long, from its announcement, for a router that does not confirm. */
 constexpr std::chrono::milliseconds permission_term{6000};
 
+/** Longer terms are cut to this. */
+constexpr std::chrono::milliseconds greatest_permission_term{60000};
+
 /** How long a peer's word that its permission has lapsed counts, from when
     it was asked. Shorter than the term by more than any delay. */
 constexpr std::chrono::milliseconds peer_word_term{3000};
@@ -52,8 +55,10 @@
     announcement_version version;
     std::vector<std::string> stopped_targets;
     /** For how long it permits new work to all other targets, counted from
-        before it was asked for. One that passes an announcement on takes off
-        the time since it asked for it itself. */
+        before it was asked for. It should outlast the time in which a lost
+        controller is replaced, since all traffic to targets that can change
+        waits once it has lapsed. One that passes an announcement on takes
+        off the time since it asked for it itself. */
     std::chrono::milliseconds term = permission_term;
 };
 
--- a/modules/routing/targets/send_permission_test.cpp
+++ b/modules/routing/targets/send_permission_test.cpp
@@ -38,6 +38,18 @@
         (permission.check("t0", end + moment) == permission_verdict::lapsed));
 }
 
+BOOST_AUTO_TEST_CASE(the_controller_sets_the_term)
+{
+    send_permission permission("router0", "levy-llm");
+    routing_announcement longer = announcement(1, {});
+    longer.term = std::chrono::seconds(30);
+    permission.heard(longer, start);
+    BOOST_TEST((permission.lapses_at() == start + longer.term));
+    longer.term = std::chrono::hours(1);
+    permission.heard(longer, start);
+    BOOST_TEST((permission.lapses_at() == start + greatest_permission_term));
+}
+
 BOOST_AUTO_TEST_CASE(a_confirmed_stop_is_never_forgotten_by_an_older_message)
 {
     send_permission permission("router0", "levy-llm");
