Ask new targets for their load at once

Cause: with three questions a second over all targets, a router that has just started would not know the roles of 123 targets for 41 s and would send whole requests to engines that only prefill. Change: targets never asked before are asked besides the budget, 32 in one call; the budget holds from then on.

--- a/modules/routing/targets/target_table.cpp
+++ b/modules/routing/targets/target_table.cpp
@@ -6,6 +6,13 @@
 namespace hibiscusferry
 {
 
+namespace
+{
+
+constexpr std::size_t new_targets_at_once = 32;
+
+} // namespace
+
 target_table::target_table(std::string router_id,
                            const target_table_settings& settings)
     : router_id_(std::move(router_id))
@@ -127,18 +134,34 @@
               { return left->next_report < right->next_report; });
 
     std::vector<std::string> ids;
+    for (target_entry*& entry : due)
+    {
+        if (entry->asked || ids.size() >= new_targets_at_once)
+            continue;
+        ask(*entry, now, ids);
+        entry = nullptr;
+    }
     for (target_entry* const entry : due)
     {
+        if (entry == nullptr)
+            continue;
         if (askable_ < 1)
             break;
         askable_ -= 1;
-        entry->next_report = now + settings_.report_interval;
-        entry->probe_at = now + settings_.greatest_probe_pause;
-        ids.push_back(entry->address.id);
+        ask(*entry, now, ids);
     }
     return ids;
 }
 
+void target_table::ask(target_entry& entry, time_point now,
+                       std::vector<std::string>& ids)
+{
+    entry.asked = true;
+    entry.next_report = now + settings_.report_interval;
+    entry.probe_at = now + settings_.greatest_probe_pause;
+    ids.push_back(entry.address.id);
+}
+
 void target_table::allow_asking(time_point now)
 {
     const std::chrono::duration<double> elapsed = now - asked_at_;
--- a/modules/routing/targets/target_table.hpp
+++ b/modules/routing/targets/target_table.hpp
@@ -29,6 +29,8 @@
     std::optional<time_point> measured_at;
     target_load reported_load;
     time_point next_report;
+    /** Whether its load was ever asked for. */
+    bool asked = false;
     /** In the list no more; kept until its last attempt has ended. */
     bool delisted = false;
     /** Until when a refusal keeps new work away. */
@@ -95,7 +97,8 @@
 
     /** The targets whose load is to be asked for now: out targets whose
         probe is due, and those with the oldest reports, as many as may be
-        asked for a second. Call a few times a second. */
+        asked for a second. A new target, whose role is not known yet, is
+        asked besides, some at once. Call a few times a second. */
     std::vector<std::string> due_for_report(time_point now);
 
     /** Asks for a target's load at the next opportunity: a change of it was
@@ -154,6 +157,8 @@
     void index_targets();
     static void update_load(target_entry& entry);
     void allow_asking(time_point now);
+    void ask(target_entry& entry, time_point now,
+             std::vector<std::string>& ids);
 
     std::string router_id_;
     target_table_settings settings_;
--- a/modules/routing/targets/targets_test.cpp
+++ b/modules/routing/targets/targets_test.cpp
@@ -178,6 +178,11 @@
 {
     target_table table = table_of(60);
     time_point now = start;
+    // New ones are asked at once, since their role is not known.
+    std::size_t fresh = table.due_for_report(now).size();
+    fresh += table.due_for_report(now).size();
+    BOOST_TEST(fresh == 60);
+
     std::map<std::string, int> asked;
     std::size_t total = 0;
     for (int step = 0; step < 400; ++step)
