Do not undo the replacement of a lost mixed engine

When the mixed engine was lost, the policy made another one mixed, as the document asks, and the experts, who had begun with none, asked for it back, for ever.

--- a/modules/roles/policy/role_policy.cpp
+++ b/modules/roles/policy/role_policy.cpp
@@ -381,7 +381,7 @@
 
     const engine_demand demand = to_engines(estimate.fast, settings_.capacity);
     pool.forecast.observe(demand, now);
-    pool.experts.prepare(settings_for_experts(), split);
+    pool.experts.prepare(settings_for_experts(), with_least_mixed(split));
     const double scale = loss_scale(pool, demand, split, estimate, elapsed);
     pool.experts.advance(
         demand, elapsed, scale,
@@ -402,19 +402,27 @@
     }
 }
 
+role_split role_policy::with_least_mixed(const role_split& split) const
+{
+    role_split mended = split;
+    while (mended.mixed < static_cast<int>(settings_.rules.least_mixed) &&
+           mended.mixed < mended.engines())
+    {
+        --mended.of(mended.prefill > mended.decode ? engine_role::prefill
+                                                   : engine_role::decode);
+        ++mended.mixed;
+    }
+    return mended;
+}
+
 role_split role_policy::target_of(model_pool& pool, const role_split& present,
                                   change_reason& reason) const
 {
-    const int lacking =
-        static_cast<int>(settings_.rules.least_mixed) - present.mixed;
-    if (lacking > 0 && present.engines() > present.mixed)
+    const role_split mended = with_least_mixed(present);
+    if (mended != present)
     {
         reason = change_reason::least_mixed;
-        role_split target = present;
-        --target.of(present.prefill > present.decode ? engine_role::prefill
-                                                     : engine_role::decode);
-        ++target.mixed;
-        return target;
+        return mended;
     }
 
     const role_split target = pool.experts.target(present);
--- a/modules/roles/policy/role_policy.hpp
+++ b/modules/roles/policy/role_policy.hpp
@@ -158,6 +158,8 @@
     void expire(time_point now);
     void decide_for(const std::string& model, model_pool& pool, time_point now,
                     std::vector<role_change>& changes);
+    /** The nearest split with as many mixed engines as the document asks. */
+    role_split with_least_mixed(const role_split& split) const;
     role_split target_of(model_pool& pool, const role_split& present,
                          change_reason& reason) const;
     bool ask_for(const std::string& model, engine_role from, engine_role to,
--- a/modules/roles/policy/role_policy_test.cpp
+++ b/modules/roles/policy/role_policy_test.cpp
@@ -65,6 +65,13 @@
         engines_.pop_front();
     }
 
+    /** The last one made is a mixed one. */
+    void lose_last_engine()
+    {
+        policy_.on_engine_lost(engines_.back().name, now());
+        engines_.pop_back();
+    }
+
     role_split split() const
     {
         role_split counted;
@@ -433,6 +440,18 @@
     BOOST_TEST(pool.changes > 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_lost_mixed_engine_is_replaced_once)
+{
+    simulated_pool pool({});
+    for (int second = 0; second < 60; ++second)
+        pool.step({3.0, 4.0});
+    pool.lose_last_engine();
+    for (int second = 0; second < 1800; ++second)
+        pool.step({3.0, 4.0});
+    BOOST_TEST(pool.split().mixed == 1);
+    BOOST_TEST(pool.changes == 1);
+}
+
 BOOST_AUTO_TEST_CASE(expectations_prevent_overshoot_under_lag)
 {
     int changes[2] = {0, 0};
