Model the drain; bench membership

Cause: a planned change cuts nothing has to hold over all interleavings. Change: models/drain.pml with broken variants; membership_bench.

--- /dev/null
+++ b/extras/benches/membership_bench.cpp
@@ -0,0 +1,161 @@
+// Measures membership on fake hosts in virtual time: bytes, messages,
+// processor time and memory of a node; detection of a crash; false
+// exclusions under loss and pauses; two regions apart for an hour.
+
+#include "membership/view/membership_world_test.hpp"
+
+#include <cstdio>
+#include <ctime>
+#include <gflags/gflags.h>
+#include <malloc.h>
+
+DEFINE_uint64(seeds, 5, "seeds to run from 1 on");
+DEFINE_int32(apart_minutes, 60, "how long the regions are apart");
+
+using namespace hibiscusferry;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace
+{
+
+double processor_seconds()
+{
+    timespec spent{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
+    return static_cast<double>(spent.tv_sec) +
+           static_cast<double>(spent.tv_nsec) * 1e-9;
+}
+
+std::size_t heap_bytes()
+{
+    return mallinfo2().uordblks;
+}
+
+/** Runs in steps until all hosts up have excluded `host`, or the limit. */
+double seconds_until_excluded(membership_world& world, const std::string& host,
+                              std::size_t others)
+{
+    const time_point begin = world.now;
+    while (world.count(host, member_state::excluded) < others &&
+           world.now < begin + minutes(5))
+        world.run(milliseconds(100));
+    return std::chrono::duration<double>(world.now - begin).count();
+}
+
+void measure_cost(std::size_t hosts)
+{
+    const std::size_t heap_before = heap_bytes();
+    membership_world world(hosts, {}, 1);
+    for (std::size_t host = 0; host < hosts; ++host)
+    {
+        world.view(host).set_digest(1, std::string(16, 'c'));
+        world.view(host).set_digest(2, std::string(40, 'u'));
+    }
+    world.run(seconds(30));
+    const std::size_t heap = heap_bytes() - heap_before;
+
+    constexpr double measured = 120;
+    world.faults.loss = 0.01;
+    const std::uint64_t messages = world.messages;
+    const std::uint64_t bytes = world.bytes;
+    const double spent = processor_seconds();
+    world.run(seconds(120));
+    const double nodes = static_cast<double>(hosts) * measured;
+    std::printf("cost hosts=%zu messages/s=%.2f bytes/s=%.0f "
+                "core_percent=%.4f heap_KB=%.1f largest_message=%lu\n",
+                hosts, static_cast<double>(world.messages - messages) / nodes,
+                static_cast<double>(world.bytes - bytes) / nodes,
+                (processor_seconds() - spent) / nodes * 100,
+                static_cast<double>(heap) / static_cast<double>(hosts) / 1024,
+                static_cast<unsigned long>(world.largest_message));
+}
+
+void measure_detection(std::size_t hosts)
+{
+    double total = 0;
+    double longest = 0;
+    for (std::uint64_t seed = 1; seed <= FLAGS_seeds; ++seed)
+    {
+        membership_world world(hosts, {}, seed);
+        world.run(seconds(20));
+        world.crash(1);
+        const double taken = seconds_until_excluded(world, "host-1", hosts - 1);
+        total += taken;
+        longest = std::max(longest, taken);
+    }
+    std::printf("detection hosts=%zu seeds=%lu mean_s=%.1f longest_s=%.1f\n",
+                hosts, static_cast<unsigned long>(FLAGS_seeds),
+                total / static_cast<double>(FLAGS_seeds), longest);
+}
+
+void measure_loss(std::size_t hosts, double loss)
+{
+    std::uint64_t exclusions = 0;
+    std::uint64_t suspicions = 0;
+    std::size_t left = 0;
+    for (std::uint64_t seed = 1; seed <= FLAGS_seeds; ++seed)
+    {
+        membership_world world(hosts, {}, seed);
+        world.faults.loss = loss;
+        // One pause of three seconds in each ten.
+        for (std::size_t step = 0; step < 30; ++step)
+        {
+            world.pause(step % hosts, seconds(3));
+            world.run(seconds(10));
+        }
+        exclusions += world.exclusions_of_live;
+        suspicions += world.suspicions_of_live;
+        left += world.false_exclusions();
+    }
+    std::printf("loss hosts=%zu loss=%.2f pauses=30x3s seeds=%lu "
+                "suspicions=%lu exclusions=%lu still_excluded=%zu\n",
+                hosts, loss, static_cast<unsigned long>(FLAGS_seeds),
+                static_cast<unsigned long>(suspicions),
+                static_cast<unsigned long>(exclusions), left);
+}
+
+void measure_split(std::size_t hosts)
+{
+    membership_world world(hosts, {}, 1);
+    world.run(seconds(20));
+    world.faults.regions_apart = true;
+    world.run(minutes(FLAGS_apart_minutes) - minutes(1));
+    const std::uint64_t bytes = world.bytes;
+    world.run(minutes(1));
+    const double rate = static_cast<double>(world.bytes - bytes) /
+                        static_cast<double>(hosts) / 60;
+    const std::size_t live = world.view(0).live_hosts().size();
+    world.faults.regions_apart = false;
+    const time_point joined = world.now;
+    const std::uint64_t joined_bytes = world.bytes;
+    while (world.false_exclusions() > 0 && world.now < joined + minutes(10))
+        world.run(seconds(1));
+    const double taken =
+        std::chrono::duration<double>(world.now - joined).count();
+    std::printf("split hosts=%zu apart_min=%d live_seen=%zu "
+                "bytes/s_apart=%.0f rejoin_s=%.0f bytes/s_rejoin=%.0f\n",
+                hosts, FLAGS_apart_minutes, live, rate, taken,
+                static_cast<double>(world.bytes - joined_bytes) /
+                    static_cast<double>(hosts) / std::max(taken, 1.0));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    for (const std::size_t hosts : {8U, 50U, 370U})
+        measure_cost(hosts);
+    for (const std::size_t hosts : {8U, 50U, 370U})
+        measure_detection(hosts);
+    for (const double loss : {0.01, 0.05})
+    {
+        measure_loss(8, loss);
+        measure_loss(50, loss);
+    }
+    for (const std::size_t hosts : {8U, 50U, 370U})
+        measure_split(hosts);
+    return 0;
+}
--- /dev/null
+++ b/models/drain.pml
@@ -0,0 +1,215 @@
+// A planned change of role cuts no request.
+//
+// One router, two successive holders and one target. As modules/authority
+// does it: drain_coordinator, with routers as its comment says.
+//
+// Assumed:
+// - Time is divided into steps; a permission lasts TERM of them, counted by
+//   the router from before it sent its request, and by the holder from when
+//   it granted. Both count at the same rate; the real margin stands for the
+//   difference, and for the time of requests on their way.
+// - A grant is on its way for any time. A stop announcement and its
+//   confirmation may be lost any number of times. A router that is cut off
+//   gets no announcement; the grants under way reach it late.
+// - The first holder may be replaced at any step, may go on granting for any
+//   time, with its targets as they are, and gives no order any more. It is
+//   called stopped only when it grants no more.
+// - The target's report of being idle is made when it is asked for.
+// - Routers share nothing but the target, and a holder waits for each of them
+//   by itself, so that one router stands for all.
+// - Bounds: grants until step LAST, one on its way, two requests at once.
+//
+// Safety: when the order reaches the target, no request is at it and no
+// router may send. Progress, under weak fairness, once time is up for all
+// permissions and the first holder grants no more: the order goes.
+//
+// verify: safety
+// verify: liveness settled
+// reject: safety -DTERM_FROM_ANSWER
+// reject: safety -DNO_WAIT_FOR_LAPSE
+// reject: safety -DNO_WAIT_FOR_FORMER
+// reject: safety -DGRANT_WITHOUT_STOP
+// reject: safety -DIDLE_SEEN_BEFORE
+// reject: liveness settled -DONLY_CONFIRMED
+
+#define TERM 2
+#define LAST 6
+#define ROUTERS 1
+
+byte now;
+
+// The routers: how long they may send, whether they know of the stop, and by
+// which holder; their requests at the target.
+byte permitted_until[ROUTERS];
+bit stopped[ROUTERS];
+byte newest[ROUTERS];
+byte at_target;
+
+// One grant on its way to each router: by whom, when it was asked for, and
+// whether it names the target as stopped.
+byte grant_from[ROUTERS], grant_asked[ROUTERS];
+bit grant_stops[ROUTERS];
+
+// The holders 1 and 2.
+byte holder = 1;
+bit granting[3], draining[3], former_stopped, ordered, idle_seen;
+byte former_until;
+bit change_over;
+// By holder and router: the end of the last permission before the stop.
+byte granted[3];
+bit confirmed[3];
+
+#define AT(h, r) ((h) * ROUTERS + (r))
+
+// A router asks, and a holder grants; the answer is then on its way.
+inline ask(r, h)
+{
+    atomic { granting[h] && now < LAST && grant_from[r] == 0 ->
+        grant_from[r] = h;
+        grant_asked[r] = now;
+#ifdef GRANT_WITHOUT_STOP
+        grant_stops[r] = 0;
+#else
+        grant_stops[r] = draining[h];
+#endif
+        if
+        :: !draining[h] -> granted[AT(h, r)] = now + TERM
+        :: else
+        fi }
+}
+
+inline receive(r)
+{
+    atomic { grant_from[r] != 0 ->
+        if
+        :: grant_from[r] >= newest[r] ->
+            if
+            :: grant_from[r] > newest[r] || grant_stops[r] ->
+                stopped[r] = grant_stops[r]
+            :: else
+            fi;
+            newest[r] = grant_from[r];
+#ifdef TERM_FROM_ANSWER
+            permitted_until[r] = now + TERM
+#else
+            if
+            :: grant_asked[r] + TERM > permitted_until[r] ->
+                permitted_until[r] = grant_asked[r] + TERM
+            :: else
+            fi
+#endif
+        :: else
+        fi;
+        grant_from[r] = 0;
+        grant_asked[r] = 0;
+        grant_stops[r] = 0 }
+}
+
+// The announcement arrives and its confirmation too, or only the former.
+inline announce(r, h)
+{
+    atomic { draining[h] && !confirmed[AT(h, r)] && newest[r] <= h ->
+        newest[r] = h;
+        stopped[r] = 1;
+        if
+        :: confirmed[AT(h, r)] = 1
+        :: true
+        fi }
+}
+
+#define MAY_SEND(r) (!stopped[r] && now < permitted_until[r])
+
+proctype router(byte r)
+{
+end:
+    do
+    :: ask(r, 1)
+    :: ask(r, 2)
+    :: receive(r)
+    :: announce(r, 1)
+    :: announce(r, 2)
+    :: atomic { !ordered && MAY_SEND(r) && at_target < 2 -> at_target++ }
+    od
+}
+
+active proctype target()
+{
+end:
+    do
+    :: atomic { at_target > 0 -> at_target-- }
+    od
+}
+
+active proctype time()
+{
+end:
+    do
+    :: atomic { now < LAST -> now++ }
+    :: atomic { now >= LAST && now < LAST + TERM && change_over -> now++ }
+    od
+}
+
+#ifdef NO_WAIT_FOR_LAPSE
+#define LAPSED(h, r) true
+#elif defined(ONLY_CONFIRMED)
+#define LAPSED(h, r) false
+#else
+#define LAPSED(h, r) (now >= granted[AT(h, r)])
+#endif
+
+#define CLOSED_BY(h, r) (confirmed[AT(h, r)] || LAPSED(h, r))
+
+#ifdef NO_WAIT_FOR_FORMER
+#define FORMER_OVER true
+#else
+#define FORMER_OVER (holder == 1 || (former_stopped && now >= former_until))
+#endif
+
+inline order(h)
+{
+    ordered = 1;
+    assert(at_target == 0);
+    assert(!MAY_SEND(0))
+}
+
+proctype controller(byte h)
+{
+end:
+    do
+    :: atomic { holder == h && !draining[h] && !ordered -> draining[h] = 1 }
+#ifdef IDLE_SEEN_BEFORE
+    :: atomic { at_target == 0 -> idle_seen = 1 }
+    :: atomic { holder == h && draining[h] && !ordered && FORMER_OVER &&
+        CLOSED_BY(h, 0) && idle_seen -> order(h) }
+#else
+    :: atomic { holder == h && draining[h] && !ordered && FORMER_OVER &&
+        CLOSED_BY(h, 0) && at_target == 0 -> order(h) }
+#endif
+    od
+}
+
+// The second holder takes over at some time, and the first grants on.
+active proctype change_of_holder()
+{
+    // The processes have started.
+    granting[1];
+    if
+    :: atomic { holder == 1 && now < 3 -> holder = 2; granting[2] = 1 }
+    :: now >= 3 -> goto over
+    fi;
+    atomic { granting[1] = 0; former_stopped = 1; former_until = now + TERM };
+over:
+    change_over = 1
+}
+
+init
+{
+    atomic {
+        granting[1] = 1;
+        run router(0);
+        run controller(1);
+        run controller(2)
+    }
+}
+
+ltl settled { <> (ordered == 1) }
--- a/modules/membership/view/membership_view_test.cpp
+++ b/modules/membership/view/membership_view_test.cpp
@@ -82,7 +82,7 @@
     world.crash(1);
     const listed_host replacement =
         membership_world::listing("host-1-new", "r2");
-    world.reading_.hosts.at(1) = replacement;
+    world.reading.hosts.at(1) = replacement;
     world.start(replacement);
     world.publish_list();
     world.run(seconds(10));
@@ -104,7 +104,7 @@
     BOOST_TEST(world.view(5).live_hosts().size() == 7U);
 }
 
-BOOST_AUTO_TEST_CASE(an_older_reading_of_the_list_is_ignored)
+BOOST_AUTO_TEST_CASE(an_older_readingof_the_list_is_ignored)
 {
     membership_view view("a", {}, 1, time_point());
     host_list_reading reading;
--- a/modules/membership/view/membership_world_test.hpp
+++ b/modules/membership/view/membership_world_test.hpp
@@ -31,11 +31,11 @@
         : settings_(settings)
         , random_(seed)
     {
-        reading_.revision = 1;
+        reading.revision = 1;
         for (std::size_t index = 0; index < hosts; ++index)
-            reading_.hosts.push_back(listing("host-" + std::to_string(index),
-                                             index % 2 == 0 ? "r1" : "r2"));
-        for (const listed_host& host : reading_.hosts)
+            reading.hosts.push_back(listing("host-" + std::to_string(index),
+                                            index % 2 == 0 ? "r1" : "r2"));
+        for (const listed_host& host : reading.hosts)
             start(host);
     }
 
@@ -56,16 +56,16 @@
         started.next_tick = now + std::chrono::milliseconds(random_() % 100);
         started.view = std::make_unique<membership_view>(host.id, settings_,
                                                          random_(), now);
-        started.view->list_read(reading_, now);
+        started.view->list_read(reading, now);
         index_[host.id] = nodes_.size() - 1;
     }
 
     /** A new reading of the list reaches every host. */
     void publish_list()
     {
-        ++reading_.revision;
+        ++reading.revision;
         for (node& each : nodes_)
-            each.view->list_read(reading_, now);
+            each.view->list_read(reading, now);
     }
 
     void run(std::chrono::milliseconds duration)
@@ -129,7 +129,7 @@
 
     membership_faults faults;
     time_point now;
-    host_list_reading reading_;
+    host_list_reading reading;
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;
     std::uint64_t largest_message = 0;
