Let the suspicion limit grow with the fleet's logarithm

Cause: at 50 hosts with pauses of three seconds some refutations came after the limit of six seconds. Change: the limit grows with the number of binary digits of the fleet's size.

--- a/modules/membership/view/membership_view.cpp
+++ b/modules/membership/view/membership_view.cpp
@@ -13,6 +13,9 @@
 /** Bounds the relayed probes that one host carries at once. */
 constexpr std::size_t most_relayed_probes = 32;
 
+/** Binary digits of a fleet of eight hosts. */
+constexpr std::size_t small_fleet_digits = 4;
+
 bool is_up(member_state state)
 {
     return state == member_state::alive || state == member_state::suspect;
@@ -399,8 +402,8 @@
         const auto found = hosts_.find(suspects_[index]);
         const bool suspected = found != hosts_.end() &&
                                found->second.state == member_state::suspect;
-        const bool over = suspected && now >= found->second.suspect_since +
-                                                  settings_.suspicion_limit;
+        const bool over =
+            suspected && now >= found->second.suspect_since + suspicion_limit();
         if (suspected && !over)
         {
             ++index;
@@ -502,10 +505,21 @@
 
 std::size_t membership_view::repeat_limit() const
 {
-    std::size_t logarithm = 1;
+    return settings_.rumour_repeats * binary_digits();
+}
+
+std::chrono::milliseconds membership_view::suspicion_limit() const
+{
+    const std::size_t digits = std::max(binary_digits(), small_fleet_digits);
+    return settings_.suspicion_limit * digits / small_fleet_digits;
+}
+
+std::size_t membership_view::binary_digits() const
+{
+    std::size_t digits = 1;
     for (std::size_t hosts = hosts_.size(); hosts > 1; hosts /= 2)
-        ++logarithm;
-    return settings_.rumour_repeats * logarithm;
+        ++digits;
+    return digits;
 }
 
 } // namespace hibiscusferry
--- a/modules/membership/view/membership_view.hpp
+++ b/modules/membership/view/membership_view.hpp
@@ -24,7 +24,8 @@
     std::chrono::milliseconds direct_limit{300};
     /** Hosts asked to probe a host that did not answer. */
     std::size_t indirect_probes = 2;
-    /** Time that a suspect has to refute. */
+    /** Time that a suspect has to refute, in a fleet of up to 15 hosts; grows
+        with the logarithm of their number. */
     std::chrono::milliseconds suspicion_limit{6000};
     /** Time between probes of a host that is listed but excluded, so that
         regions that were apart find each other again. */
@@ -203,6 +204,8 @@
                       membership_actions& actions);
     std::optional<std::string> next_in_round();
     std::size_t repeat_limit() const;
+    std::chrono::milliseconds suspicion_limit() const;
+    std::size_t binary_digits() const;
 
     std::string self_;
     membership_settings settings_;
