Join the processes: peers, membership, authority, roles, and the demo

Cause: router and controller did not speak with each other; model services stayed without permission to send, and nobody held authority.

--- a/modules/controller/controller.hpp
+++ b/modules/controller/controller.hpp
@@ -9,7 +9,12 @@
 
 #include "runtime/runtime.hpp"
 
+#include "controller/authority/authority_directory.hpp"
+#include "controller/authority/router_link.hpp"
+#include "controller/authority/service_authority.hpp"
+#include "controller/authority/target_orders.hpp"
 #include "controller/editing/editor_service.hpp"
+#include "controller/membership/membership_service.hpp"
 #include "controller/operators/operator_page.hpp"
 
 #endif
--- a/modules/controller/editing/editor_service.cpp
+++ b/modules/controller/editing/editor_service.cpp
@@ -16,17 +16,6 @@
 {
 }
 
-void editor_service::ask_hosts_by(host_asker asker)
-{
-    asker_ = std::move(asker);
-}
-
-void editor_service::host_holds(const std::string& host,
-                                document_version revision)
-{
-    carry_out(editor_.host_holds(host, revision, core_.now()));
-}
-
 answer_change editor_service::change(const document_change& wanted,
                                      boost::asio::yield_context yield)
 {
@@ -51,8 +40,14 @@
         core_.services().find<platform_adapters>(platform_adapters::name);
     const result<host_list_service*> hosts =
         core_.services().find<host_list_service>(host_list_service::name);
-    if (!platform || !hosts)
+    const result<document_exchange*> exchange =
+        core_.services().find<document_exchange>(document_exchange::name);
+    if (!platform || !hosts || !exchange)
         return make_error_code(kernel_error::not_found);
+    exchange_ = exchange.value();
+    exchange_->on_revision(
+        [this](const std::string& host, document_version revision)
+        { carry_out(editor_.host_holds(host, revision, core_.now())); });
 
     table_ = &platform.value()->table();
     host_list_service* const list = hosts.value();
@@ -124,8 +119,7 @@
 
 void editor_service::carry_out(const ask_host_version& wanted)
 {
-    if (asker_)
-        asker_(wanted.host);
+    exchange_->ask_revision(wanted.host);
 }
 
 void editor_service::carry_out(const document_notice& wanted)
--- a/modules/controller/editing/editor_service.hpp
+++ b/modules/controller/editing/editor_service.hpp
@@ -4,7 +4,6 @@
 #include "configuration/configuration.hpp"
 #include "runtime/runtime.hpp"
 #include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,18 +17,8 @@
 public:
     static constexpr const char* name = "editor";
 
-    /** Asks a host which revision of the documents it holds; the answer
-        comes back through host_holds(). */
-    using host_asker = std::function<void(const std::string&)>;
-
     explicit editor_service(process_core& core);
 
-    /** Sets how hosts are asked; without it no change is confirmed. */
-    void ask_hosts_by(host_asker asker);
-
-    /** A host holds all documents up to a revision. */
-    void host_holds(const std::string& host, document_version revision);
-
     /** Makes a change and waits for what became of it. */
     answer_change change(const document_change& wanted,
                          boost::asio::yield_context yield);
@@ -54,7 +43,7 @@
     process_core& core_;
     table_store* table_ = nullptr;
     document_editor editor_;
-    host_asker asker_;
+    document_exchange* exchange_ = nullptr;
     std::map<std::string, waiting_change> changes_;
 };
 
--- /dev/null
+++ b/modules/controller/membership/membership_service.hpp
@@ -0,0 +1,38 @@
+#ifndef HIBISCUSFERRY_CONTROLLER_MEMBERSHIP_MEMBERSHIP_SERVICE_HPP
+#define HIBISCUSFERRY_CONTROLLER_MEMBERSHIP_MEMBERSHIP_SERVICE_HPP
+
+#include "membership/membership.hpp"
+#include "runtime/runtime.hpp"
+#include <string>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** Which entry hosts are up: carries out what the membership_view decides. */
+class membership_service final : public kernel_service
+{
+public:
+    static constexpr const char* name = "membership";
+
+    explicit membership_service(process_core& core);
+
+    const membership_view& view() const;
+
+    result<void> start() override;
+    void drain(std::function<void()> finished) override;
+    void stop() override;
+
+private:
+    void carry_out(const membership_actions& wanted);
+    std::string status() const;
+
+    process_core& core_;
+    peer_service* peers_ = nullptr;
+    document_service* documents_ = nullptr;
+    membership_view view_;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -25,7 +25,7 @@
     "A task of the process ended by an unexpected error; the process goes on.",
     "Report it with the fields of the event.")
 
-HIBISCUSFERRY_EVENT(1005, alarm, document_unreadable,
+HIBISCUSFERRY_EVENT(1005, alarm, document_not_understood,
                     "A document in force could not be read by this process; "
                     "the version before it stays in use here.",
                     "Upgrade the process: the document was written for a newer "
--- /dev/null
+++ b/modules/router/control/control_service.cpp
@@ -0,0 +1,203 @@
+#include "router/control/control_service.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds control_tick{50};
+constexpr std::chrono::milliseconds renewal_interval{1500};
+constexpr std::chrono::milliseconds request_limit{1000};
+constexpr std::chrono::milliseconds report_interval{2000};
+
+} // namespace
+
+control_service::control_service(process_core& core)
+    : core_(core)
+{
+}
+
+result<void> control_service::start()
+{
+    const result<peer_service*> peers =
+        core_.services().find<peer_service>(peer_service::name);
+    const result<service_directory*> directory =
+        core_.services().find<service_directory>(service_directory::name);
+    if (!peers || !directory)
+        return make_error_code(kernel_error::not_found);
+    peers_ = peers.value();
+    directory_ = directory.value();
+
+    peers_->on(message_type::routing_announcement,
+               [this](const std::string&, const std::string& payload)
+               {
+                   const result<permission_reply> reply =
+                       read_permission_reply(payload);
+                   if (reply)
+                       take_announcement(reply.value());
+               });
+    peers_->on(message_type::holder_elsewhere,
+               [this](const std::string&, const std::string& payload)
+               {
+                   const result<holder_elsewhere> answer =
+                       read_holder_elsewhere(payload);
+                   if (answer)
+                       take_elsewhere(answer.value());
+               });
+    peers_->on(message_type::stop_announcement,
+               [this](const std::string&, const std::string& payload)
+               {
+                   const result<service_stop> message =
+                       read_service_stop(payload);
+                   if (message)
+                       take_stop(message.value());
+               });
+    core_.repeat(control_tick, [this] { tick(); });
+    return outcome::success();
+}
+
+void control_service::stop()
+{
+}
+
+void control_service::tick()
+{
+    forget_unanswered();
+    for (const std::shared_ptr<served_service>& service : directory_->all())
+    {
+        if (service->document().kind != service_kind::model)
+            continue;
+        service_state& state = services_[service->name()];
+        renew(service, state);
+        confirm_emptied(service, state);
+        if (core_.now() >= state.next_report)
+            report(service, state);
+    }
+}
+
+void control_service::renew(const std::shared_ptr<served_service>& service,
+                            service_state& state)
+{
+    if (core_.now() < state.next_request)
+        return;
+    state.next_request = core_.now() + renewal_interval;
+    ask(service->name(), state);
+}
+
+void control_service::ask(const std::string& service, service_state&)
+{
+    const std::uint64_t id = ++last_request_;
+    requests_[id] = {service, core_.now()};
+    send_to_holder(service, message_type::permission_request,
+                   to_cbor(permission_request{id, service}));
+}
+
+void control_service::report(const std::shared_ptr<served_service>& service,
+                             service_state& state)
+{
+    state.next_report = core_.now() + report_interval;
+    send_to_holder(
+        service->name(), message_type::router_load,
+        to_cbor(service_load{service->name(), service->load_report()}));
+}
+
+void control_service::take_announcement(const permission_reply& reply)
+{
+    const auto open = requests_.find(reply.request_id);
+    const std::shared_ptr<served_service> service =
+        directory_->find(reply.announcement.service);
+    if (open == requests_.end() || !service)
+        return;
+    const time_point asked_at = open->second.asked_at;
+    requests_.erase(open);
+    services_[service->name()].unanswered = 0;
+    const bool is_new =
+        service->permission().heard(reply.announcement, asked_at);
+    if (is_new)
+    {
+        for (const std::string& target : reply.announcement.stopped_targets)
+            confirm(service, target);
+    }
+    service->gate().room_changed();
+}
+
+void control_service::take_elsewhere(const holder_elsewhere& answer)
+{
+    const auto open = requests_.find(answer.request_id);
+    if (open == requests_.end())
+        return;
+    requests_.erase(open);
+    service_state& state = services_[answer.service];
+    state.unanswered = 0;
+    const bool is_news = state.holder != answer.host;
+    state.holder = answer.host;
+    if (is_news && !answer.host.empty())
+        ask(answer.service, state);
+}
+
+void control_service::take_stop(const service_stop& message)
+{
+    const std::shared_ptr<served_service> service =
+        directory_->find(message.service);
+    if (service && service->permission().heard(message.stop))
+        confirm(service, message.stop.target);
+}
+
+void control_service::confirm(const std::shared_ptr<served_service>& service,
+                              const std::string& target)
+{
+    const std::size_t in_flight = service->targets().in_flight(target);
+    services_[service->name()].confirmed_in_flight[target] = in_flight;
+    core_.journal().record(event_number::target_stopped,
+                           {{"service", service->name()},
+                            {"target", target},
+                            {"in_flight", std::to_string(in_flight)}});
+    send_to_holder(service->name(), message_type::stop_confirmation,
+                   to_cbor(service->permission().confirm(target, in_flight)));
+}
+
+void control_service::confirm_emptied(
+    const std::shared_ptr<served_service>& service, service_state& state)
+{
+    std::vector<std::string> emptied;
+    for (const auto& [target, in_flight] : state.confirmed_in_flight)
+    {
+        if (in_flight > 0 && service->targets().in_flight(target) == 0)
+            emptied.push_back(target);
+    }
+    for (const std::string& target : emptied)
+        confirm(service, target);
+}
+
+void control_service::send_to_holder(const std::string& service,
+                                     const char* type,
+                                     const std::string& payload)
+{
+    const std::string& holder = services_[service].holder;
+    if (holder.empty())
+        peers_->send_to_any_controller(type, payload);
+    else
+        peers_->send_to_host(holder, type, payload);
+}
+
+void control_service::forget_unanswered()
+{
+    for (auto next = requests_.begin(); next != requests_.end();)
+    {
+        if (core_.now() - next->second.asked_at < request_limit)
+        {
+            ++next;
+            continue;
+        }
+        // The holder may be gone: any controller is asked next.
+        service_state& state = services_[next->second.service];
+        if (state.holder.empty())
+            peers_->try_next_controller();
+        state.holder.clear();
+        ++state.unanswered;
+        next = requests_.erase(next);
+    }
+}
+
+} // namespace hibiscusferry
--- a/modules/router/request/request_handler.cpp
+++ b/modules/router/request/request_handler.cpp
@@ -79,6 +79,8 @@
     if (model_)
         size_.max_tokens = model_->max_tokens;
     estimate_ = service_->estimator().estimate(request_.customer, size_);
+    service_->request_offered(
+        static_cast<std::uint64_t>(estimate_.prefill_tokens));
 }
 
 void request_handler::run(boost::asio::yield_context yield)
@@ -111,6 +113,7 @@
     case admission_result::kind::admitted:
         return true;
     case admission_result::kind::refused:
+        service_->request_refused();
         refuse(error_of(admitted.refusal), yield);
         return false;
     case admission_result::kind::caller_gone:
@@ -192,10 +195,10 @@
     wanted.prefix = model_ ? prefix_key(model_->prompt) : 0;
     wanted.prefill_tokens = estimate_.prefill_tokens;
     wanted.decode_tokens = estimate_.decode_tokens;
-    wanted.urgent = request_.priority.urgent;
     wanted.excluded = tools_.ledger.tried_targets(request_.id);
     wanted.hand_over_allowed = false;
-    return service_->picker().choose(service_->targets(), nullptr, wanted,
+    return service_->picker().choose(service_->targets(),
+                                     service_->asked_permission(), wanted,
                                      tools_.core.now());
 }
 
@@ -309,6 +312,8 @@
 {
     const request_cost actual = usage.value_or(estimate_);
     actual_cost_ = actual.weighted(service_->document().cost);
+    service_->request_finished(
+        static_cast<std::uint64_t>(actual.decode_tokens));
     if (usage)
         service_->estimator().learn(request_.customer, size_, *usage);
 }
--- a/modules/router/request/stream_relay.cpp
+++ b/modules/router/request/stream_relay.cpp
@@ -228,7 +228,7 @@
         {{"request", request_.id}, {"service", request_.service}});
     const caller_error error{502,
                              "stream_broken",
-                             call_outcome::failed,
+                             call_outcome::unknown,
                              "the answer could not be completed",
                              {}};
     const result<void> told =
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -1,6 +1,7 @@
 #include "router/router.hpp"
 
 #include "router/claims/claim_service.cpp"
+#include "router/control/control_service.cpp"
 #include "router/errors/caller_error.cpp"
 #include "router/request/attempt_runner.cpp"
 #include "router/request/caller_request.cpp"
--- a/modules/router/router.hpp
+++ b/modules/router/router.hpp
@@ -10,10 +10,12 @@
 
 #include "admission/admission.hpp"
 #include "claims/claims.hpp"
+#include "roles/roles.hpp"
 #include "routing/routing.hpp"
 #include "runtime/runtime.hpp"
 
 #include "router/claims/claim_service.hpp"
+#include "router/control/control_service.hpp"
 #include "router/errors/caller_error.hpp"
 #include "router/request/attempt_runner.hpp"
 #include "router/request/caller_request.hpp"
--- a/modules/router/service/served_service.cpp
+++ b/modules/router/service/served_service.cpp
@@ -15,6 +15,13 @@
     return settings;
 }
 
+target_table_settings table_settings_of(const service_document& document)
+{
+    target_table_settings settings;
+    settings.target_concurrency = document.limits.target_concurrency;
+    return settings;
+}
+
 target_address to_target_address(const listed_host& host)
 {
     return {host.id, host.availability_zone, host.address, host.port,
@@ -30,10 +37,15 @@
     , gate_(core.context(), [this] { return room(core_.now()); })
     , estimator_(document.kind)
     , retries_(document.limits.retry_percent)
-    , targets_(core.settings().host, target_table_settings{})
+    , targets_(core.settings().host, table_settings_of(document))
     , picker_(picker_settings_of(core),
               stable_hash(core.id() + document.service))
+    , permission_(core.settings().host, document.service)
+    , started_(core.now())
 {
+    load_.router = core.settings().host;
+    load_.incarnation = stable_hash(core.id());
+    load_.model = document.models.empty() ? "" : document.models.front();
     gate_.configure(document_);
 }
 
@@ -76,7 +88,10 @@
     std::size_t places = 0;
     for (const target_entry& entry : targets_.targets())
     {
-        if (targets_.can_take_work(entry, now))
+        const bool is_permitted = asked_permission() == nullptr ||
+                                  permission_.check(entry.address.id, now) ==
+                                      permission_verdict::permitted;
+        if (is_permitted && targets_.can_take_work(entry, now))
             places += own_part;
     }
     return places;
@@ -117,6 +132,41 @@
     return picker_;
 }
 
+send_permission& served_service::permission()
+{
+    return permission_;
+}
+
+const send_permission* served_service::asked_permission() const
+{
+    return document_.kind == service_kind::model ? &permission_ : nullptr;
+}
+
+router_load_report served_service::load_report() const
+{
+    router_load_report report = load_;
+    report.uptime = std::chrono::duration_cast<std::chrono::milliseconds>(
+        core_.now() - started_);
+    return report;
+}
+
+void served_service::request_offered(std::uint64_t prefill_tokens)
+{
+    ++load_.offered_requests;
+    load_.offered_prefill_tokens += prefill_tokens;
+}
+
+void served_service::request_refused()
+{
+    ++load_.refused_requests;
+}
+
+void served_service::request_finished(std::uint64_t decoded_tokens)
+{
+    ++load_.finished_requests;
+    load_.decoded_tokens += decoded_tokens;
+}
+
 std::optional<http_endpoint>
 served_service::endpoint_of(const std::string& target) const
 {
--- a/modules/router/service/served_service.hpp
+++ b/modules/router/service/served_service.hpp
@@ -3,6 +3,7 @@
 
 #include "admission/admission.hpp"
 #include "document/document.hpp"
+#include "roles/roles.hpp"
 #include "router/service/admission_gate.hpp"
 #include "routing/routing.hpp"
 #include "runtime/runtime.hpp"
@@ -38,6 +39,21 @@
     retry_budget& retries();
     target_table& targets();
     target_picker& picker();
+    send_permission& permission();
+
+    /** The permission that a choice of target has to ask; null for services
+        whose targets never change. */
+    const send_permission* asked_permission() const;
+
+    /** What this router has seen of the service's model since its start. */
+    router_load_report load_report() const;
+
+    // ====================================================================
+    // What load_report() tells.
+
+    void request_offered(std::uint64_t prefill_tokens);
+    void request_refused();
+    void request_finished(std::uint64_t decoded_tokens);
 
     /** Where a target listens; none when it is not known any more. */
     std::optional<http_endpoint> endpoint_of(const std::string& target) const;
@@ -50,6 +66,9 @@
     retry_budget retries_;
     target_table targets_;
     target_picker picker_;
+    send_permission permission_;
+    router_load_report load_;
+    time_point started_;
     std::size_t router_count_ = 1;
 };
 
--- /dev/null
+++ b/modules/runtime/documents/document_exchange.cpp
@@ -0,0 +1,91 @@
+#include "runtime/documents/document_exchange.hpp"
+
+#include <limits>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** The id of queries that ask for the revision only. */
+constexpr std::uint64_t revision_query_id = 0;
+
+} // namespace
+
+document_exchange::document_exchange(process_core& core)
+    : core_(core)
+{
+}
+
+void document_exchange::ask_revision(const std::string& host)
+{
+    // With the greatest revision the reply has no documents in it.
+    const document_query query{revision_query_id,
+                               std::numeric_limits<document_version>::max()};
+    peers_->send_to_host(host, message_type::document_query, to_cbor(query));
+}
+
+void document_exchange::on_revision(revision_handler function)
+{
+    on_revision_ = std::move(function);
+}
+
+result<void> document_exchange::start()
+{
+    const result<peer_service*> peers =
+        core_.services().find<peer_service>(peer_service::name);
+    const result<document_service*> documents =
+        core_.services().find<document_service>(document_service::name);
+    if (!peers || !documents)
+        return make_error_code(kernel_error::not_found);
+    peers_ = peers.value();
+    documents_ = documents.value();
+
+    documents_->send_queries_by(
+        [this](const std::string& host, const document_query& query) {
+            peers_->send_to_host(host, message_type::document_query,
+                                 to_cbor(query));
+        });
+    peers_->on(message_type::document_query,
+               [this](const std::string& process, const std::string& payload)
+               {
+                   const result<document_query> query =
+                       read_document_query(payload);
+                   if (query)
+                       answer(process, query.value());
+               });
+    peers_->on(message_type::document_reply,
+               [this](const std::string& process, const std::string& payload)
+               {
+                   const result<document_reply> reply =
+                       read_document_reply(payload);
+                   if (reply)
+                       take(process, reply.value());
+               });
+    return outcome::success();
+}
+
+void document_exchange::stop()
+{
+}
+
+void document_exchange::answer(const std::string& process,
+                               const document_query& query)
+{
+    const document_reply reply =
+        documents_->replica().answer_query(query, core_.now());
+    peers_->send(process, message_type::document_reply, to_cbor(reply));
+}
+
+void document_exchange::take(const std::string& process,
+                             const document_reply& reply)
+{
+    const std::string host = host_of_process(process);
+    if (reply.query_id != revision_query_id)
+        documents_->take_reply(host, reply);
+    else if (on_revision_)
+        on_revision_(host, reply.revision);
+}
+
+} // namespace hibiscusferry
--- a/modules/runtime/documents/document_service.cpp
+++ b/modules/runtime/documents/document_service.cpp
@@ -145,7 +145,7 @@
     if (!reading.document)
     {
         // Checked before it was accepted, so written by a newer version.
-        core_.journal().record(event_number::document_unreadable,
+        core_.journal().record(event_number::document_not_understood,
                                {{"service", service},
                                 {"problem", reading.problems.front().text()}});
         return;
--- /dev/null
+++ b/modules/runtime/messages/peer_messages.hpp
@@ -0,0 +1,92 @@
+#ifndef HIBISCUSFERRY_RUNTIME_MESSAGES_PEER_MESSAGES_HPP
+#define HIBISCUSFERRY_RUNTIME_MESSAGES_PEER_MESSAGES_HPP
+
+#include "authority/authority.hpp"
+#include "configuration/configuration.hpp"
+#include "membership/membership.hpp"
+#include "roles/roles.hpp"
+#include "routing/routing.hpp"
+#include <string>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** The types of the messages between processes. */
+namespace message_type
+{
+constexpr const char* membership = "membership";
+constexpr const char* document_query = "document_query";
+constexpr const char* document_reply = "document_reply";
+constexpr const char* permission_request = "permission_request";
+constexpr const char* routing_announcement = "routing_announcement";
+constexpr const char* holder_elsewhere = "holder_elsewhere";
+constexpr const char* stop_announcement = "stop_announcement";
+constexpr const char* stop_confirmation = "stop_confirmation";
+constexpr const char* router_load = "router_load";
+} // namespace message_type
+
+/** A router asks the holder of a service's authority which targets get no
+    new work. */
+struct permission_request
+{
+    std::uint64_t request_id = 0;
+    std::string service;
+};
+
+/** The answer to a permission_request. */
+struct permission_reply
+{
+    std::uint64_t request_id = 0;
+    routing_announcement announcement;
+};
+
+/** The answer to a permission_request at a controller that is not the
+    holder. */
+struct holder_elsewhere
+{
+    std::uint64_t request_id = 0;
+    std::string service;
+    /** The holder's host as last seen; empty when it is not known. */
+    std::string host;
+};
+
+/** A stop_announcement with the service that it is for. */
+struct service_stop
+{
+    std::string service;
+    stop_announcement stop;
+};
+
+/** What a router has seen of one service's model. */
+struct service_load
+{
+    std::string service;
+    router_load_report report;
+};
+
+/** Each message as the CBOR of its payload, and back. Reading a payload of
+    another form gives std::errc::bad_message. */
+std::string to_cbor(const membership_message& message);
+std::string to_cbor(const document_query& message);
+std::string to_cbor(const document_reply& message);
+std::string to_cbor(const permission_request& message);
+std::string to_cbor(const permission_reply& message);
+std::string to_cbor(const holder_elsewhere& message);
+std::string to_cbor(const service_stop& message);
+std::string to_cbor(const stop_confirmation& message);
+std::string to_cbor(const service_load& message);
+
+result<membership_message> read_membership_message(const std::string& cbor);
+result<document_query> read_document_query(const std::string& cbor);
+result<document_reply> read_document_reply(const std::string& cbor);
+result<permission_request> read_permission_request(const std::string& cbor);
+result<permission_reply> read_permission_reply(const std::string& cbor);
+result<holder_elsewhere> read_holder_elsewhere(const std::string& cbor);
+result<service_stop> read_service_stop(const std::string& cbor);
+result<stop_confirmation> read_stop_confirmation(const std::string& cbor);
+result<service_load> read_service_load(const std::string& cbor);
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/runtime/messages/peer_messages_test.cpp
@@ -0,0 +1,71 @@
+#include "runtime/runtime.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusferry;
+
+namespace
+{
+
+/** Whether a reader refuses every cut of a good payload and random bytes. */
+template <class Message>
+bool refuses_damage(const std::string& good,
+                    result<Message> (*read)(const std::string&))
+{
+    for (std::size_t length = 0; length < good.size(); ++length)
+    {
+        if (read(good.substr(0, length)))
+            return false;
+    }
+    return !read("garbage") && !read(std::string(1, '\xa0'));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_messages_test)
+
+BOOST_AUTO_TEST_CASE(membership_messages_are_read_back)
+{
+    membership_message message;
+    message.kind = membership_message_kind::probe_request;
+    message.sender = "entry-1";
+    message.subject = "entry-2";
+    message.rumours = {{"entry-3", member_state::suspect, 7}};
+    message.digests = {{4, std::string("\0\xff", 2)}};
+    const std::string cbor = to_cbor(message);
+    const membership_message read = read_membership_message(cbor).value();
+    BOOST_TEST(read.subject == "entry-2");
+    BOOST_TEST(read.rumours.at(0).incarnation == 7U);
+    BOOST_TEST((read.rumours.at(0).state == member_state::suspect));
+    BOOST_TEST(read.digests.at(0).bytes == message.digests.at(0).bytes);
+    BOOST_TEST(refuses_damage(cbor, read_membership_message));
+}
+
+BOOST_AUTO_TEST_CASE(document_replies_are_read_back)
+{
+    document_reply reply;
+    reply.revision = 9;
+    reply.documents = {{"order-desk", 9, "c1", "team", "text = 1"}};
+    const std::string cbor = to_cbor(reply);
+    const document_reply read = read_document_reply(cbor).value();
+    BOOST_TEST(!read.confirmation_age.has_value());
+    BOOST_TEST(read.documents.at(0).text == "text = 1");
+    BOOST_TEST(refuses_damage(cbor, read_document_reply));
+}
+
+BOOST_AUTO_TEST_CASE(announcements_are_read_back)
+{
+    const permission_reply reply{3, {"s", {5, 6}, {"t1", "t2"}}};
+    const std::string cbor = to_cbor(reply);
+    const permission_reply read = read_permission_reply(cbor).value();
+    BOOST_TEST((read.announcement.version == announcement_version{5, 6}));
+    BOOST_TEST(read.announcement.stopped_targets.size() == 2U);
+    BOOST_TEST((read.announcement.term == permission_term));
+    BOOST_TEST(refuses_damage(cbor, read_permission_reply));
+
+    const std::string stop = to_cbor(service_stop{"s", {"t1", {5, 7}}});
+    BOOST_TEST(read_service_stop(stop).value().stop.version.sequence == 7U);
+    BOOST_TEST(refuses_damage(stop, read_service_stop));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/runtime/peers/peer_service.cpp
@@ -0,0 +1,135 @@
+#include "runtime/peers/peer_service.hpp"
+
+#include "runtime/hosts/host_list_service.hpp"
+#include <glog/logging.h>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+peer_settings settings_of(const process_core& core)
+{
+    const process_settings& process = core.settings();
+    peer_settings settings;
+    settings.self.id = core.id();
+    settings.self.incarnation = 1;
+    settings.self.endpoint = {process.peers.address, process.peers.port};
+    settings.listen = settings.self.endpoint;
+    settings.shared_key = process.peer_key;
+    return settings;
+}
+
+} // namespace
+
+std::string host_of_process(const std::string& process)
+{
+    return process.substr(0, process.find('/'));
+}
+
+peer_service::peer_service(process_core& core)
+    : core_(core)
+{
+}
+
+void peer_service::on(const std::string& type, handler function)
+{
+    transport_->on_message(type,
+                           [this, function = std::move(function)](
+                               const received_peer_message& received)
+                           {
+                               core_.journal().observe(received.time);
+                               function(received.sender.id,
+                                        received.message.payload);
+                           });
+}
+
+void peer_service::send(const std::string& process, const std::string& type,
+                        const std::string& payload)
+{
+    count_failure(transport_->send_to(process, peer_message{type, payload}));
+}
+
+void peer_service::send_to_host(const std::string& host,
+                                const std::string& type,
+                                const std::string& payload)
+{
+    const auto found = hosts_.find(host);
+    if (found != hosts_.end())
+        count_failure(
+            transport_->send(found->second, peer_message{type, payload}));
+}
+
+void peer_service::send_to_any_controller(const std::string& type,
+                                          const std::string& payload)
+{
+    const std::vector<address_setting>& known = core_.settings().controllers;
+    if (known.empty())
+        return;
+    const address_setting& where = known[controller_ % known.size()];
+    count_failure(transport_->send({where.address, where.port},
+                                   peer_message{type, payload}));
+}
+
+void peer_service::try_next_controller()
+{
+    ++controller_;
+}
+
+result<void> peer_service::start()
+{
+    const result<host_list_service*> hosts =
+        core_.services().find<host_list_service>(host_list_service::name);
+    if (!hosts)
+        return hosts.error();
+    result<std::unique_ptr<peer_transport>> made = peer_transport::create(
+        core_.context(), core_.time(), core_.journal(), settings_of(core_));
+    if (!made)
+        return made.error();
+    transport_ = std::move(made.value());
+    const result<void> started = transport_->start();
+    if (!started)
+    {
+        LOG(ERROR) << "cannot listen on the peers' address "
+                   << core_.settings().peers.address << ":"
+                   << core_.settings().peers.port;
+        return started.error();
+    }
+    hosts.value()->on_change(
+        [this](const host_list_reading& reading)
+        {
+            hosts_.clear();
+            for (const listed_host& host : reading.hosts)
+            {
+                if (host.kind == host_kind::entry)
+                    hosts_[host.id] = {host.address, host.port};
+            }
+        });
+    core_.repeat(std::chrono::seconds(1), [this] { note_traffic(); });
+    return outcome::success();
+}
+
+void peer_service::stop()
+{
+    transport_->stop();
+}
+
+void peer_service::count_failure(const result<void>& sent)
+{
+    if (!sent)
+        core_.metrics().counter_of("peer_sends_failed_total").add();
+}
+
+void peer_service::note_traffic()
+{
+    metrics_registry& metrics = core_.metrics();
+    metrics.gauge_of("peer_bytes_sent")
+        .set(static_cast<double>(transport_->bytes_sent()));
+    metrics.gauge_of("peer_bytes_received")
+        .set(static_cast<double>(transport_->bytes_received()));
+    metrics.gauge_of("peer_messages_dropped")
+        .set(static_cast<double>(transport_->messages_dropped()));
+}
+
+} // namespace hibiscusferry
--- a/modules/runtime/runtime.hpp
+++ b/modules/runtime/runtime.hpp
@@ -4,7 +4,7 @@
     The process with its one thread, its services and its planned stop; the
     pages of its admin port; the platform's adapters, the documents in force
     and the host list as kernel services. Depends on foundation, settings,
-    document, platform, http, claims and configuration.
+    document, platform, http, peers and the decision modules.
 */
 #ifndef HIBISCUSFERRY_RUNTIME_RUNTIME_HPP
 #define HIBISCUSFERRY_RUNTIME_RUNTIME_HPP
@@ -13,12 +13,16 @@
 #include "document/document.hpp"
 #include "foundation/foundation.hpp"
 #include "http/http.hpp"
+#include "peers/peers.hpp"
 #include "platform/platform.hpp"
 #include "settings/settings.hpp"
 
 #include "runtime/admin/admin_service.hpp"
+#include "runtime/documents/document_exchange.hpp"
 #include "runtime/documents/document_service.hpp"
 #include "runtime/hosts/host_list_service.hpp"
+#include "runtime/messages/peer_messages.hpp"
+#include "runtime/peers/peer_service.hpp"
 #include "runtime/platform/platform_adapters.hpp"
 #include "runtime/process/daemon_main.hpp"
 #include "runtime/process/process_core.hpp"
