Keep customers' rates over all entry hosts

Cause: customer_limits and share_aggregator were not connected, so that a customer's tokens_per_second had no effect. Change: routers report usage to the controllers that sum it and admit by the demand that comes back; requests over the rate get 429 with Retry-After. Before: no limit was kept by the daemons.

--- a/extras/stand_ins/support/stand_in_program.cpp
+++ b/extras/stand_ins/support/stand_in_program.cpp
@@ -100,8 +100,7 @@
     const std::string text =
         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     http_response response = json_response(status, text);
-    const std::string attempt(
-        exchange.request().headers.value("X-Attempt-Id"));
+    const std::string attempt(exchange.request().headers.value("X-Attempt-Id"));
     if (!attempt.empty())
         response.headers.set("X-Attempt-Id", attempt);
     answer(exchange, response, yield);
--- a/modules/controller/controller.cpp
+++ b/modules/controller/controller.cpp
@@ -6,3 +6,4 @@
 #include "controller/editing/editor_service.cpp"
 #include "controller/membership/membership_service.cpp"
 #include "controller/operators/operator_page.cpp"
+#include "controller/shares/share_service.cpp"
--- a/modules/controller/controller.hpp
+++ b/modules/controller/controller.hpp
@@ -16,5 +16,6 @@
 #include "controller/editing/editor_service.hpp"
 #include "controller/membership/membership_service.hpp"
 #include "controller/operators/operator_page.hpp"
+#include "controller/shares/share_service.hpp"
 
 #endif
--- a/modules/router/request/caller_service.cpp
+++ b/modules/router/request/caller_service.cpp
@@ -43,11 +43,13 @@
         core_.services().find<service_directory>(service_directory::name);
     const result<claim_service*> claims =
         core_.services().find<claim_service>(claim_service::name);
-    if (!directory || !claims)
+    const result<limit_service*> limits =
+        core_.services().find<limit_service>(limit_service::name);
+    if (!directory || !claims || !limits)
         return make_error_code(kernel_error::not_found);
     directory_ = directory.value();
-    tools_ = std::make_unique<request_tools>(
-        request_tools{core_, ledger_, runner_, *claims.value()});
+    tools_ = std::make_unique<request_tools>(request_tools{
+        core_, ledger_, runner_, *claims.value(), *limits.value()});
 
     const address_setting& where = core_.settings().callers;
     result<std::unique_ptr<http_server>> listening = http_server::listen(
--- a/modules/router/request/request_handler.cpp
+++ b/modules/router/request/request_handler.cpp
@@ -106,6 +106,17 @@
         request_.priority.urgent ? queue_lane::urgent : queue_lane::normal;
     queued.cost = estimate_.weighted(service_->document().cost);
     queued.deadline = request_.deadline;
+    const limit_decision limited = tools_.limits.admit(
+        request_.service, request_.customer, queued.lane, queued.cost);
+    if (!limited.admitted)
+    {
+        refuse(error_of(request_refusal{number_, request_.customer,
+                                        refusal_reason::over_limit,
+                                        limited.retry_after}),
+               yield);
+        return false;
+    }
+    queued.lane = limited.lane;
     const admission_result admitted =
         service_->gate().wait(queued, exchange_, yield);
     switch (admitted.what)
--- a/modules/router/request/request_handler.hpp
+++ b/modules/router/request/request_handler.hpp
@@ -3,6 +3,7 @@
 
 #include "router/claims/claim_service.hpp"
 #include "router/errors/caller_error.hpp"
+#include "router/limits/limit_service.hpp"
 #include "router/request/attempt_runner.hpp"
 #include "router/request/caller_request.hpp"
 #include "router/request/model_call.hpp"
@@ -21,6 +22,7 @@
     attempt_ledger& ledger;
     attempt_runner& runner;
     claim_service& claims;
+    limit_service& limits;
 };
 
 /** Serves one checked request: waits for its turn, claims it if it may run
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -3,6 +3,7 @@
 #include "router/claims/claim_service.cpp"
 #include "router/control/control_service.cpp"
 #include "router/errors/caller_error.cpp"
+#include "router/limits/limit_service.cpp"
 #include "router/request/attempt_runner.cpp"
 #include "router/request/caller_request.cpp"
 #include "router/request/caller_service.cpp"
--- a/modules/router/router.hpp
+++ b/modules/router/router.hpp
@@ -17,6 +17,7 @@
 #include "router/claims/claim_service.hpp"
 #include "router/control/control_service.hpp"
 #include "router/errors/caller_error.hpp"
+#include "router/limits/limit_service.hpp"
 #include "router/request/attempt_runner.hpp"
 #include "router/request/caller_request.hpp"
 #include "router/request/caller_service.hpp"
--- a/modules/runtime/messages/peer_messages.cpp
+++ b/modules/runtime/messages/peer_messages.cpp
@@ -72,6 +72,17 @@
         return found->get<bool>();
     }
 
+    /** A finite number of zero or more. */
+    double real(const char* key)
+    {
+        const json* const found = member(key);
+        const bool is_number = found != nullptr && found->is_number();
+        const double value = is_number ? found->get<double>() : -1;
+        if (!(value >= 0 && value <= std::numeric_limits<double>::max()))
+            return reject(0.0);
+        return value;
+    }
+
     std::chrono::milliseconds milliseconds(const char* key)
     {
         return std::chrono::milliseconds(small_number(key));
@@ -421,4 +432,61 @@
     return checked(reader, message);
 }
 
+std::string to_cbor(const usage_report& message)
+{
+    json entries = json::array();
+    for (const usage_entry& entry : message.entries)
+        entries.push_back({{"k", entry.key},
+                           {"o", entry.offered},
+                           {"p", entry.previously_offered},
+                           {"w", entry.wants_answer}});
+    return encode({{"h", message.host},
+                   {"i", message.incarnation},
+                   {"n", message.sequence},
+                   {"r", message.from_relay},
+                   {"e", std::move(entries)}});
+}
+
+result<usage_report> read_usage_report(const std::string& cbor)
+{
+    payload_reader reader(cbor);
+    usage_report message;
+    message.host = reader.text("h");
+    message.incarnation = reader.number("i");
+    message.sequence = reader.number("n");
+    message.from_relay = reader.boolean("r");
+    for (payload_reader& element : reader.list("e"))
+    {
+        usage_entry entry;
+        entry.key = element.number("k");
+        entry.offered = element.number("o");
+        entry.previously_offered = element.number("p");
+        entry.wants_answer = element.boolean("w");
+        reader.require(element);
+        message.entries.push_back(entry);
+    }
+    return checked(reader, message);
+}
+
+std::string to_cbor(const demand_answer& message)
+{
+    json entries = json::array();
+    for (const demand_entry& entry : message.entries)
+        entries.push_back({{"k", entry.key}, {"d", entry.tokens_per_second}});
+    return encode({{"r", message.to_relay}, {"e", std::move(entries)}});
+}
+
+result<demand_answer> read_demand_answer(const std::string& cbor)
+{
+    payload_reader reader(cbor);
+    demand_answer message;
+    message.to_relay = reader.boolean("r");
+    for (payload_reader& element : reader.list("e"))
+    {
+        message.entries.push_back({element.number("k"), element.real("d")});
+        reader.require(element);
+    }
+    return checked(reader, message);
+}
+
 } // namespace hibiscusferry
--- a/modules/runtime/messages/peer_messages.hpp
+++ b/modules/runtime/messages/peer_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_RUNTIME_MESSAGES_PEER_MESSAGES_HPP
 #define HIBISCUSFERRY_RUNTIME_MESSAGES_PEER_MESSAGES_HPP
 
+#include "admission/admission.hpp"
 #include "authority/authority.hpp"
 #include "configuration/configuration.hpp"
 #include "membership/membership.hpp"
@@ -24,6 +25,8 @@
 constexpr const char* stop_announcement = "stop_announcement";
 constexpr const char* stop_confirmation = "stop_confirmation";
 constexpr const char* router_load = "router_load";
+constexpr const char* usage_report = "usage_report";
+constexpr const char* demand_answer = "demand_answer";
 } // namespace message_type
 
 /** A router asks the holder of a service's authority which targets get no
@@ -76,6 +79,8 @@
 std::string to_cbor(const service_stop& message);
 std::string to_cbor(const stop_confirmation& message);
 std::string to_cbor(const service_load& message);
+std::string to_cbor(const usage_report& message);
+std::string to_cbor(const demand_answer& message);
 
 result<membership_message> read_membership_message(const std::string& cbor);
 result<document_query> read_document_query(const std::string& cbor);
@@ -86,6 +91,8 @@
 result<service_stop> read_service_stop(const std::string& cbor);
 result<stop_confirmation> read_stop_confirmation(const std::string& cbor);
 result<service_load> read_service_load(const std::string& cbor);
+result<usage_report> read_usage_report(const std::string& cbor);
+result<demand_answer> read_demand_answer(const std::string& cbor);
 
 } // namespace hibiscusferry
 
--- a/modules/runtime/messages/peer_messages_test.cpp
+++ b/modules/runtime/messages/peer_messages_test.cpp
@@ -68,4 +68,20 @@
     BOOST_TEST(refuses_damage(stop, read_service_stop));
 }
 
+BOOST_AUTO_TEST_CASE(usage_and_demand_are_read_back)
+{
+    const usage_report report{"entry-1", 2, 3, true, {{7, 8, 6, true}}};
+    const std::string cbor = to_cbor(report);
+    BOOST_TEST(read_usage_report(cbor).value().entries.at(0).offered == 8U);
+    BOOST_TEST(refuses_damage(cbor, read_usage_report));
+
+    const std::string answer = to_cbor(demand_answer{false, {{7, 12.5}}});
+    BOOST_TEST(
+        read_demand_answer(answer).value().entries.at(0).tokens_per_second ==
+        12.5);
+    BOOST_TEST(refuses_damage(answer, read_demand_answer));
+    const demand_answer negative{false, {{7, -1.0}}};
+    BOOST_TEST(!read_demand_answer(to_cbor(negative)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
