Keep the fleet in rotation when all hosts lose the store

Cause: with the table service down for longer than the staleness bound every router reported out_of_touch and left the rotation. Routers run no membership and never learned how many hosts of their region can be reached, so none was sure to hear most of them. Ruled out: the replica's decision, which has its own test; the peers' replies, which arrived. Change: a router asks its controller how many hosts it reaches; the answer counts for four seconds.

--- a/modules/controller/membership/membership_service.cpp
+++ b/modules/controller/membership/membership_service.cpp
@@ -57,6 +57,9 @@
                    if (message)
                        carry_out(view_.received(message.value(), core_.now()));
                });
+    peers_->on(message_type::reach_query,
+               [this](const std::string& process, const std::string&)
+               { answer_reach(process); });
     hosts.value()->on_change(
         [this](const host_list_reading& reading)
         { carry_out(view_.list_read(reading, core_.now())); });
@@ -86,6 +89,13 @@
 {
 }
 
+void membership_service::answer_reach(const std::string& process)
+{
+    const std::size_t hosts = view_.live_hosts(core_.settings().region).size();
+    peers_->send(process, message_type::reach_reply,
+                 to_cbor(reach_reply{static_cast<std::uint32_t>(hosts)}));
+}
+
 void membership_service::carry_out(const membership_actions& wanted)
 {
     for (const membership_send& send : wanted.sends)
--- a/modules/controller/membership/membership_service.hpp
+++ b/modules/controller/membership/membership_service.hpp
@@ -24,6 +24,7 @@
     void stop() override;
 
 private:
+    void answer_reach(const std::string& process);
     void carry_out(const membership_actions& wanted);
     std::string status() const;
 
--- a/modules/router/control/control_service.cpp
+++ b/modules/router/control/control_service.cpp
@@ -10,6 +10,9 @@
 constexpr std::chrono::milliseconds renewal_interval{1500};
 constexpr std::chrono::milliseconds request_limit{1000};
 constexpr std::chrono::milliseconds report_interval{2000};
+constexpr std::chrono::milliseconds reach_interval{1000};
+/** A controller's reach counts for this long. */
+constexpr std::chrono::milliseconds reach_lifetime{4000};
 
 } // namespace
 
@@ -24,9 +27,12 @@
         core_.services().find<peer_service>(peer_service::name);
     const result<service_directory*> directory =
         core_.services().find<service_directory>(service_directory::name);
-    if (!peers || !directory)
+    const result<document_service*> documents =
+        core_.services().find<document_service>(document_service::name);
+    if (!peers || !directory || !documents)
         return make_error_code(kernel_error::not_found);
     peers_ = peers.value();
+    documents_ = documents.value();
     directory_ = directory.value();
 
     peers_->on(message_type::routing_announcement,
@@ -53,7 +59,15 @@
                    if (message)
                        take_stop(message.value());
                });
+    peers_->on(message_type::reach_reply,
+               [this](const std::string&, const std::string& payload)
+               {
+                   const result<reach_reply> reply = read_reach_reply(payload);
+                   if (reply)
+                       take_reach(reply.value());
+               });
     core_.repeat(control_tick, [this] { tick(); });
+    core_.repeat(reach_interval, [this] { ask_reach(); });
     return outcome::success();
 }
 
@@ -76,6 +90,23 @@
     }
 }
 
+void control_service::ask_reach()
+{
+    const bool is_heard = core_.now() - reach_heard_ < reach_lifetime;
+    if (!is_heard)
+    {
+        documents_->take_reachable(1);
+        peers_->try_next_controller();
+    }
+    peers_->send_to_any_controller(message_type::reach_query, empty_payload());
+}
+
+void control_service::take_reach(const reach_reply& reply)
+{
+    reach_heard_ = core_.now();
+    documents_->take_reachable(std::max<std::size_t>(1, reply.hosts));
+}
+
 void control_service::renew(const std::shared_ptr<served_service>& service,
                             service_state& state)
 {
--- a/modules/router/control/control_service.hpp
+++ b/modules/router/control/control_service.hpp
@@ -10,7 +10,7 @@
 {
 
 /** A router's conversation with the controllers: renews its permissions,
-    confirms stops, reports load, and asks for documents. */
+    confirms stops, reports load, and learns how many hosts can be reached. */
 class control_service final : public kernel_service
 {
 public:
@@ -43,6 +43,8 @@
     };
 
     void tick();
+    void ask_reach();
+    void take_reach(const reach_reply& reply);
     void renew(const std::shared_ptr<served_service>& service,
                service_state& state);
     void ask(const std::string& service, service_state& state);
@@ -62,6 +64,9 @@
     process_core& core_;
     peer_service* peers_ = nullptr;
     service_directory* directory_ = nullptr;
+    document_service* documents_ = nullptr;
+    /** When the reach of a controller was last heard. */
+    time_point reach_heard_;
     std::map<std::string, service_state> services_;
     std::map<std::uint64_t, open_request> requests_;
     std::uint64_t last_request_ = 0;
--- a/modules/runtime/messages/peer_messages.cpp
+++ b/modules/runtime/messages/peer_messages.cpp
@@ -489,4 +489,21 @@
     return checked(reader, message);
 }
 
+std::string to_cbor(const reach_reply& message)
+{
+    return encode({{"n", message.hosts}});
+}
+
+result<reach_reply> read_reach_reply(const std::string& cbor)
+{
+    payload_reader reader(cbor);
+    const reach_reply message{reader.small_number("n")};
+    return checked(reader, message);
+}
+
+std::string empty_payload()
+{
+    return encode(json::object());
+}
+
 } // namespace hibiscusferry
--- a/modules/runtime/messages/peer_messages.hpp
+++ b/modules/runtime/messages/peer_messages.hpp
@@ -27,6 +27,8 @@
 constexpr const char* router_load = "router_load";
 constexpr const char* usage_report = "usage_report";
 constexpr const char* demand_answer = "demand_answer";
+constexpr const char* reach_query = "reach_query";
+constexpr const char* reach_reply = "reach_reply";
 } // namespace message_type
 
 /** A router asks the holder of a service's authority which targets get no
@@ -68,6 +70,13 @@
     router_load_report report;
 };
 
+/** How many hosts of its region a controller reaches, itself included; the
+    answer to a reach_query, which has an empty map as its payload. */
+struct reach_reply
+{
+    std::uint32_t hosts = 0;
+};
+
 /** Each message as the CBOR of its payload, and back. Reading a payload of
     another form gives std::errc::bad_message. */
 std::string to_cbor(const membership_message& message);
@@ -81,6 +90,7 @@
 std::string to_cbor(const service_load& message);
 std::string to_cbor(const usage_report& message);
 std::string to_cbor(const demand_answer& message);
+std::string to_cbor(const reach_reply& message);
 
 result<membership_message> read_membership_message(const std::string& cbor);
 result<document_query> read_document_query(const std::string& cbor);
@@ -93,6 +103,10 @@
 result<service_load> read_service_load(const std::string& cbor);
 result<usage_report> read_usage_report(const std::string& cbor);
 result<demand_answer> read_demand_answer(const std::string& cbor);
+result<reach_reply> read_reach_reply(const std::string& cbor);
+
+/** The payload of a message that says nothing but its type. */
+std::string empty_payload();
 
 } // namespace hibiscusferry
 
--- a/modules/runtime/messages/peer_messages_test.cpp
+++ b/modules/runtime/messages/peer_messages_test.cpp
@@ -84,4 +84,12 @@
     BOOST_TEST(!read_demand_answer(to_cbor(negative)));
 }
 
+BOOST_AUTO_TEST_CASE(reach_is_read_back)
+{
+    const std::string cbor = to_cbor(reach_reply{185});
+    BOOST_TEST(read_reach_reply(cbor).value().hosts == 185U);
+    BOOST_TEST(refuses_damage(cbor, read_reach_reply));
+    BOOST_TEST(!read_reach_reply(empty_payload()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
