--- a/modules/router/control/control_service.cpp
+++ b/modules/router/control/control_service.cpp
@@ -113,10 +113,10 @@
     if (core_.now() < state.next_request)
         return;
     state.next_request = core_.now() + renewal_interval;
-    ask(service->name(), state);
+    ask(service->name());
 }
 
-void control_service::ask(const std::string& service, service_state&)
+void control_service::ask(const std::string& service)
 {
     const std::uint64_t id = ++last_request_;
     requests_[id] = {service, core_.now()};
@@ -142,7 +142,6 @@
         return;
     const time_point asked_at = open->second.asked_at;
     requests_.erase(open);
-    services_[service->name()].unanswered = 0;
     const bool is_new =
         service->permission().heard(reply.announcement, asked_at);
     if (is_new)
@@ -160,11 +159,10 @@
         return;
     requests_.erase(open);
     service_state& state = services_[answer.service];
-    state.unanswered = 0;
     const bool is_news = state.holder != answer.host;
     state.holder = answer.host;
     if (is_news && !answer.host.empty())
-        ask(answer.service, state);
+        ask(answer.service);
 }
 
 void control_service::take_stop(const service_stop& message)
@@ -226,7 +224,6 @@
         if (state.holder.empty())
             peers_->try_next_controller();
         state.holder.clear();
-        ++state.unanswered;
         next = requests_.erase(next);
     }
 }
--- a/modules/router/control/control_service.hpp
+++ b/modules/router/control/control_service.hpp
@@ -36,8 +36,6 @@
         std::string holder;
         time_point next_request;
         time_point next_report;
-        /** Unanswered requests in a row. */
-        std::uint32_t unanswered = 0;
         /** Stops that are confirmed again while requests run there. */
         std::map<std::string, std::size_t> confirmed_in_flight;
     };
@@ -47,7 +45,7 @@
     void take_reach(const reach_reply& reply);
     void renew(const std::shared_ptr<served_service>& service,
                service_state& state);
-    void ask(const std::string& service, service_state& state);
+    void ask(const std::string& service);
     void report(const std::shared_ptr<served_service>& service,
                 service_state& state);
     void take_announcement(const permission_reply& reply);
