Split the engine stand-in: orders and hand-over in a file of their own

Change: orders, fences and hand-over of KV cache are in engine_stand_in_orders.cpp; error_body() stands once, in the support library; the names of order verdicts are the order book's. Conclusion: behaviour is unchanged.

--- a/extras/stand_ins/application/application_stand_in.cpp
+++ b/extras/stand_ins/application/application_stand_in.cpp
@@ -29,11 +29,6 @@
             begins_with(path, "/status/"));
 }
 
-nlohmann::json error_body(const std::string& code)
-{
-    return {{"error", {{"code", code}}}};
-}
-
 /** Throws nlohmann::json::exception on a wrong type. */
 application_faults read_faults(const nlohmann::json& body)
 {
--- /dev/null
+++ b/extras/stand_ins/engine/engine_stand_in_orders.cpp
@@ -0,0 +1,161 @@
+// The engine stand-in's orders and its hand-over of KV cache.
+#include "stand_ins/engine/engine_stand_in.hpp"
+
+#include "stand_ins/engine/model_api.hpp"
+
+namespace hibiscusferry::stand_ins
+{
+
+namespace
+{
+
+constexpr std::string_view orders_path = "/v1/orders/";
+
+} // namespace
+
+// ========================================================================
+// Orders
+// ========================================================================
+
+void engine_stand_in::receive_order(http_exchange& exchange,
+                                    boost::asio::yield_context yield)
+{
+    const nlohmann::json body = read_object(exchange.request());
+    engine_order order;
+    try
+    {
+        order.order_id = body.at("order_id").get<std::string>();
+        order.fencing_number =
+            body.at("fencing_number")
+                .get_ref<const nlohmann::json::number_unsigned_t&>();
+        order.action = body.at("action").get<std::string>();
+        order.argument = body.at("argument").get<std::string>();
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return answer_json(exchange, 400, error_body("bad_order"), yield);
+    }
+
+    const order_verdict verdict = orders_.receive(order);
+    const bool is_refused = verdict == order_verdict::old_fencing_number ||
+                            verdict == order_verdict::other_order_running;
+    if (is_refused)
+        return answer_json(exchange, 409, {{"reason", to_text(verdict)}},
+                           yield);
+    if (verdict == order_verdict::accepted)
+        start_task(context_, [this, order](boost::asio::yield_context inner)
+                   { carry_out(order, inner); });
+    answer_json(exchange, 202,
+                {{"order_id", order.order_id},
+                 {"state", orders_.state_of(order.order_id)}},
+                yield);
+}
+
+void engine_stand_in::tell_order(http_exchange& exchange,
+                                 boost::asio::yield_context yield)
+{
+    const std::string id(exchange.request().path().substr(orders_path.size()));
+    const std::string state = orders_.state_of(id);
+    if (state.empty())
+        return answer_json(exchange, 404, error_body("no_order"), yield);
+    answer_json(exchange, 200, {{"order_id", id}, {"state", state}}, yield);
+}
+
+void engine_stand_in::raise_fence(http_exchange& exchange,
+                                  boost::asio::yield_context yield)
+{
+    const nlohmann::json body = read_object(exchange.request());
+    const bool is_good = !body.is_discarded() &&
+                         body.contains("fencing_number") &&
+                         body.at("fencing_number").is_number_unsigned();
+    if (!is_good)
+        return answer_json(exchange, 400, error_body("bad_fence"), yield);
+    const std::uint64_t greatest =
+        orders_.raise_fence(body.at("fencing_number").get<std::uint64_t>());
+    answer_json(exchange, 200, {{"fencing_number", greatest}}, yield);
+}
+
+void engine_stand_in::carry_out(const engine_order& order,
+                                boost::asio::yield_context yield)
+{
+    // An adapter is loaded beside the running work; the rest is a change
+    // that takes the engine away.
+    const bool takes_away = order.action != "load_adapter";
+    if (takes_away)
+    {
+        is_changing_ = true;
+        ++changes_;
+        cut_active();
+    }
+    sleep_for(context_, settings_.change_duration / 2, yield);
+    if (takes_away && faults_.crash_on_change)
+        std::_Exit(EXIT_FAILURE);
+    sleep_for(context_, settings_.change_duration / 2, yield);
+    orders_.finish_running(apply(order));
+    if (takes_away)
+        is_changing_ = false;
+}
+
+bool engine_stand_in::apply(const engine_order& order)
+{
+    if (order.action == "load_adapter")
+        return adapters_.insert(order.argument).second;
+    if (order.action == "load_model")
+    {
+        model_ = order.argument;
+        adapters_.clear();
+        scheduler_.cache().shrink_to(0);
+        return true;
+    }
+    const bool is_role = order.argument == "prefill" ||
+                         order.argument == "decode" ||
+                         order.argument == "mixed";
+    if (order.action != "set_role" || !is_role)
+        return false;
+    role_ = order.argument;
+    scheduler_.set_role(role_);
+    scheduler_.cache().shrink_to(0);
+    return true;
+}
+
+void engine_stand_in::cut_active()
+{
+    for (const generation_pointer& item : scheduler_.active())
+    {
+        ++streams_cut_by_change_;
+        scheduler_.end(*item, generation_state::cut);
+    }
+    progress_.notify_all();
+}
+
+// ========================================================================
+// KV cache
+// ========================================================================
+
+void engine_stand_in::export_cache(http_exchange& exchange,
+                                   boost::asio::yield_context yield)
+{
+    const nlohmann::json body = read_object(exchange.request());
+    const std::string hash =
+        body.is_discarded() ? "" : body.value("prefix_hash", "");
+    if (!scheduler_.cache().holds(hash))
+        return answer_json(exchange, 404, error_body("not_cached"), yield);
+    answer_json(exchange, 200,
+                {{"prefix_hash", hash}, {"tokens", cache_piece_tokens}}, yield);
+}
+
+void engine_stand_in::import_cache(http_exchange& exchange,
+                                   boost::asio::yield_context yield)
+{
+    const nlohmann::json body = read_object(exchange.request());
+    const std::string hash =
+        body.is_discarded() ? "" : body.value("prefix_hash", "");
+    if (hash.empty())
+        return answer_json(exchange, 400, error_body("bad_piece"), yield);
+    scheduler_.cache().store({hash});
+    scheduler_.cache().shrink_to(scheduler_.free_kv_tokens());
+    answer_json(exchange, 200,
+                {{"prefix_hash", hash}, {"tokens", cache_piece_tokens}}, yield);
+}
+
+} // namespace hibiscusferry::stand_ins
--- a/extras/stand_ins/engine/order_book.cpp
+++ b/extras/stand_ins/engine/order_book.cpp
@@ -79,4 +79,20 @@
     return old_orders_obeyed_;
 }
 
+const char* to_text(order_verdict verdict)
+{
+    switch (verdict)
+    {
+    case order_verdict::accepted:
+        return "accepted";
+    case order_verdict::repeated:
+        return "repeated";
+    case order_verdict::old_fencing_number:
+        return "old_fencing_number";
+    case order_verdict::other_order_running:
+        return "other_order_running";
+    }
+    return "";
+}
+
 } // namespace hibiscusferry::stand_ins
--- a/extras/stand_ins/engine/order_book.hpp
+++ b/extras/stand_ins/engine/order_book.hpp
@@ -28,6 +28,9 @@
     other_order_running
 };
 
+/** The verdict's name, as in the engines' answers. */
+const char* to_text(order_verdict verdict);
+
 /** An order's arrival, for the counts. */
 struct order_arrival
 {
--- a/extras/stand_ins/platform/platform_stand_in.cpp
+++ b/extras/stand_ins/platform/platform_stand_in.cpp
@@ -59,11 +59,6 @@
                        });
 }
 
-nlohmann::json error_body(const std::string& code)
-{
-    return {{"error", {{"code", code}}}};
-}
-
 std::size_t read_limit(const std::string& text)
 {
     std::size_t limit = default_scan_rows;
--- a/extras/stand_ins/support/stand_in_program.cpp
+++ b/extras/stand_ins/support/stand_in_program.cpp
@@ -106,10 +106,14 @@
     answer(exchange, response, yield);
 }
 
+nlohmann::json error_body(const std::string& code)
+{
+    return {{"error", {{"code", code}}}};
+}
+
 http_response not_run_response(unsigned status, const std::string& code)
 {
-    const nlohmann::json body = {{"error", {{"code", code}}}};
-    http_response response = json_response(status, body.dump());
+    http_response response = json_response(status, error_body(code).dump());
     response.headers.set("X-Not-Run", "true");
     return response;
 }
--- a/extras/stand_ins/support/stand_in_program.hpp
+++ b/extras/stand_ins/support/stand_in_program.hpp
@@ -37,6 +37,9 @@
 void answer(http_exchange& exchange, const http_response& response,
             boost::asio::yield_context yield);
 
+/** The body of an error answer: {"error":{"code":CODE}}. */
+nlohmann::json error_body(const std::string& code);
+
 /** A refusal that says that nothing was run. */
 http_response not_run_response(unsigned status, const std::string& code);
 
