--- a/extras/stand_ins/platform/platform_stand_in.hpp
+++ b/extras/stand_ins/platform/platform_stand_in.hpp
@@ -1,8 +1,8 @@
 #ifndef HIBISCUSFERRY_EXTRAS_STAND_INS_PLATFORM_PLATFORM_STAND_IN_HPP
 #define HIBISCUSFERRY_EXTRAS_STAND_INS_PLATFORM_PLATFORM_STAND_IN_HPP
 
-#include "platform/platform.hpp"
 #include "stand_ins/support/stand_in_program.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstdint>
 #include <deque>
--- a/modules/authority/authority.hpp
+++ b/modules/authority/authority.hpp
@@ -12,7 +12,7 @@
 
 #include "document/document.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 
 // The parts, in order of dependence.
 #include "authority/drain/drain_coordinator.hpp"
--- a/modules/authority/lease/lease_holder.hpp
+++ b/modules/authority/lease/lease_holder.hpp
@@ -3,7 +3,7 @@
 
 #include "authority/lease/lease_record.hpp"
 #include "authority/store/settled_write.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstdint>
 #include <limits>
--- a/modules/authority/orders/order_book.hpp
+++ b/modules/authority/orders/order_book.hpp
@@ -5,7 +5,7 @@
 #include "authority/orders/weight_pacer.hpp"
 #include "authority/store/settled_write.hpp"
 #include "document/document.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstdint>
 #include <map>
--- a/modules/authority/store/settled_write.hpp
+++ b/modules/authority/store/settled_write.hpp
@@ -2,7 +2,7 @@
 #define HIBISCUSFERRY_AUTHORITY_STORE_SETTLED_WRITE_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <optional>
 #include <string>
--- a/modules/claims/batch/row_update.hpp
+++ b/modules/claims/batch/row_update.hpp
@@ -2,7 +2,7 @@
 #define HIBISCUSFERRY_CLAIMS_BATCH_ROW_UPDATE_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <optional>
 #include <string>
 #include <vector>
--- a/modules/claims/claims.hpp
+++ b/modules/claims/claims.hpp
@@ -12,7 +12,7 @@
 #define HIBISCUSFERRY_CLAIMS_CLAIMS_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 
 #include "claims/errors/claims_error.hpp"
 
--- a/modules/claims/registry/claim_call.hpp
+++ b/modules/claims/registry/claim_call.hpp
@@ -4,7 +4,7 @@
 #include "claims/batch/row_update.hpp"
 #include "claims/record/claim_record.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstddef>
 #include <string>
--- a/modules/claims/registry/claim_expiry.hpp
+++ b/modules/claims/registry/claim_expiry.hpp
@@ -3,7 +3,7 @@
 
 #include "claims/record/claim_record.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstddef>
 #include <optional>
--- a/modules/claims/settled_write/store_write.hpp
+++ b/modules/claims/settled_write/store_write.hpp
@@ -3,7 +3,7 @@
 
 #include "claims/settled_write/row_stamp.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
--- a/modules/claims/testing/faulty_table.hpp
+++ b/modules/claims/testing/faulty_table.hpp
@@ -2,7 +2,7 @@
 #define HIBISCUSFERRY_CLAIMS_TESTING_FAULTY_TABLE_HPP
 
 #include "claims/testing/event_queue.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
--- a/modules/configuration/configuration.hpp
+++ b/modules/configuration/configuration.hpp
@@ -11,7 +11,7 @@
 
 #include "document/document.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 
 #include "configuration/errors/configuration_error.hpp"
 
--- a/modules/configuration/editor/document_editor.hpp
+++ b/modules/configuration/editor/document_editor.hpp
@@ -4,7 +4,7 @@
 #include "claims/settled_write/store_write.hpp"
 #include "configuration/record/document_record.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstddef>
 #include <map>
--- a/modules/configuration/replica/document_replica.hpp
+++ b/modules/configuration/replica/document_replica.hpp
@@ -5,7 +5,7 @@
 #include "configuration/record/document_record.hpp"
 #include "configuration/replica/replica_message.hpp"
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
--- a/modules/foundation/events/event_journal.cpp
+++ b/modules/foundation/events/event_journal.cpp
@@ -1,6 +1,7 @@
 #include "foundation/events/event_journal.hpp"
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 
 namespace hibiscusferry
 {
@@ -24,12 +25,31 @@
     return text;
 }
 
+std::string event::json() const
+{
+    nlohmann::ordered_json object;
+    object["time"] = time.text();
+    object["number"] = static_cast<int>(number);
+    object["event"] = definition_of(number).name;
+    object["severity"] = to_text(definition_of(number).severity);
+    for (const event_field& entry : fields)
+        object[entry.name] = entry.value;
+    // Bytes that are no UTF-8 are replaced, so that a line is never lost.
+    return object.dump(-1, ' ', false,
+                       nlohmann::ordered_json::error_handler_t::replace);
+}
+
 event_journal::event_journal(const clock& source, std::size_t capacity)
     : clock_(source)
     , capacity_(capacity)
 {
 }
 
+void event_journal::write_to(log_writer& writer)
+{
+    writer_ = &writer;
+}
+
 void event_journal::record(event_number number, std::vector<event_field> fields)
 {
     events_.push_back({timestamp(), number, std::move(fields)});
@@ -39,6 +59,11 @@
         ++dropped_;
     }
 
+    if (writer_ != nullptr)
+    {
+        writer_->add(events_.back().json());
+        return;
+    }
     const std::string line = events_.back().line();
     switch (definition_of(number).severity)
     {
--- a/modules/foundation/events/event_journal.hpp
+++ b/modules/foundation/events/event_journal.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_FOUNDATION_EVENTS_EVENT_JOURNAL_HPP
 
 #include "foundation/events/event_catalogue.hpp"
+#include "foundation/events/log_writer.hpp"
 #include "foundation/time/clock.hpp"
 #include "foundation/time/hybrid_logical_clock.hpp"
 #include <deque>
@@ -30,6 +31,10 @@
 
     /** "[1100] request_received request=… service=…". */
     std::string line() const;
+
+    /** The event as one JSON object: time (hybrid timestamp), number, event,
+        severity, then the fields as texts. */
+    std::string json() const;
 };
 
 /** The events of one process: written to the log and kept, the newest ones,
@@ -48,6 +53,10 @@
     event_journal(const event_journal&) = delete;
     event_journal& operator=(const event_journal&) = delete;
 
+    /** Sends the events to a writer as JSON lines, and no longer to glog.
+        The writer must outlive the journal. */
+    void write_to(log_writer& writer);
+
     /** Logs and keeps an event that happens now. */
     void record(event_number number, std::vector<event_field> fields = {});
 
@@ -66,6 +75,7 @@
 private:
     const clock& clock_;
     std::size_t capacity_;
+    log_writer* writer_ = nullptr;
     hybrid_logical_clock logical_clock_;
     std::deque<event> events_;
     std::size_t dropped_ = 0;
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -35,6 +35,16 @@
                     "stays in it for another reason.",
                     "")
 
+HIBISCUSFERRY_EVENT(1007, info, settings_reloaded,
+                    "The settings were read again and have changed.", "")
+HIBISCUSFERRY_EVENT(
+    1008, alarm, settings_unreadable,
+    "The settings could not be read; the last good ones stay in use.",
+    "See the field problem and correct the settings file.")
+HIBISCUSFERRY_EVENT(1009, info, readiness_changed,
+                    "The host has become ready for callers, or no longer is.",
+                    "")
+
 // 1100-1199 requests (router)
 HIBISCUSFERRY_EVENT(1100, info, request_received,
                     "A request was accepted from a caller.", "")
@@ -57,6 +67,19 @@
 HIBISCUSFERRY_EVENT(1107, warning, request_abandoned,
                     "The caller went away before its answer was complete.", "")
 
+HIBISCUSFERRY_EVENT(1108, info, request_placed,
+                    "The targets of a request were chosen.", "")
+HIBISCUSFERRY_EVENT(1109, warning, request_failed,
+                    "A request ended without a target's answer, and may have "
+                    "run.",
+                    "")
+HIBISCUSFERRY_EVENT(1110, warning, request_resent,
+                    "A request is sent to a further target.", "")
+HIBISCUSFERRY_EVENT(1111, warning, resend_denied,
+                    "A request is not sent again: its targets or the retry "
+                    "budget are used up, or it may have run.",
+                    "")
+
 // 1200-1299 claims (at most once)
 HIBISCUSFERRY_EVENT(
     1200, warning, claim_not_written,
@@ -174,6 +197,15 @@
 HIBISCUSFERRY_EVENT(1411, info, stream_resumed,
                     "A broken stream goes on over another connection.", "")
 
+HIBISCUSFERRY_EVENT(1412, info, target_updated,
+                    "A target has changed its stage, slots or address.", "")
+HIBISCUSFERRY_EVENT(1413, info, target_restarted,
+                    "A target has started again under the id that it had.", "")
+HIBISCUSFERRY_EVENT(1414, warning, target_row_unreadable,
+                    "A row in the table of targets names no target that can "
+                    "be used; the others hold.",
+                    "")
+
 // 1500-1599 membership and peers
 HIBISCUSFERRY_EVENT(1500, info, host_alive,
                     "An entry host is listed and answers.", "")
@@ -191,6 +223,11 @@
 HIBISCUSFERRY_EVENT(1504, info, host_unlisted,
                     "An entry host is no longer in the platform's list.", "")
 
+HIBISCUSFERRY_EVENT(1505, info, live_hosts_changed,
+                    "The number of live entry hosts has changed; limits that "
+                    "hosts share are divided anew.",
+                    "")
+
 // 1550-1599 connections between processes
 HIBISCUSFERRY_EVENT(1550, info, peer_connected,
                     "A connection to another process of the system was proven "
@@ -324,4 +361,37 @@
     "Read the row in the table; a newer version of the system may have "
     "written it.")
 
+HIBISCUSFERRY_EVENT(1809, info, configuration_taken,
+                    "A configuration of the fleet is in force on this host.",
+                    "")
+HIBISCUSFERRY_EVENT(
+    1810, alarm, configuration_unreadable,
+    "A configuration could not be read; the one before stays in force.",
+    "See the field problem; write a configuration that this version reads.")
+HIBISCUSFERRY_EVENT(
+    1811, warning, configuration_part_unreadable,
+    "A route or service of a configuration could not be understood and was "
+    "left out.",
+    "")
+
 // 1900-1999 platform adapters
+HIBISCUSFERRY_EVENT(
+    1900, alarm, store_lost,
+    "The table service does not answer this host; it serves on with what it "
+    "knows, and asks its peers.",
+    "Look at the table service and the link to it. The host catches up by "
+    "itself.")
+HIBISCUSFERRY_EVENT(1901, info, store_regained,
+                    "The table service answers this host again.", "")
+HIBISCUSFERRY_EVENT(1902, info, snapshot_taken,
+                    "A table was read whole, at the start or because the "
+                    "store has dropped its history.",
+                    "")
+HIBISCUSFERRY_EVENT(1903, info, peer_state_taken,
+                    "News of the fleet were taken from a peer, because the "
+                    "table service does not answer this host.",
+                    "")
+HIBISCUSFERRY_EVENT(1904, warning, snapshot_stale,
+                    "A snapshot was older than what this host knows; it is "
+                    "read again.",
+                    "")
--- a/modules/foundation/foundation.cpp
+++ b/modules/foundation/foundation.cpp
@@ -2,6 +2,7 @@
 
 #include "foundation/events/event_catalogue.cpp"
 #include "foundation/events/event_journal.cpp"
+#include "foundation/events/log_writer.cpp"
 #include "foundation/identity/identifier.cpp"
 #include "foundation/identity/stable_hash.cpp"
 #include "foundation/kernel/kernel.cpp"
--- a/modules/foundation/foundation.hpp
+++ b/modules/foundation/foundation.hpp
@@ -11,6 +11,7 @@
 // The parts, in order of dependence.
 #include "foundation/events/event_catalogue.hpp"
 #include "foundation/events/event_journal.hpp"
+#include "foundation/events/log_writer.hpp"
 #include "foundation/identity/identifier.hpp"
 #include "foundation/identity/stable_hash.hpp"
 #include "foundation/kernel/kernel.hpp"
--- /dev/null
+++ b/modules/gateway/process/gateway_service.hpp
@@ -0,0 +1,49 @@
+#ifndef HIBISCUSFERRY_GATEWAY_PROCESS_GATEWAY_SERVICE_HPP
+#define HIBISCUSFERRY_GATEWAY_PROCESS_GATEWAY_SERVICE_HPP
+
+#include "gateway/request/request_run.hpp"
+#include <memory>
+#include <random>
+
+namespace hibiscusferry
+{
+
+/** Takes callers' requests, and tells the balancer whether it does.
+
+    A planned stop leaves the rotation at once and goes on serving: the
+    balancer notices late, and open connections stay with their host. Only
+    when new callers go elsewhere are the remaining ones asked to leave.
+*/
+class gateway_service final : public kernel_service
+{
+public:
+    static constexpr const char* name = "gateway";
+
+    explicit gateway_service(const gateway_parts& parts);
+
+    result<void> start() override;
+    void drain(std::function<void()> finished) override;
+    void stop() override;
+
+private:
+    http_server_limits limits() const;
+    void follow_limits();
+    void serve(http_exchange& exchange, boost::asio::yield_context yield);
+    bool is_ready() const;
+    void answer_readiness(http_exchange& exchange,
+                          boost::asio::yield_context yield);
+    void watch_readiness();
+
+    gateway_parts parts_;
+    std::mt19937_64 draws_;
+    std::unique_ptr<http_server> callers_;
+    std::unique_ptr<http_server> readiness_;
+    std::uint64_t limits_version_ = 0;
+    bool was_ready_ = false;
+    bool is_draining_ = false;
+    std::size_t open_requests_ = 0;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/gateway/process/metrics_service.cpp
@@ -0,0 +1,59 @@
+#include "gateway/process/metrics_service.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds flush_period{100};
+/** The port that deploy/system.toml names. */
+constexpr std::uint16_t metrics_port = 9464;
+const std::string metrics_path = "/metrics";
+
+} // namespace
+
+metrics_service::metrics_service(process_core& core, const fleet_state& fleet,
+                                 log_writer& log)
+    : core_(core)
+    , fleet_(fleet)
+    , log_(log)
+{
+}
+
+result<void> metrics_service::start()
+{
+    core_.repeat(flush_period,
+                 [this]
+                 {
+                     log_.flush();
+                     core_.metrics()
+                         .gauge_of("hibiscusferry_log_lines_dropped")
+                         .set(static_cast<double>(log_.dropped()));
+                 });
+    result<std::unique_ptr<http_server>> listening = http_server::listen(
+        core_.context(), {fleet_.settings().address, metrics_port}, {},
+        [this](http_exchange& exchange, boost::asio::yield_context yield)
+        {
+            http_response response;
+            const bool is_page = exchange.request().path() == metrics_path;
+            response.status = is_page ? 200 : 404;
+            response.headers.set("Content-Type", "text/plain; charset=utf-8");
+            if (is_page)
+                response.body = core_.metrics().text();
+            const result<void> ignored = exchange.respond(response, yield);
+            static_cast<void>(ignored);
+        });
+    if (!listening)
+        return listening.error();
+    server_ = std::move(listening.value());
+    return outcome::success();
+}
+
+void metrics_service::stop()
+{
+    log_.flush();
+    server_->close();
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/gateway/process/metrics_service.hpp
@@ -0,0 +1,32 @@
+#ifndef HIBISCUSFERRY_GATEWAY_PROCESS_METRICS_SERVICE_HPP
+#define HIBISCUSFERRY_GATEWAY_PROCESS_METRICS_SERVICE_HPP
+
+#include "gateway/state/fleet_state.hpp"
+#include <memory>
+
+namespace hibiscusferry
+{
+
+/** Writes the log out and serves the metrics page, without ever waiting for
+    whoever reads them. */
+class metrics_service final : public kernel_service
+{
+public:
+    static constexpr const char* name = "metrics";
+
+    metrics_service(process_core& core, const fleet_state& fleet,
+                    log_writer& log);
+
+    result<void> start() override;
+    void stop() override;
+
+private:
+    process_core& core_;
+    const fleet_state& fleet_;
+    log_writer& log_;
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/gateway/process/settings_watch.cpp
@@ -0,0 +1,79 @@
+#include "gateway/process/settings_watch.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds reread_period{5};
+
+bool is_same(const host_settings& left, const host_settings& right)
+{
+    return left.retries.ratio == right.retries.ratio &&
+           left.retries.slack == right.retries.slack &&
+           left.retries.window == right.retries.window &&
+           left.stop_grace == right.stop_grace &&
+           left.order_turn == right.order_turn &&
+           left.availability_zone == right.availability_zone;
+}
+
+} // namespace
+
+settings_watch::settings_watch(process_core& core, fleet_state& fleet,
+                               settings_source& source)
+    : core_(core)
+    , fleet_(fleet)
+    , source_(source)
+{
+}
+
+result<void> settings_watch::start()
+{
+    start_task(core_.context(),
+               [this](boost::asio::yield_context yield)
+               {
+                   boost::asio::signal_set signals(core_.context(), SIGHUP);
+                   boost::system::error_code error;
+                   while (!is_stopping_)
+                   {
+                       signals.async_wait(yield[error]);
+                       if (!error)
+                           reload("signal");
+                   }
+               });
+    core_.repeat(reread_period, [this] { reload("period"); });
+    return outcome::success();
+}
+
+void settings_watch::stop()
+{
+    is_stopping_ = true;
+}
+
+void settings_watch::reload(const std::string& cause)
+{
+    const result<host_settings> read = source_.read();
+    if (!read)
+    {
+        if (source_.problem() != last_problem_)
+            core_.journal().record(
+                event_number::settings_unreadable,
+                {{"cause", cause}, {"problem", source_.problem()}});
+        last_problem_ = source_.problem();
+        return;
+    }
+    last_problem_.clear();
+    const bool is_changed = !is_same(read.value(), fleet_.settings());
+    if (!is_changed && cause == "period")
+        return;
+    fleet_.set_settings(read.value());
+    core_.journal().record(
+        event_number::settings_reloaded,
+        {{"cause", cause}, {"changed", is_changed ? "yes" : "no"}});
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/gateway/protocol/caller_protocol.cpp
@@ -0,0 +1,17 @@
+#include "gateway/protocol/caller_protocol.hpp"
+
+#include <array>
+
+namespace hibiscusferry
+{
+
+std::string_view to_text(refusal_cause reason)
+{
+    constexpr std::array<std::string_view, 9> names{
+        "no_configuration", "no_route",        "bad_request",
+        "no_target",        "overloaded",      "target_refused",
+        "out_of_time",      "outcome_unknown", "no_answer_in_time"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/gateway/request/request_context.cpp
@@ -0,0 +1,31 @@
+#include "gateway/request/request_context.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+std::chrono::milliseconds to_milliseconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
+std::chrono::milliseconds request_context::elapsed(time_point now) const
+{
+    return to_milliseconds(now - arrived_at);
+}
+
+std::chrono::milliseconds request_context::time_left(time_point now) const
+{
+    return to_milliseconds(deadline - now);
+}
+
+std::chrono::milliseconds request_context::until_late(time_point now) const
+{
+    return to_milliseconds(late_at - now);
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/gateway/request/target_exchange.cpp
@@ -0,0 +1,204 @@
+#include "gateway/request/target_exchange.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** A target in the same region answers a connection attempt within a few
+    milliseconds unless it is down or cut off. */
+constexpr std::chrono::milliseconds connect_limit{250};
+
+/** Longest idle time of a connection that is used again. Calls that may not
+    run twice get fresher ones, as a close that crosses them leaves their
+    outcome unknown. */
+constexpr std::chrono::milliseconds idle_limit{8000};
+constexpr std::chrono::milliseconds idle_limit_once{2500};
+
+/** Greatest body of an answer that is not a stream. */
+constexpr std::size_t answer_limit_bytes = 8U << 20;
+
+/** Late answers to other requests that are dropped before the one that is
+    waited for. */
+constexpr int most_foreign_answers = 2;
+
+} // namespace
+
+target_exchange::target_exchange(const gateway_parts& parts,
+                                 request_context& context,
+                                 std::shared_ptr<target_view> target)
+    : parts_(parts)
+    , context_(context)
+    , target_(std::move(target))
+{
+}
+
+target_exchange::~target_exchange()
+{
+    if (context_.open_connection == connection_.get())
+        context_.open_connection = nullptr;
+}
+
+std::chrono::milliseconds
+target_exchange::bounded(std::chrono::milliseconds limit) const
+{
+    const std::chrono::milliseconds left =
+        context_.time_left(parts_.core.now());
+    return std::max(std::min(limit, left), std::chrono::milliseconds(1));
+}
+
+offer_result target_exchange::connect(boost::asio::yield_context yield)
+{
+    const http_endpoint& endpoint = target_->record.endpoint;
+    http_connection_pool& pool = parts_.core.connections();
+    connection_ = pool.take_idle(
+        endpoint, context_.found->may_repeat() ? idle_limit : idle_limit_once);
+    is_kept_connection_ = connection_ != nullptr;
+    if (!connection_)
+    {
+        parts_.core.metrics()
+            .counter_of("hibiscusferry_target_connections_total")
+            .add();
+        result<std::unique_ptr<http_connection>> opened =
+            pool.open(endpoint, bounded(connect_limit), yield);
+        if (context_.is_caller_gone)
+            return offer_result::caller_gone;
+        if (!opened)
+        {
+            context_.last_problem = "connect: " + opened.error().message();
+            parts_.fleet.record_outcome(*target_, exchange_outcome::unreachable,
+                                        context_.request.id);
+            return offer_result::not_sent;
+        }
+        connection_ = std::move(opened.value());
+    }
+    context_.open_connection = connection_.get();
+    return offer_result::answered;
+}
+
+offer_result target_exchange::send(const offer_terms& terms,
+                                   std::chrono::milliseconds first_byte_limit,
+                                   boost::asio::yield_context yield)
+{
+    const offer_result connected = connect(yield);
+    if (connected != offer_result::answered)
+        return connected;
+
+    offer_terms current = terms;
+    current.time_left = context_.time_left(parts_.core.now());
+    if (current.time_left <= std::chrono::milliseconds(0))
+    {
+        parts_.core.connections().give_back(std::move(connection_));
+        context_.open_connection = nullptr;
+        return offer_result::not_sent;
+    }
+    ++context_.offers;
+    context_.last_target = target_->record.id;
+    const result<void> sent = connection_->send(
+        parts_.targets.write_offer(current), bounded(first_byte_limit), yield);
+    // A target may answer and close before it has read all of the request.
+    if (!sent && sent.error() == http_error::timed_out)
+        return failure(sent.error(), true);
+    return read_head(first_byte_limit, yield);
+}
+
+offer_result
+target_exchange::read_head(std::chrono::milliseconds first_byte_limit,
+                           boost::asio::yield_context yield)
+{
+    for (int foreign = 0; foreign <= most_foreign_answers; ++foreign)
+    {
+        const result<http_response_head> head =
+            connection_->read_head(bounded(first_byte_limit), yield);
+        if (!head)
+            return failure(head.error(), true);
+        head_ = head.value();
+        answer_ = parts_.targets.read_answer(head_, context_.request,
+                                             parts_.core.now());
+        if (answer_.is_to_request)
+            break;
+        parts_.core.journal().record(
+            event_number::answer_mismatch,
+            {{"request", context_.request.id}, {"target", target_->record.id}});
+        const result<std::string> dropped = connection_->read_rest(
+            answer_limit_bytes, bounded(first_byte_limit), yield);
+        if (!dropped)
+            return failure(dropped.error(), true);
+        connection_->expect_another_answer();
+    }
+    if (!answer_.is_to_request)
+        return failure(make_error_code(http_error::bad_message), true);
+    if (answer_.load)
+        target_->load = answer_.load;
+    if (!answer_.is_not_run)
+        return offer_result::answered;
+
+    context_.last_problem =
+        "refused as not run: " + std::to_string(head_.status);
+    const result<std::string> body = read_body(yield);
+    if (body)
+        finish();
+    parts_.fleet.record_outcome(*target_, exchange_outcome::shed,
+                                context_.request.id);
+    if (answer_.is_wrong_target)
+        target_->is_leaving = true;
+    return offer_result::not_run;
+}
+
+offer_result target_exchange::failure(std::error_code error, bool may_have_run)
+{
+    if (context_.is_caller_gone)
+        return offer_result::caller_gone;
+    context_.last_problem = error.message();
+    const bool is_silent = error == http_error::timed_out;
+    const bool is_out_of_time =
+        context_.time_left(parts_.core.now()) <= std::chrono::milliseconds(1);
+    // A kept connection that was closed meanwhile says nothing of the target.
+    const bool is_stale =
+        is_kept_connection_ && !is_silent && !connection_->has_received();
+    if (!is_stale)
+        parts_.fleet.record_outcome(*target_,
+                                    is_silent ? exchange_outcome::silent
+                                              : exchange_outcome::broken,
+                                    context_.request.id);
+    if (is_silent)
+        parts_.core.connections().forget(target_->record.endpoint);
+    if (!may_have_run)
+        return offer_result::not_sent;
+    return is_out_of_time ? offer_result::out_of_time : offer_result::unknown;
+}
+
+const http_response_head& target_exchange::head() const
+{
+    return head_;
+}
+
+const target_answer& target_exchange::answer() const
+{
+    return answer_;
+}
+
+result<std::string> target_exchange::read_body(boost::asio::yield_context yield)
+{
+    return connection_->read_rest(answer_limit_bytes,
+                                  bounded(context_.found->time_limit), yield);
+}
+
+result<std::string>
+target_exchange::read_some(std::chrono::milliseconds silence_limit,
+                           boost::asio::yield_context yield)
+{
+    return connection_->read_some(bounded(silence_limit), yield);
+}
+
+void target_exchange::finish()
+{
+    context_.open_connection = nullptr;
+    if (connection_)
+        parts_.core.connections().give_back(std::move(connection_));
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/gateway/state/fleet_state.cpp
@@ -0,0 +1,160 @@
+#include "gateway/state/fleet_state.hpp"
+
+#include <array>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** Hosts assumed before the first list of them was read: limits that are
+    shared by all hosts start small. */
+constexpr std::size_t assumed_hosts = 8;
+
+event_number event_of(target_change::kind what)
+{
+    constexpr std::array<event_number, 5> numbers{
+        event_number::target_added, event_number::target_updated,
+        event_number::target_restarted, event_number::target_leaving,
+        event_number::target_removed};
+    return numbers[static_cast<std::size_t>(what)];
+}
+
+std::string_view stage_name(target_role stage)
+{
+    constexpr std::array<std::string_view, 3> names{"prefill", "decode",
+                                                    "mixed"};
+    return names[static_cast<std::size_t>(stage)];
+}
+
+} // namespace
+
+fleet_state::fleet_state(process_core& core, const host_settings& settings)
+    : core_(core)
+    , settings_(settings)
+    , catalogue_(settings.outage_grace)
+    , live_hosts_(assumed_hosts)
+{
+}
+
+const host_settings& fleet_state::settings() const
+{
+    return settings_;
+}
+
+void fleet_state::set_settings(const host_settings& settings)
+{
+    settings_ = settings;
+    for (auto& [service, budget] : budgets_)
+        budget.set(settings.retries);
+}
+
+std::shared_ptr<const route_table> fleet_state::routes() const
+{
+    return routes_;
+}
+
+void fleet_state::take_configuration(fleet_configuration configuration,
+                                     const std::string& source)
+{
+    const std::uint64_t version = configuration.version;
+    if (routes_ && version <= routes_->configuration().version)
+        return;
+    for (const std::string& problem : configuration.problems)
+        core_.journal().record(
+            event_number::configuration_part_unreadable,
+            {{"version", std::to_string(version)}, {"problem", problem}});
+    core_.journal().record(
+        event_number::configuration_taken,
+        {{"version", std::to_string(version)},
+         {"before",
+          routes_ ? std::to_string(routes_->configuration().version) : "none"},
+         {"routes", std::to_string(configuration.routes.size())},
+         {"source", source}});
+    routes_ = std::make_shared<const route_table>(std::move(configuration));
+}
+
+target_board& fleet_state::board()
+{
+    return board_;
+}
+
+target_catalogue& fleet_state::catalogue()
+{
+    return catalogue_;
+}
+
+bool fleet_state::knows_targets() const
+{
+    return knows_targets_;
+}
+
+void fleet_state::set_knows_targets()
+{
+    knows_targets_ = true;
+}
+
+void fleet_state::apply(const std::vector<target_change>& changes,
+                        const std::string& source)
+{
+    for (const target_change& change : changes)
+    {
+        board_.apply(change);
+        core_.journal().record(
+            event_of(change.what),
+            {{"target", change.record.id},
+             {"service", change.record.service},
+             {"address", change.record.endpoint.text()},
+             {"zone", change.record.availability_zone},
+             {"stage", std::string(stage_name(change.record.stage))},
+             {"source", source}});
+    }
+}
+
+void fleet_state::record_outcome(target_view& target, exchange_outcome outcome,
+                                 const std::string& request_id)
+{
+    const time_point now = core_.now();
+    const bool was_usable = target.health.is_usable(now);
+    const bool was_on_trial = target.health.is_on_trial(now);
+    target.health.record(outcome, now);
+    const bool is_usable = target.health.is_usable(now);
+    if (was_usable && !is_usable)
+        core_.journal().record(
+            event_number::target_suspect,
+            {{"target", target.record.id},
+             {"request", request_id},
+             {"outcome", std::string(to_text(outcome))},
+             {"failure_rate", std::to_string(target.health.failure_rate())}});
+    if (was_on_trial && outcome == exchange_outcome::answered)
+        core_.journal().record(
+            event_number::target_back,
+            {{"target", target.record.id}, {"request", request_id}});
+}
+
+fleet_retry_budget& fleet_state::budget(const std::string& service)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end())
+        return found->second;
+    return budgets_.emplace(service, fleet_retry_budget(settings_.retries))
+        .first->second;
+}
+
+std::size_t fleet_state::live_hosts() const
+{
+    return live_hosts_;
+}
+
+void fleet_state::set_live_hosts(std::size_t hosts)
+{
+    if (hosts == live_hosts_)
+        return;
+    core_.journal().record(event_number::live_hosts_changed,
+                           {{"hosts", std::to_string(hosts)},
+                            {"before", std::to_string(live_hosts_)}});
+    live_hosts_ = hosts;
+}
+
+} // namespace hibiscusferry
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -1,7 +1,9 @@
 #include "http/client/http_connection.hpp"
 
 #include "http/server/beast_support.hpp"
+#include <charconv>
 #include <limits>
+#include <sys/socket.h>
 
 namespace hibiscusferry
 {
@@ -12,6 +14,22 @@
 constexpr std::size_t response_header_limit_bytes = 32U << 10;
 constexpr std::size_t response_piece_bytes = 16U << 10;
 
+/** The seconds of "timeout=N" in a Keep-Alive header field. */
+std::optional<std::chrono::seconds> keep_alive_timeout(std::string_view text)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = text.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = text.substr(at + name.size());
+    unsigned seconds = 0;
+    const std::from_chars_result read =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (read.ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 } // namespace
 
 struct http_connection::implementation
@@ -30,8 +48,21 @@
     boost::beast::flat_buffer buffer;
     std::unique_ptr<response_parser> parser;
     bool is_reusable = true;
+    bool is_head_request = false;
+    std::optional<std::chrono::seconds> announced_idle_limit;
+
+    void begin_answer();
 };
 
+void http_connection::implementation::begin_answer()
+{
+    is_reusable = false;
+    parser = std::make_unique<response_parser>();
+    parser->header_limit(response_header_limit_bytes);
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser->skip(is_head_request);
+}
+
 http_connection::http_connection(std::unique_ptr<implementation> parts)
     : implementation_(std::move(parts))
 {
@@ -75,12 +106,8 @@
     message.body() = request.body;
     message.prepare_payload();
 
-    implementation_->is_reusable = false;
-    implementation_->parser =
-        std::make_unique<implementation::response_parser>();
-    implementation_->parser->header_limit(response_header_limit_bytes);
-    implementation_->parser->body_limit(
-        std::numeric_limits<std::uint64_t>::max());
+    implementation_->is_head_request = request.method == "HEAD";
+    implementation_->begin_answer();
 
     boost::system::error_code error;
     implementation_->stream.expires_after(time_limit);
@@ -106,6 +133,8 @@
 
     const implementation::response_parser::value_type& message =
         implementation_->parser->get();
+    implementation_->announced_idle_limit = keep_alive_timeout(std::string_view(
+        message["Keep-Alive"].data(), message["Keep-Alive"].size()));
     http_response_head head;
     head.status = message.result_int();
     for (const beast_http::fields::value_type& field : message)
@@ -139,7 +168,8 @@
         piece.resize(piece.size() - parser.get().body().size);
     }
     if (parser.is_done())
-        implementation_->is_reusable = parser.keep_alive();
+        implementation_->is_reusable =
+            parser.keep_alive() && implementation_->buffer.size() == 0;
     return piece;
 }
 
@@ -173,6 +203,32 @@
     return implementation_->is_reusable;
 }
 
+bool http_connection::is_quiet() const
+{
+    char peeked = 0;
+    const ssize_t count =
+        ::recv(implementation_->stream.socket().native_handle(), &peeked, 1,
+               MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::optional<std::chrono::seconds>
+http_connection::announced_idle_limit() const
+{
+    return implementation_->announced_idle_limit;
+}
+
+void http_connection::expect_another_answer()
+{
+    implementation_->begin_answer();
+}
+
+bool http_connection::has_received() const
+{
+    return implementation_->buffer.size() > 0 ||
+           (implementation_->parser && implementation_->parser->got_some());
+}
+
 const http_endpoint& http_connection::endpoint() const
 {
     return implementation_->endpoint;
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/spawn.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hibiscusferry
@@ -52,10 +53,25 @@
                                   std::chrono::milliseconds time_limit,
                                   boost::asio::yield_context yield);
 
-    /** Whether the last exchange came to its end and the other side keeps
-        the connection open. */
+    /** Whether the last exchange came to its end, with no byte after it, and
+        the other side keeps the connection open. */
     bool is_reusable() const;
 
+    /** Whether an idle connection is still open with nothing to read: bytes
+        that arrive between exchanges belong to no request. */
+    bool is_quiet() const;
+
+    /** How long the other side keeps the connection open when idle, from its
+        Keep-Alive header; none if it did not say. */
+    std::optional<std::chrono::seconds> announced_idle_limit() const;
+
+    /** Makes the connection ready for the next answer of the same exchange,
+        after one that belonged to another request was read whole. */
+    void expect_another_answer();
+
+    /** Whether any byte of an answer to the present exchange arrived. */
+    bool has_received() const;
+
     const http_endpoint& endpoint() const;
 
     /** Ends any operation in progress with http_error::broken. */
--- a/modules/http/client/http_connection_pool.hpp
+++ b/modules/http/client/http_connection_pool.hpp
@@ -26,6 +26,13 @@
     take(const http_endpoint& endpoint, std::chrono::milliseconds time_limit,
          boost::asio::yield_context yield);
 
+    /** An idle connection, or none. One that was closed, has unread bytes or
+        was idle for longer than `idle_limit`, or than a part of what the other
+        side announced, is closed instead. */
+    std::unique_ptr<http_connection>
+    take_idle(const http_endpoint& endpoint,
+              std::chrono::milliseconds idle_limit);
+
     /** A new connection, also when there are idle ones; for calls that may
         not be repeated and for probes. */
     result<std::unique_ptr<http_connection>>
@@ -38,6 +45,10 @@
     /** Closes all idle connections to an endpoint that is in doubt. */
     void forget(const http_endpoint& endpoint);
 
+    /** Closes the connections that were idle for longer than longest_idle, or
+        that the other side has closed. */
+    void sweep();
+
     std::size_t idle_connections() const;
 
 private:
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -4,6 +4,7 @@
 #include "http/client/http_connection.cpp"
 #include "http/client/http_connection_pool.cpp"
 #include "http/errors/http_error.cpp"
+#include "http/message/event_stream_parser.cpp"
 #include "http/message/http_message.cpp"
 #include "http/message/url_encoding.cpp"
 #include "http/server/http_exchange.cpp"
--- a/modules/http/http.hpp
+++ b/modules/http/http.hpp
@@ -14,6 +14,7 @@
 #include "http/client/http_connection.hpp"
 #include "http/client/http_connection_pool.hpp"
 #include "http/errors/http_error.hpp"
+#include "http/message/event_stream_parser.hpp"
 #include "http/message/http_message.hpp"
 #include "http/message/url_encoding.hpp"
 #include "http/server/http_exchange.hpp"
--- a/modules/router/request/event_stream_parser.cpp
+++ b/modules/http/message/event_stream_parser.cpp
@@ -1,4 +1,4 @@
-#include "router/request/event_stream_parser.hpp"
+#include "http/message/event_stream_parser.hpp"
 
 #include <algorithm>
 
--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -30,6 +30,15 @@
 {
 }
 
+server_exchange::~server_exchange()
+{
+    if (!watch_)
+        return;
+    watch_->exchange = nullptr;
+    boost::system::error_code ignored;
+    connection_.stream.socket().cancel(ignored);
+}
+
 const http_request& server_exchange::request() const
 {
     return request_;
@@ -57,6 +66,7 @@
     message.result(response.status);
     copy_headers(response.headers, message);
     message.keep_alive(keeps_alive());
+    connection_.has_announced_close = !keeps_alive();
     if (has_body(response.status))
     {
         message.body() = response.body;
@@ -84,6 +94,7 @@
     message.result(head.status);
     copy_headers(head.headers, message);
     message.keep_alive(keeps_alive());
+    connection_.has_announced_close = !keeps_alive();
     message.chunked(true);
     beast_http::response_serializer<beast_http::empty_body> serializer(message);
 
@@ -139,6 +150,32 @@
     return count == 0 || (count < 0 && !is_waiting);
 }
 
+void server_exchange::on_client_gone(std::function<void()> handler)
+{
+    if (watch_)
+    {
+        watch_->handler = std::move(handler);
+        return;
+    }
+    watch_ = std::make_shared<client_watch>();
+    watch_->exchange = this;
+    watch_->handler = std::move(handler);
+    connection_.stream.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [watch = watch_](const boost::system::error_code& error)
+        {
+            if (error || watch->exchange == nullptr || !watch->handler)
+                return;
+            if (watch->exchange->is_client_gone())
+                watch->handler();
+        });
+}
+
+void server_exchange::close_after_answer()
+{
+    keeps_alive_ = false;
+}
+
 bool server_exchange::is_complete() const
 {
     return is_complete_;
--- a/modules/http/server/http_exchange.hpp
+++ b/modules/http/server/http_exchange.hpp
@@ -5,6 +5,7 @@
 #include "http/errors/http_error.hpp"
 #include "http/message/http_message.hpp"
 #include <boost/asio/spawn.hpp>
+#include <functional>
 #include <string_view>
 
 namespace hibiscusferry
@@ -43,6 +44,14 @@
 
     /** Whether the client has closed the connection. */
     virtual bool is_client_gone() = 0;
+
+    /** Calls `handler` once if the client closes the connection before the
+        exchange has ended; never from inside this call. A client that has
+        already sent its next request is not watched any further. */
+    virtual void on_client_gone(std::function<void()> handler) = 0;
+
+    /** Has the connection closed after this answer. */
+    virtual void close_after_answer() = 0;
 };
 
 } // namespace hibiscusferry
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -78,6 +78,9 @@
     }
 
     void accept_all(boost::asio::yield_context yield);
+    void sweep_idle(boost::asio::yield_context yield);
+    bool wait_for_request(server_connection& connection,
+                          boost::asio::yield_context yield);
     void serve(const std::shared_ptr<server_connection>& connection,
                boost::asio::yield_context yield);
     bool serve_one(server_connection& connection,
@@ -90,6 +93,8 @@
     connection_set connections;
     std::size_t exchanges = 0;
     bool closes_after_answers = false;
+    /** close() was called. */
+    bool is_cut_off = false;
 };
 
 namespace
@@ -97,6 +102,40 @@
 
 constexpr std::chrono::milliseconds accept_pause{50};
 
+/** Between two looks for connections that were idle for too long. */
+constexpr std::chrono::milliseconds idle_sweep_period{500};
+
+/** How long a connection stays readable after its last answer, so that a
+    request that crossed the announcement of the close is still answered and
+    the answer is not lost to a reset. */
+constexpr std::chrono::milliseconds close_linger{1000};
+
+/** An interim answer for a client that waits before it sends its body. */
+constexpr char continue_line[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/** Whether a client asks for a 100 (Continue) before it sends its body. */
+bool expects_continue(
+    const beast_http::request_parser<beast_http::string_body>& parser)
+{
+    return boost::beast::iequals(parser.get()[beast_http::field::expect],
+                                 "100-continue");
+}
+
+/** Reads and drops what a refused client still sends, until it closes. */
+void linger(server_connection& connection, boost::asio::yield_context yield)
+{
+    boost::system::error_code error;
+    connection.stream.socket().shutdown(
+        boost::asio::ip::tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(close_linger);
+    while (!error)
+    {
+        connection.buffer.clear();
+        connection.stream.async_read_some(connection.buffer.prepare(4096),
+                                          yield[error]);
+    }
+}
+
 http_request
 to_http_request(beast_http::request<beast_http::string_body> message)
 {
@@ -128,31 +167,68 @@
                                   reason.message() + "\"}}"),
         yield);
     static_cast<void>(ignored);
+    linger(connection, yield);
 }
 
 } // namespace
 
-bool http_server::implementation::serve_one(server_connection& connection,
-                                            boost::asio::yield_context yield)
+bool http_server::implementation::wait_for_request(
+    server_connection& connection, boost::asio::yield_context yield)
 {
+    if (connection.buffer.size() > 0)
+        return true;
+    // Idle connections hold no buffer.
+    connection.buffer.shrink_to_fit();
     boost::system::error_code error;
-    // The first byte may take long; the rest of the request may not.
-    if (connection.buffer.size() == 0)
+    connection.idle_since = boot_clock::now();
+    connection.stream.expires_never();
+    connection.stream.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read, yield[error]);
+    connection.idle_since.reset();
+    return !error && connection.stream.socket().is_open();
+}
+
+void http_server::implementation::sweep_idle(boost::asio::yield_context yield)
+{
+    while (acceptor.is_open())
     {
-        connection.stream.expires_after(limits.idle_time);
-        const std::size_t received = connection.stream.async_read_some(
-            connection.buffer.prepare(4096), yield[error]);
-        if (error)
-            return false;
-        connection.buffer.commit(received);
+        sleep_for(context, idle_sweep_period, yield);
+        const time_point now = boot_clock::now();
+        for (const std::shared_ptr<server_connection>& connection : connections)
+        {
+            if (!connection->idle_since)
+                continue;
+            const std::chrono::milliseconds limit =
+                connection->has_announced_close ? close_linger
+                                                : limits.idle_time;
+            if (now - *connection->idle_since > limit)
+                connection->stream.close();
+        }
     }
+}
 
+bool http_server::implementation::serve_one(server_connection& connection,
+                                            boost::asio::yield_context yield)
+{
+    // The first byte may take long; the rest of the request may not.
+    if (!wait_for_request(connection, yield))
+        return false;
+
+    boost::system::error_code error;
     beast_http::request_parser<beast_http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     connection.stream.expires_after(limits.request_time);
-    beast_http::async_read(connection.stream, connection.buffer, parser,
-                           yield[error]);
+    beast_http::async_read_header(connection.stream, connection.buffer, parser,
+                                  yield[error]);
+    if (!error && expects_continue(parser))
+        boost::asio::async_write(
+            connection.stream,
+            boost::asio::buffer(continue_line, sizeof continue_line - 1),
+            yield[error]);
+    if (!error)
+        beast_http::async_read(connection.stream, connection.buffer, parser,
+                               yield[error]);
     if (error)
     {
         refuse_request(connection, to_http_error(error), yield);
@@ -166,7 +242,9 @@
                              keeps_alive);
     const counted_exchange counted(exchanges);
     on_request(exchange, yield);
-    return exchange.is_complete() && exchange.keeps_alive();
+    if (!exchange.is_complete())
+        return false;
+    return exchange.keeps_alive() || (keeps_alive && !is_cut_off);
 }
 
 void http_server::implementation::serve(
@@ -244,6 +322,8 @@
 
     start_task(context, [parts](boost::asio::yield_context yield)
                { parts->accept_all(yield); });
+    start_task(context, [parts](boost::asio::yield_context yield)
+               { parts->sweep_idle(yield); });
     return std::unique_ptr<http_server>(new http_server(parts));
 }
 
@@ -275,9 +355,25 @@
         connection->closes_after_answers = true;
 }
 
+void http_server::set_limits(const http_server_limits& limits)
+{
+    implementation_->limits = limits;
+}
+
+void http_server::close_idle()
+{
+    for (const std::shared_ptr<server_connection>& connection :
+         implementation_->connections)
+    {
+        if (connection->idle_since)
+            connection->stream.close();
+    }
+}
+
 void http_server::close()
 {
     boost::system::error_code ignored;
+    implementation_->is_cut_off = true;
     implementation_->acceptor.close(ignored);
     for (const std::shared_ptr<server_connection>& connection :
          implementation_->connections)
--- a/modules/http/server/http_server.hpp
+++ b/modules/http/server/http_server.hpp
@@ -55,6 +55,12 @@
     /** Connections open now. */
     std::size_t open_connections() const;
 
+    /** Takes new limits for requests that have not begun to arrive. */
+    void set_limits(const http_server_limits& limits);
+
+    /** Closes the connections that have no request in progress. */
+    void close_idle();
+
     /** Answers from now on ask the client to close the connection; new
         connections are still accepted. For a planned stop. */
     void close_after_answers();
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -4,6 +4,7 @@
 #include "http/server/beast_support.hpp"
 #include "http/server/http_exchange.hpp"
 #include "http/server/http_server.hpp"
+#include <optional>
 
 // Private to the module: a server's connection and its exchanges.
 
@@ -24,6 +25,10 @@
     boost::beast::flat_buffer buffer;
     const http_server_limits limits;
     bool closes_after_answers = false;
+    /** The client was told that the connection closes. */
+    bool has_announced_close = false;
+    /** Since when no request is in progress; none while there is one. */
+    std::optional<time_point> idle_since;
 };
 
 /** The exchange that a server's handler is given. */
@@ -32,6 +37,9 @@
 public:
     server_exchange(server_connection& connection, http_request request,
                     bool keeps_alive);
+    ~server_exchange() override;
+    server_exchange(const server_exchange&) = delete;
+    server_exchange& operator=(const server_exchange&) = delete;
 
     const http_request& request() const override;
     http_endpoint client() const override;
@@ -44,6 +52,8 @@
     result<void> end_stream(boost::asio::yield_context yield) override;
     bool has_begun() const override;
     bool is_client_gone() override;
+    void on_client_gone(std::function<void()> handler) override;
+    void close_after_answer() override;
 
     /** Whether the whole answer was handed to the connection. */
     bool is_complete() const;
@@ -52,8 +62,17 @@
     bool keeps_alive() const;
 
 private:
+    /** Shared with the wait for the client's close, which may outlive the
+        exchange. */
+    struct client_watch
+    {
+        server_exchange* exchange = nullptr;
+        std::function<void()> handler;
+    };
+
     server_connection& connection_;
     http_request request_;
+    std::shared_ptr<client_watch> watch_;
     bool keeps_alive_;
     bool has_begun_ = false;
     bool is_complete_ = false;
--- a/modules/membership/membership.hpp
+++ b/modules/membership/membership.hpp
@@ -7,7 +7,7 @@
 #define HIBISCUSFERRY_MEMBERSHIP_MEMBERSHIP_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 
 // The parts, in order of dependence.
 #include "membership/messages/membership_message.hpp"
--- a/modules/membership/view/membership_view.hpp
+++ b/modules/membership/view/membership_view.hpp
@@ -3,7 +3,7 @@
 
 #include "foundation/foundation.hpp"
 #include "membership/messages/membership_message.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <chrono>
 #include <cstdint>
 #include <map>
--- a/modules/runtime/process/daemon_main.cpp
+++ b/modules/process/core/daemon_main.cpp
@@ -1,4 +1,4 @@
-#include "runtime/process/daemon_main.hpp"
+#include "process/core/daemon_main.hpp"
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
--- a/modules/runtime/process/daemon_main.hpp
+++ b/modules/process/core/daemon_main.hpp
@@ -1,7 +1,7 @@
-#ifndef HIBISCUSFERRY_RUNTIME_PROCESS_DAEMON_MAIN_HPP
-#define HIBISCUSFERRY_RUNTIME_PROCESS_DAEMON_MAIN_HPP
+#ifndef HIBISCUSFERRY_PROCESS_CORE_DAEMON_MAIN_HPP
+#define HIBISCUSFERRY_PROCESS_CORE_DAEMON_MAIN_HPP
 
-#include "runtime/process/process_core.hpp"
+#include "process/core/process_core.hpp"
 #include <functional>
 #include <string>
 
--- a/modules/runtime/process/process_core.cpp
+++ b/modules/process/core/process_core.cpp
@@ -1,4 +1,4 @@
-#include "runtime/process/process_core.hpp"
+#include "process/core/process_core.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -58,6 +58,11 @@
     return journal_;
 }
 
+void process_core::journal_to(log_writer& writer)
+{
+    journal_.write_to(writer);
+}
+
 const event_journal& process_core::journal_view() const
 {
     return journal_;
--- a/modules/runtime/process/process_core.hpp
+++ b/modules/process/core/process_core.hpp
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSFERRY_RUNTIME_PROCESS_PROCESS_CORE_HPP
-#define HIBISCUSFERRY_RUNTIME_PROCESS_PROCESS_CORE_HPP
+#ifndef HIBISCUSFERRY_PROCESS_CORE_PROCESS_CORE_HPP
+#define HIBISCUSFERRY_PROCESS_CORE_PROCESS_CORE_HPP
 
 #include "foundation/foundation.hpp"
 #include "http/http.hpp"
@@ -35,6 +35,8 @@
     const clock& time() const;
     time_point now() const;
     event_journal& journal();
+    /** Sends the log to a writer as JSON lines; it must outlive the core. */
+    void journal_to(log_writer& writer);
     const event_journal& journal_view() const;
     metrics_registry& metrics();
     identifier_source& identifiers();
--- a/modules/router/request/stream_relay.hpp
+++ b/modules/router/request/stream_relay.hpp
@@ -4,7 +4,6 @@
 #include "http/http.hpp"
 #include "router/request/attempt_runner.hpp"
 #include "router/request/caller_request.hpp"
-#include "router/request/event_stream_parser.hpp"
 #include "routing/routing.hpp"
 #include <boost/asio/spawn.hpp>
 #include <optional>
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -7,7 +7,6 @@
 #include "router/request/attempt_runner.cpp"
 #include "router/request/caller_request.cpp"
 #include "router/request/caller_service.cpp"
-#include "router/request/event_stream_parser.cpp"
 #include "router/request/model_call.cpp"
 #include "router/request/request_handler.cpp"
 #include "router/request/stream_relay.cpp"
--- a/modules/router/router.hpp
+++ b/modules/router/router.hpp
@@ -21,7 +21,6 @@
 #include "router/request/attempt_runner.hpp"
 #include "router/request/caller_request.hpp"
 #include "router/request/caller_service.hpp"
-#include "router/request/event_stream_parser.hpp"
 #include "router/request/model_call.hpp"
 #include "router/request/request_handler.hpp"
 #include "router/request/stream_relay.hpp"
--- a/modules/runtime/admin/admin_service.hpp
+++ b/modules/runtime/admin/admin_service.hpp
@@ -1,7 +1,7 @@
 #ifndef HIBISCUSFERRY_RUNTIME_ADMIN_ADMIN_SERVICE_HPP
 #define HIBISCUSFERRY_RUNTIME_ADMIN_ADMIN_SERVICE_HPP
 
-#include "runtime/process/process_core.hpp"
+#include "process/process.hpp"
 #include <functional>
 #include <map>
 #include <string>
--- a/modules/runtime/documents/document_service.hpp
+++ b/modules/runtime/documents/document_service.hpp
@@ -3,8 +3,8 @@
 
 #include "configuration/configuration.hpp"
 #include "document/document.hpp"
-#include "platform/platform.hpp"
-#include "runtime/process/process_core.hpp"
+#include "process/process.hpp"
+#include "storage/storage.hpp"
 #include <functional>
 #include <map>
 #include <string>
--- a/modules/runtime/hosts/host_list_service.hpp
+++ b/modules/runtime/hosts/host_list_service.hpp
@@ -1,8 +1,8 @@
 #ifndef HIBISCUSFERRY_RUNTIME_HOSTS_HOST_LIST_SERVICE_HPP
 #define HIBISCUSFERRY_RUNTIME_HOSTS_HOST_LIST_SERVICE_HPP
 
-#include "platform/platform.hpp"
-#include "runtime/process/process_core.hpp"
+#include "process/process.hpp"
+#include "storage/storage.hpp"
 #include <functional>
 #include <vector>
 
--- a/modules/runtime/peers/peer_service.hpp
+++ b/modules/runtime/peers/peer_service.hpp
@@ -2,8 +2,8 @@
 #define HIBISCUSFERRY_RUNTIME_PEERS_PEER_SERVICE_HPP
 
 #include "peers/peers.hpp"
-#include "platform/platform.hpp"
-#include "runtime/process/process_core.hpp"
+#include "process/process.hpp"
+#include "storage/storage.hpp"
 #include <functional>
 #include <map>
 #include <memory>
--- a/modules/runtime/platform/platform_adapters.hpp
+++ b/modules/runtime/platform/platform_adapters.hpp
@@ -1,8 +1,8 @@
 #ifndef HIBISCUSFERRY_RUNTIME_PLATFORM_PLATFORM_ADAPTERS_HPP
 #define HIBISCUSFERRY_RUNTIME_PLATFORM_PLATFORM_ADAPTERS_HPP
 
-#include "platform/platform.hpp"
-#include "runtime/process/process_core.hpp"
+#include "process/process.hpp"
+#include "storage/storage.hpp"
 #include <memory>
 
 namespace hibiscusferry
--- a/modules/runtime/runtime.cpp
+++ b/modules/runtime/runtime.cpp
@@ -7,5 +7,3 @@
 #include "runtime/messages/peer_messages.cpp"
 #include "runtime/peers/peer_service.cpp"
 #include "runtime/platform/platform_adapters.cpp"
-#include "runtime/process/daemon_main.cpp"
-#include "runtime/process/process_core.cpp"
--- a/modules/runtime/runtime.hpp
+++ b/modules/runtime/runtime.hpp
@@ -14,8 +14,9 @@
 #include "foundation/foundation.hpp"
 #include "http/http.hpp"
 #include "peers/peers.hpp"
-#include "platform/platform.hpp"
+#include "process/process.hpp"
 #include "settings/settings.hpp"
+#include "storage/storage.hpp"
 
 #include "runtime/admin/admin_service.hpp"
 #include "runtime/documents/document_exchange.hpp"
@@ -24,7 +25,5 @@
 #include "runtime/messages/peer_messages.hpp"
 #include "runtime/peers/peer_service.hpp"
 #include "runtime/platform/platform_adapters.hpp"
-#include "runtime/process/daemon_main.hpp"
-#include "runtime/process/process_core.hpp"
 
 #endif
--- /dev/null
+++ b/modules/serving/model/fleet_configuration.cpp
@@ -0,0 +1,33 @@
+#include "serving/model/fleet_configuration.hpp"
+
+#include <array>
+#include <string_view>
+
+namespace hibiscusferry
+{
+
+std::string_view to_text(request_kind kind)
+{
+    constexpr std::array<std::string_view, 3> names{
+        "idempotent", "non_idempotent", "streaming"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
+bool route::may_repeat() const
+{
+    return kind == request_kind::idempotent ||
+           (kind == request_kind::streaming && is_resumable);
+}
+
+const service_properties*
+fleet_configuration::service(const std::string& name) const
+{
+    for (const service_properties& candidate : services)
+    {
+        if (candidate.name == name)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/serving/placing/server_placer.cpp
@@ -0,0 +1,75 @@
+#include "serving/placing/server_placer.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** What another zone adds, in parts of a server's slots: servers of the own
+    zone are preferred until they are this much busier. */
+constexpr double other_zone_load = 0.7;
+
+/** Failures of a server weigh as much as this load when all fail. */
+constexpr double failure_load = 3.0;
+
+bool is_excluded(const server_request& request, const std::string& id)
+{
+    return std::find(request.excluded.begin(), request.excluded.end(), id) !=
+           request.excluded.end();
+}
+
+double load_of(const target_view& target, const server_request& request,
+               time_point now)
+{
+    const double slots = std::max(target.record.slots, 1U);
+    double load =
+        (target.requests.level() +
+         expected_over_hosts(target.requests, request.live_hosts, now)) /
+        2 / slots;
+    if (target.record.availability_zone != request.availability_zone)
+        load += other_zone_load;
+    return load + failure_load * target.health.failure_rate();
+}
+
+} // namespace
+
+double expected_over_hosts(const smoothed_level& own, std::size_t live_hosts,
+                           time_point now)
+{
+    const double others = static_cast<double>(live_hosts) - 1;
+    return own.level() + std::max(others, 0.0) * own.mean(now);
+}
+
+std::shared_ptr<target_view>
+server_placer::place(const std::vector<std::shared_ptr<target_view>>& targets,
+                     const server_request& request, time_point now,
+                     no_place& reason)
+{
+    std::shared_ptr<target_view> best;
+    double best_load = 0;
+    reason = no_place::no_target;
+    for (const std::shared_ptr<target_view>& target : targets)
+    {
+        const bool is_candidate =
+            target->takes_work(now) && !is_excluded(request, target->record.id);
+        if (!is_candidate)
+            continue;
+        reason = no_place::busy;
+        if (target->requests.level() >=
+            static_cast<double>(request.connection_allowance))
+            continue;
+        if (target->health.is_on_trial(now) && target->requests.level() > 0)
+            continue;
+        const double load = load_of(*target, request, now);
+        if (best && load >= best_load)
+            continue;
+        best = target;
+        best_load = load;
+    }
+    return best;
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/serving/placing/target_board.cpp
@@ -0,0 +1,115 @@
+#include "serving/placing/target_board.hpp"
+
+#include <algorithm>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** Tokens of shared parts that this host remembers of an engine; somewhat
+    less than today's smallest engine keeps beside its running requests. */
+constexpr double remembered_tokens = 500000;
+
+} // namespace
+
+target_view::target_view(const target_record& described)
+    : record(described)
+    , kept(remembered_tokens)
+    , is_leaving(described.is_draining)
+{
+}
+
+bool target_view::takes_work(time_point now) const
+{
+    return !is_leaving && now >= changing_until && health.is_usable(now);
+}
+
+target_work::target_work(std::shared_ptr<target_view> target,
+                         double unread_tokens, double kv_tokens,
+                         const clock& time)
+    : target_(std::move(target))
+    , unread_tokens_(unread_tokens)
+    , kv_tokens_(kv_tokens)
+    , time_(time)
+{
+    const time_point now = time_.now();
+    target_->requests.add(1, now);
+    target_->unread_tokens.add(unread_tokens_, now);
+    target_->kv_tokens.add(kv_tokens_, now);
+}
+
+target_work::~target_work()
+{
+    prompt_read();
+    const time_point now = time_.now();
+    target_->requests.add(-1, now);
+    target_->kv_tokens.add(-kv_tokens_, now);
+}
+
+void target_work::prompt_read()
+{
+    target_->unread_tokens.add(-unread_tokens_, time_.now());
+    unread_tokens_ = 0;
+}
+
+void target_board::apply(const target_change& change)
+{
+    const target_record& record = change.record;
+    if (change.what == target_change::kind::left ||
+        change.what == target_change::kind::restarted)
+        remove(record.id);
+    if (change.what == target_change::kind::left)
+        return;
+
+    const std::shared_ptr<target_view> known = find(record.id);
+    if (!known)
+    {
+        const std::shared_ptr<target_view> added =
+            std::make_shared<target_view>(record);
+        by_id_[record.id] = added;
+        services_[record.service].push_back(added);
+        return;
+    }
+    if (known->record.service != record.service)
+    {
+        remove(record.id);
+        apply({target_change::kind::joined, record});
+        return;
+    }
+    if (known->record.stage != record.stage)
+        known->changing_until = {};
+    known->record = record;
+    known->is_leaving = record.is_draining;
+}
+
+const std::vector<std::shared_ptr<target_view>>&
+target_board::of_service(const std::string& service) const
+{
+    static const std::vector<std::shared_ptr<target_view>> none;
+    const auto found = services_.find(service);
+    return found == services_.end() ? none : found->second;
+}
+
+std::shared_ptr<target_view> target_board::find(const std::string& id) const
+{
+    const auto found = by_id_.find(id);
+    return found == by_id_.end() ? nullptr : found->second;
+}
+
+void target_board::remove(const std::string& id)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end())
+        return;
+    // Requests that wait for a place may still hold the view.
+    found->second->is_leaving = true;
+    std::vector<std::shared_ptr<target_view>>& targets =
+        services_[found->second->record.service];
+    targets.erase(std::remove(targets.begin(), targets.end(), found->second),
+                  targets.end());
+    by_id_.erase(found);
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/serving/placing/target_board.hpp
@@ -0,0 +1,92 @@
+#ifndef HIBISCUSFERRY_SERVING_PLACING_TARGET_BOARD_HPP
+#define HIBISCUSFERRY_SERVING_PLACING_TARGET_BOARD_HPP
+
+#include "foundation/foundation.hpp"
+#include "serving/catalogue/target_catalogue.hpp"
+#include "serving/health/observed_health.hpp"
+#include "serving/placing/kept_chains.hpp"
+#include "serving/placing/smoothed_level.hpp"
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** A target's own word on its load, with the time it was heard. */
+struct reported_load
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+    time_point heard_at{};
+};
+
+/** What this host knows of one target and has under way there. */
+struct target_view
+{
+    explicit target_view(const target_record& described);
+
+    target_record record;
+    observed_health health;
+    std::optional<reported_load> load;
+    /** Requests of this host that are open at the target. */
+    smoothed_level requests;
+    /** Prompt tokens sent by this host that the target has yet to read. */
+    smoothed_level unread_tokens;
+    /** Tokens of KV cache that this host's open requests take there. */
+    smoothed_level kv_tokens;
+    kept_chains kept;
+    /** The target is changing its stage and refuses work until then. */
+    time_point changing_until{};
+    /** No new work: it is draining or gone. */
+    bool is_leaving = false;
+
+    /** Whether it may be given work now. */
+    bool takes_work(time_point now) const;
+};
+
+/** Work that this host has under way at a target; ends when destroyed. */
+class target_work
+{
+public:
+    target_work(std::shared_ptr<target_view> target, double unread_tokens,
+                double kv_tokens, const clock& time);
+    ~target_work();
+    target_work(const target_work&) = delete;
+    target_work& operator=(const target_work&) = delete;
+
+    /** The target has read the prompt. */
+    void prompt_read();
+
+private:
+    std::shared_ptr<target_view> target_;
+    double unread_tokens_;
+    double kv_tokens_;
+    const clock& time_;
+};
+
+/** All targets of all services, as this host knows them. */
+class target_board
+{
+public:
+    /** Takes a change of the catalogue into account. */
+    void apply(const target_change& change);
+
+    /** The targets of a service, also those that take no work. */
+    const std::vector<std::shared_ptr<target_view>>&
+    of_service(const std::string& service) const;
+
+    /** The target of that id, or null. */
+    std::shared_ptr<target_view> find(const std::string& id) const;
+
+private:
+    void remove(const std::string& id);
+
+    std::map<std::string, std::vector<std::shared_ptr<target_view>>> services_;
+    std::map<std::string, std::shared_ptr<target_view>> by_id_;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/serving/serving.cpp
@@ -0,0 +1,13 @@
+#include "serving/serving.hpp"
+
+#include "serving/catalogue/target_catalogue.cpp"
+#include "serving/health/observed_health.cpp"
+#include "serving/limits/fleet_retry_budget.cpp"
+#include "serving/model/fleet_configuration.cpp"
+#include "serving/model/prompt.cpp"
+#include "serving/model/route_table.cpp"
+#include "serving/placing/engine_placer.cpp"
+#include "serving/placing/kept_chains.cpp"
+#include "serving/placing/server_placer.cpp"
+#include "serving/placing/target_board.cpp"
+#include "serving/stages/stage_planner.cpp"
--- /dev/null
+++ b/modules/serving/stages/stage_planner.hpp
@@ -0,0 +1,59 @@
+#ifndef HIBISCUSFERRY_SERVING_STAGES_STAGE_PLANNER_HPP
+#define HIBISCUSFERRY_SERVING_STAGES_STAGE_PLANNER_HPP
+
+#include "serving/placing/target_board.hpp"
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+/** How a service's engines are to be divided. */
+struct stage_plan_settings
+{
+    /** Part of the engines that read prompts only. */
+    double prefill_part = 0.64;
+    /** A difference from the plan is corrected only after it lasted this
+        long; the first plan of a service is made at once. */
+    std::chrono::milliseconds patience{6000};
+    /** Differences of fewer engines are left alone after the first plan. */
+    std::size_t least_difference = 2;
+};
+
+/** A change of stage that is wanted. */
+struct wanted_stage
+{
+    std::string target;
+    target_role stage = target_role::decode;
+};
+
+/** Divides the engines of one service between reading prompts and decoding.
+
+    Load it answers: a mix that swings between long prompts and long answers
+    every few seconds, while a change takes an engine away for as long as a
+    swing lasts. Swings are left to the placing of requests; the division is
+    corrected only for what lasts, such as engines that were lost or replaced.
+    Engines are taken from the zone that has the most of the other stage, so
+    that every zone keeps some of both.
+*/
+class stage_planner
+{
+public:
+    explicit stage_planner(const stage_plan_settings& settings);
+
+    /** The changes to order now; none while ordered ones are under way. */
+    std::vector<wanted_stage>
+    plan(const std::vector<std::shared_ptr<target_view>>& targets,
+         time_point now);
+
+private:
+    stage_plan_settings settings_;
+    bool has_planned_ = false;
+    std::optional<time_point> differs_since_;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- a/modules/platform/errors/platform_error.cpp
+++ b/modules/storage/errors/platform_error.cpp
@@ -1,4 +1,4 @@
-#include "platform/errors/platform_error.hpp"
+#include "storage/errors/platform_error.hpp"
 
 #include <string>
 
@@ -30,6 +30,8 @@
             return "the platform's answer could not be read";
         case platform_error::not_found:
             return "no such row or object";
+        case platform_error::history_gone:
+            return "the changes asked for are no longer kept";
         }
         return "unknown platform error";
     }
--- a/modules/platform/errors/platform_error.hpp
+++ b/modules/storage/errors/platform_error.hpp
@@ -1,5 +1,5 @@
-#ifndef HIBISCUSFERRY_PLATFORM_ERRORS_PLATFORM_ERROR_HPP
-#define HIBISCUSFERRY_PLATFORM_ERRORS_PLATFORM_ERROR_HPP
+#ifndef HIBISCUSFERRY_STORAGE_ERRORS_PLATFORM_ERROR_HPP
+#define HIBISCUSFERRY_STORAGE_ERRORS_PLATFORM_ERROR_HPP
 
 #include <system_error>
 
@@ -19,7 +19,9 @@
     /** The answer could not be read. For a write, as outcome_unknown. */
     bad_answer,
     /** The row or object asked for does not exist. */
-    not_found
+    not_found,
+    /** The changes asked for are no longer kept. */
+    history_gone
 };
 
 const std::error_category& platform_error_category();
--- a/modules/platform/host_list/host_list.hpp
+++ b/modules/storage/host_list/host_list.hpp
@@ -1,8 +1,8 @@
-#ifndef HIBISCUSFERRY_PLATFORM_HOST_LIST_HOST_LIST_HPP
-#define HIBISCUSFERRY_PLATFORM_HOST_LIST_HOST_LIST_HPP
+#ifndef HIBISCUSFERRY_STORAGE_HOST_LIST_HOST_LIST_HPP
+#define HIBISCUSFERRY_STORAGE_HOST_LIST_HOST_LIST_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/errors/platform_error.hpp"
+#include "storage/errors/platform_error.hpp"
 #include <chrono>
 #include <cstdint>
 #include <functional>
--- a/modules/platform/host_list/http_host_list.cpp
+++ b/modules/storage/host_list/http_host_list.cpp
@@ -1,6 +1,6 @@
-#include "platform/host_list/http_host_list.hpp"
+#include "storage/host_list/http_host_list.hpp"
 
-#include "platform/service/platform_call.hpp"
+#include "storage/service/platform_call.hpp"
 #include <nlohmann/json.hpp>
 #include <optional>
 
--- a/modules/platform/host_list/http_host_list.hpp
+++ b/modules/storage/host_list/http_host_list.hpp
@@ -1,8 +1,8 @@
-#ifndef HIBISCUSFERRY_PLATFORM_HOST_LIST_HTTP_HOST_LIST_HPP
-#define HIBISCUSFERRY_PLATFORM_HOST_LIST_HTTP_HOST_LIST_HPP
+#ifndef HIBISCUSFERRY_STORAGE_HOST_LIST_HTTP_HOST_LIST_HPP
+#define HIBISCUSFERRY_STORAGE_HOST_LIST_HTTP_HOST_LIST_HPP
 
-#include "platform/host_list/host_list.hpp"
-#include "platform/service/platform_service.hpp"
+#include "storage/host_list/host_list.hpp"
+#include "storage/service/platform_service.hpp"
 
 namespace hibiscusferry
 {
--- a/modules/platform/object_store/http_object_store.cpp
+++ b/modules/storage/object_store/http_object_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/object_store/http_object_store.hpp"
+#include "storage/object_store/http_object_store.hpp"
 
-#include "platform/service/platform_call.hpp"
+#include "storage/service/platform_call.hpp"
 
 namespace hibiscusferry
 {
--- a/modules/platform/object_store/http_object_store.hpp
+++ b/modules/storage/object_store/http_object_store.hpp
@@ -1,8 +1,8 @@
-#ifndef HIBISCUSFERRY_PLATFORM_OBJECT_STORE_HTTP_OBJECT_STORE_HPP
-#define HIBISCUSFERRY_PLATFORM_OBJECT_STORE_HTTP_OBJECT_STORE_HPP
+#ifndef HIBISCUSFERRY_STORAGE_OBJECT_STORE_HTTP_OBJECT_STORE_HPP
+#define HIBISCUSFERRY_STORAGE_OBJECT_STORE_HTTP_OBJECT_STORE_HPP
 
-#include "platform/object_store/object_store.hpp"
-#include "platform/service/platform_service.hpp"
+#include "storage/object_store/object_store.hpp"
+#include "storage/service/platform_service.hpp"
 
 namespace hibiscusferry
 {
--- a/modules/platform/object_store/http_object_store_test.cpp
+++ b/modules/storage/object_store/http_object_store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/testing/platform_server.hpp"
+#include "storage/testing/platform_server.hpp"
 
 using namespace hibiscusferry;
 using boost::asio::yield_context;
--- a/modules/platform/object_store/object_store.hpp
+++ b/modules/storage/object_store/object_store.hpp
@@ -1,8 +1,8 @@
-#ifndef HIBISCUSFERRY_PLATFORM_OBJECT_STORE_OBJECT_STORE_HPP
-#define HIBISCUSFERRY_PLATFORM_OBJECT_STORE_OBJECT_STORE_HPP
+#ifndef HIBISCUSFERRY_STORAGE_OBJECT_STORE_OBJECT_STORE_HPP
+#define HIBISCUSFERRY_STORAGE_OBJECT_STORE_OBJECT_STORE_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/errors/platform_error.hpp"
+#include "storage/errors/platform_error.hpp"
 #include <chrono>
 #include <functional>
 #include <string>
--- a/modules/platform/service/platform_call.cpp
+++ b/modules/storage/service/platform_call.cpp
@@ -1,4 +1,4 @@
-#include "platform/service/platform_call.hpp"
+#include "storage/service/platform_call.hpp"
 
 namespace hibiscusferry
 {
--- a/modules/platform/service/platform_call.hpp
+++ b/modules/storage/service/platform_call.hpp
@@ -1,9 +1,9 @@
-#ifndef HIBISCUSFERRY_PLATFORM_SERVICE_PLATFORM_CALL_HPP
-#define HIBISCUSFERRY_PLATFORM_SERVICE_PLATFORM_CALL_HPP
+#ifndef HIBISCUSFERRY_STORAGE_SERVICE_PLATFORM_CALL_HPP
+#define HIBISCUSFERRY_STORAGE_SERVICE_PLATFORM_CALL_HPP
 
 #include "http/http.hpp"
-#include "platform/errors/platform_error.hpp"
-#include "platform/service/platform_service.hpp"
+#include "storage/errors/platform_error.hpp"
+#include "storage/service/platform_service.hpp"
 
 // Private to the module: what the HTTP adapters share.
 
--- a/modules/platform/table_store/http_table_store.cpp
+++ b/modules/storage/table_store/http_table_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/table_store/http_table_store.hpp"
+#include "storage/table_store/http_table_store.hpp"
 
-#include "platform/service/platform_call.hpp"
+#include "storage/service/platform_call.hpp"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
--- a/modules/platform/table_store/http_table_store.hpp
+++ b/modules/storage/table_store/http_table_store.hpp
@@ -1,8 +1,8 @@
-#ifndef HIBISCUSFERRY_PLATFORM_TABLE_STORE_HTTP_TABLE_STORE_HPP
-#define HIBISCUSFERRY_PLATFORM_TABLE_STORE_HTTP_TABLE_STORE_HPP
+#ifndef HIBISCUSFERRY_STORAGE_TABLE_STORE_HTTP_TABLE_STORE_HPP
+#define HIBISCUSFERRY_STORAGE_TABLE_STORE_HTTP_TABLE_STORE_HPP
 
-#include "platform/service/platform_service.hpp"
-#include "platform/table_store/table_store.hpp"
+#include "storage/service/platform_service.hpp"
+#include "storage/table_store/table_store.hpp"
 
 namespace hibiscusferry
 {
--- a/modules/platform/table_store/http_table_store_test.cpp
+++ b/modules/storage/table_store/http_table_store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/testing/platform_server.hpp"
+#include "storage/testing/platform_server.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/modules/platform/table_store/memory_table.cpp
+++ b/modules/storage/table_store/memory_table.cpp
@@ -1,4 +1,4 @@
-#include "platform/table_store/memory_table.hpp"
+#include "storage/table_store/memory_table.hpp"
 
 namespace hibiscusferry
 {
--- a/modules/platform/table_store/memory_table_test.cpp
+++ b/modules/storage/table_store/memory_table_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/modules/platform/table_store/table_store.hpp
+++ b/modules/storage/table_store/table_store.hpp
@@ -1,9 +1,9 @@
-#ifndef HIBISCUSFERRY_PLATFORM_TABLE_STORE_TABLE_STORE_HPP
-#define HIBISCUSFERRY_PLATFORM_TABLE_STORE_TABLE_STORE_HPP
+#ifndef HIBISCUSFERRY_STORAGE_TABLE_STORE_TABLE_STORE_HPP
+#define HIBISCUSFERRY_STORAGE_TABLE_STORE_TABLE_STORE_HPP
 
 #include "foundation/foundation.hpp"
-#include "platform/errors/platform_error.hpp"
-#include "platform/table_store/table_transaction.hpp"
+#include "storage/errors/platform_error.hpp"
+#include "storage/table_store/table_transaction.hpp"
 #include <chrono>
 #include <functional>
 #include <string>
--- a/modules/platform/testing/platform_server.hpp
+++ b/modules/storage/testing/platform_server.hpp
@@ -1,8 +1,8 @@
-#ifndef HIBISCUSFERRY_PLATFORM_TESTING_PLATFORM_SERVER_HPP
-#define HIBISCUSFERRY_PLATFORM_TESTING_PLATFORM_SERVER_HPP
+#ifndef HIBISCUSFERRY_STORAGE_TESTING_PLATFORM_SERVER_HPP
+#define HIBISCUSFERRY_STORAGE_TESTING_PLATFORM_SERVER_HPP
 
 #include "http/http.hpp"
-#include "platform/platform.hpp"
+#include "storage/storage.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
