--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -124,7 +124,7 @@
 void stage_controller::plan()
 {
     const std::shared_ptr<const route_table> routes = parts_.fleet.routes();
-    if (!routes || !in_progress_.empty())
+    if (!routes)
         return;
     for (const service_properties& service : routes->configuration().services)
     {
@@ -183,6 +183,7 @@
     target->changing_until = parts_.core.now() +
                              service.engine->stage_change_duration +
                              report_margin;
+    target->ordered_stage = stage;
     const result<http_response> answer = http_call(
         parts_.core.connections(), target->record.endpoint,
         parts_.targets.write_order(wanted), order_limit, answer_bytes, yield);
@@ -201,7 +202,10 @@
                                             : event_number::order_settled,
                                  fields);
     if (is_refused)
+    {
         target->changing_until = {};
+        target->ordered_stage.reset();
+    }
 }
 
 result<engine_status>
--- a/modules/serving/health/observed_health.hpp
+++ b/modules/serving/health/observed_health.hpp
@@ -24,10 +24,12 @@
 
 /** Finds targets that fail from what their own exchanges show.
 
-    A target that was silent or unreachable is set aside for a period that
-    doubles with each further such exchange; then one request at a time tries
-    it. One that breaks off or fails a large part of its requests is set aside
-    too. Nothing here asks a health page: its answer may be wrong.
+    A target that was silent or unreachable, and has answered nobody for a
+    while, is set aside for a period that doubles with each further such
+    exchange; then one request at a time tries it. A target that is merely
+    overloaded still answers some. One that breaks off or fails a large part
+    of its requests is set aside too. Nothing here asks a health page: its
+    answer may be wrong.
 */
 class observed_health
 {
@@ -50,6 +52,7 @@
 
     unsigned periods_in_row_ = 0;
     double failure_rate_ = 0;
+    time_point last_answer_{};
     time_point set_aside_until_{};
 };
 
--- a/modules/serving/placing/engine_placer.hpp
+++ b/modules/serving/placing/engine_placer.hpp
@@ -46,6 +46,10 @@
     std::shared_ptr<target_view> decoder;
     /** Expected time to the first event. */
     double expected_ms = 0;
+    /** Parts of it, as their tokens say, before what was observed of the
+        engines' slowness. */
+    double reader_plain_ms = 0;
+    double decoder_plain_ms = 0;
     /** Tokens that have to be read. */
     double unread_tokens = 0;
 };
@@ -82,6 +86,7 @@
     {
         std::shared_ptr<target_view> target;
         double cost_ms = 0;
+        double plain_ms = 0;
         double unread_tokens = 0;
     };
 
--- a/modules/serving/placing/target_board.cpp
+++ b/modules/serving/placing/target_board.cpp
@@ -26,6 +26,12 @@
     return !is_leaving && now >= changing_until && health.is_usable(now);
 }
 
+target_role target_view::coming_stage(time_point now) const
+{
+    return ordered_stage && now < changing_until ? *ordered_stage
+                                                 : record.stage;
+}
+
 target_work::target_work(std::shared_ptr<target_view> target,
                          double unread_tokens, double kv_tokens,
                          const clock& time)
@@ -79,7 +85,10 @@
         return;
     }
     if (known->record.stage != record.stage)
+    {
         known->changing_until = {};
+        known->ordered_stage.reset();
+    }
     known->record = record;
     known->is_leaving = record.is_draining;
 }
--- a/modules/serving/placing/target_board.hpp
+++ b/modules/serving/placing/target_board.hpp
@@ -5,6 +5,7 @@
 #include "serving/catalogue/target_catalogue.hpp"
 #include "serving/health/observed_health.hpp"
 #include "serving/placing/kept_chains.hpp"
+#include "serving/placing/observed_slowness.hpp"
 #include "serving/placing/smoothed_level.hpp"
 #include <map>
 #include <memory>
@@ -37,13 +38,20 @@
     /** Tokens of KV cache that this host's open requests take there. */
     smoothed_level kv_tokens;
     kept_chains kept;
+    /** How much longer exchanges take than expected from their tokens. */
+    observed_slowness slowness;
     /** The target is changing its stage and refuses work until then. */
     time_point changing_until{};
+    /** The stage it was ordered to change to. */
+    std::optional<target_role> ordered_stage;
     /** No new work: it is draining or gone. */
     bool is_leaving = false;
 
     /** Whether it may be given work now. */
     bool takes_work(time_point now) const;
+
+    /** Its stage, or the one that an order under way leads to. */
+    target_role coming_stage(time_point now) const;
 };
 
 /** Work that this host has under way at a target; ends when destroyed. */
--- a/modules/serving/stages/stage_planner.cpp
+++ b/modules/serving/stages/stage_planner.cpp
@@ -24,26 +24,29 @@
     return engines;
 }
 
-std::size_t count_of(const target_list& engines, target_role stage)
+std::size_t count_of(const target_list& engines, target_role stage,
+                     time_point now)
 {
     return static_cast<std::size_t>(
         std::count_if(engines.begin(), engines.end(),
-                      [stage](const std::shared_ptr<target_view>& engine)
-                      { return engine->record.stage == stage; }));
+                      [stage, now](const std::shared_ptr<target_view>& engine)
+                      { return engine->coming_stage(now) == stage; }));
 }
 
 /** An engine of that stage from the zone that has most of them, the one with
     the least work first. */
-target_list::iterator take_from(target_list& engines, target_role stage)
+target_list::iterator take_from(target_list& engines, target_role stage,
+                                time_point now)
 {
     std::map<std::string, std::size_t> in_zone;
     for (const std::shared_ptr<target_view>& engine : engines)
         in_zone[engine->record.availability_zone] +=
-            engine->record.stage == stage ? 1 : 0;
+            engine->coming_stage(now) == stage ? 1 : 0;
     auto best = engines.end();
     for (auto engine = engines.begin(); engine != engines.end(); ++engine)
     {
-        if ((*engine)->record.stage != stage)
+        if ((*engine)->coming_stage(now) != stage ||
+            now < (*engine)->changing_until)
             continue;
         if (best == engines.end())
         {
@@ -68,44 +71,52 @@
 {
 }
 
-std::vector<wanted_stage> stage_planner::plan(const target_list& targets,
-                                              time_point now)
+std::size_t stage_planner::wanted_readers(std::size_t engines) const
 {
-    target_list engines = engines_of(targets);
-    if (engines.size() < 2)
-        return {};
-    for (const std::shared_ptr<target_view>& engine : engines)
-    {
-        if (now < engine->changing_until)
-            return {};
-    }
+    const double part = settings_.prefill_part * static_cast<double>(engines);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(part)),
+                                   1, engines - 1);
+}
 
-    const std::size_t readers = count_of(engines, target_role::prefill);
-    const std::size_t most = engines.size() - 1;
-    const std::size_t wanted = std::clamp<std::size_t>(
-        static_cast<std::size_t>(std::lround(
-            settings_.prefill_part * static_cast<double>(engines.size()))),
-        1, most);
-    const std::size_t difference =
-        wanted > readers ? wanted - readers : readers - wanted;
-    const bool lacks_a_stage = readers == 0 || readers == engines.size();
+bool stage_planner::is_due(std::size_t difference, bool lacks_a_stage,
+                           time_point now)
+{
     const std::size_t tolerated =
-        has_planned_ && !lacks_a_stage ? settings_.least_difference : 1;
+        has_settled_ && !lacks_a_stage ? settings_.least_difference : 1;
     if (difference < tolerated)
     {
         differs_since_.reset();
-        has_planned_ = true;
-        return {};
+        if (!agrees_since_)
+            agrees_since_ = now;
+        if (now - *agrees_since_ >= settings_.settling)
+            has_settled_ = true;
+        return false;
     }
+    agrees_since_.reset();
+    if (!has_settled_ || lacks_a_stage)
+        return true;
     if (!differs_since_)
         differs_since_ = now;
-    const bool is_due = !has_planned_ || lacks_a_stage ||
-                        now - *differs_since_ >= settings_.patience;
-    if (!is_due)
+    if (now - *differs_since_ < settings_.patience)
+        return false;
+    differs_since_.reset();
+    return true;
+}
+
+std::vector<wanted_stage> stage_planner::plan(const target_list& targets,
+                                              time_point now)
+{
+    target_list engines = engines_of(targets);
+    if (engines.size() < 2)
+        return {};
+    const std::size_t readers = count_of(engines, target_role::prefill, now);
+    const std::size_t wanted = wanted_readers(engines.size());
+    const std::size_t difference =
+        wanted > readers ? wanted - readers : readers - wanted;
+    const bool lacks_a_stage = readers == 0 || readers == engines.size();
+    if (!is_due(difference, lacks_a_stage, now))
         return {};
 
-    has_planned_ = true;
-    differs_since_.reset();
     const target_role from =
         wanted > readers ? target_role::decode : target_role::prefill;
     const target_role to =
@@ -113,7 +124,7 @@
     std::vector<wanted_stage> changes;
     for (std::size_t step = 0; step < difference; ++step)
     {
-        const auto engine = take_from(engines, from);
+        const auto engine = take_from(engines, from, now);
         if (engine == engines.end())
             break;
         changes.push_back({(*engine)->record.id, to});
--- a/modules/serving/stages/stage_planner.hpp
+++ b/modules/serving/stages/stage_planner.hpp
@@ -18,6 +18,9 @@
     /** A difference from the plan is corrected only after it lasted this
         long; the first plan of a service is made at once. */
     std::chrono::milliseconds patience{6000};
+    /** The first plan is made when the division has been as planned for this
+        long; until then engines are still joining. */
+    std::chrono::milliseconds settling{4000};
     /** Differences of fewer engines are left alone after the first plan. */
     std::size_t least_difference = 2;
 };
@@ -43,14 +46,18 @@
 public:
     explicit stage_planner(const stage_plan_settings& settings);
 
-    /** The changes to order now; none while ordered ones are under way. */
+    /** The changes to order now; those under way count as done. */
     std::vector<wanted_stage>
     plan(const std::vector<std::shared_ptr<target_view>>& targets,
          time_point now);
 
 private:
+    std::size_t wanted_readers(std::size_t engines) const;
+    bool is_due(std::size_t difference, bool lacks_a_stage, time_point now);
+
     stage_plan_settings settings_;
-    bool has_planned_ = false;
+    bool has_settled_ = false;
+    std::optional<time_point> agrees_since_;
     std::optional<time_point> differs_since_;
 };
 
