Read long prompts at prefill engines; expect what was observed

Change: prompts with more than 3,000 unread tokens go to a prefill engine whenever one takes work; the ratio of observed to expected times of an engine scales the time that decides on refusing.

--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -212,8 +212,12 @@
     terms.rank = context_.found->rank;
     terms.copy = copy;
     terms.resume_after = context_.last_event;
+    const time_point offered_at = parts_.core.now();
     const offer_result result = offered.send(
         terms, first_byte_limit(context_.found->may_repeat()), yield);
+    if (result == offer_result::answered && context_.request.wanted)
+        target->slowness.add(placement.decoder_plain_ms,
+                             parts_.core.now() - offered_at);
     if (copy && result != offer_result::answered &&
         result != offer_result::unknown)
         release(*copy);
@@ -243,6 +247,7 @@
     context_.has_asked_reader = true;
 
     // Reading a prompt is not running the request: it may be done again.
+    const time_point asked_at = parts_.core.now();
     const offer_result result =
         offered.send(terms, first_byte_limit(true), yield);
     if (result == offer_result::answered && offered.head().status == 200)
@@ -257,6 +262,8 @@
             if (copy)
             {
                 reader->kept.add(*context_.request.wanted);
+                reader->slowness.add(placement.reader_plain_ms,
+                                     parts_.core.now() - asked_at);
                 parts_.fleet.record_outcome(*reader, exchange_outcome::answered,
                                             context_.request.id);
                 return copy.value();
--- a/modules/serving/placing/engine_placer.cpp
+++ b/modules/serving/placing/engine_placer.cpp
@@ -13,6 +13,12 @@
     that can still be on time. */
 constexpr double tolerated_lateness = 1.5;
 
+/** Unread tokens of a prompt beyond which it is read by a prefill engine
+    whenever there is one: about the time of one piece there. A decode engine
+    would read it between the tokens of its streams, in pieces that make each
+    of them wait. */
+constexpr double longest_direct_reading = 3000;
+
 /** Part of an engine's memory that running requests may take. */
 constexpr double usable_memory_part = 0.85;
 
@@ -108,11 +114,11 @@
         const double unread = std::max(wanted.prompt_tokens - kept, 0.0);
         const double waiting = expected_over_hosts(
             target->unread_tokens, request.common.live_hosts, now);
-        const double cost = (waiting + unread) / speeds_.prefill_tokens_per_ms +
-                            zone_cost(*target, request);
+        const double plain = (waiting + unread) / speeds_.prefill_tokens_per_ms;
+        const double cost = plain + zone_cost(*target, request);
         if (best.target && cost >= best.cost_ms)
             continue;
-        best = {target, cost, unread};
+        best = {target, cost, plain, unread};
     }
     return best;
 }
@@ -147,12 +153,13 @@
         const double streams = expected_over_hosts(
             target->requests, request.common.live_hosts, now);
         // A copy that is handed over waits for running steps only.
-        const double cost =
+        const double plain =
             (reads_prompt ? waiting + unread : waiting / 4) / reading_speed +
-            streams * speeds_.stream_step_ms + zone_cost(*target, request);
+            streams * speeds_.stream_step_ms;
+        const double cost = plain + zone_cost(*target, request);
         if (best.target && cost >= best.cost_ms)
             continue;
-        best = {target, cost, unread};
+        best = {target, cost, plain, unread};
     }
     return best;
 }
@@ -167,6 +174,7 @@
     engine_placement chosen;
     chosen.decoder = direct.target;
     chosen.expected_ms = direct.cost_ms;
+    chosen.decoder_plain_ms = direct.plain_ms;
     chosen.unread_tokens = direct.unread_tokens;
 
     if (request.may_hand_over)
@@ -182,9 +190,15 @@
                 : 0;
         const double cost = reader.cost_ms + decoder.cost_ms +
                             speeds_.hand_over_ms + transfer_ms;
-        const bool is_better = !direct.target || cost < chosen.expected_ms;
+        const bool is_better = !direct.target ||
+                               direct.unread_tokens > longest_direct_reading ||
+                               cost < chosen.expected_ms;
         if (reader.target && decoder.target && is_better)
-            chosen = {reader.target, decoder.target, cost,
+            chosen = {reader.target,
+                      decoder.target,
+                      cost,
+                      reader.plain_ms,
+                      decoder.plain_ms + speeds_.hand_over_ms + transfer_ms,
                       reader.unread_tokens};
     }
 
@@ -199,6 +213,11 @@
         }
         return chosen;
     }
+    chosen.expected_ms =
+        chosen.decoder_plain_ms * chosen.decoder->slowness.factor();
+    if (chosen.reader)
+        chosen.expected_ms +=
+            chosen.reader_plain_ms * chosen.reader->slowness.factor();
     if (chosen.expected_ms > longest_wait_ms(request))
     {
         reason = no_place::busy;
