Let decode engines read at most one piece of a prompt

Decode engines read the rest of kept prompts, up to 3,000 tokens, between the tokens of their streams, a piece for each prompt in every step.

--- a/modules/serving/placing/engine_placer.cpp
+++ b/modules/serving/placing/engine_placer.cpp
@@ -11,13 +11,12 @@
 /** A generation is begun only if its first event is expected within this part
     of the time left until it is late. Under overload the queues are as long as
     this allows, so that without a margin all that is begun is a little late. */
-constexpr double usable_objective_part = 0.8;
+constexpr double usable_objective_part = 0.7;
 
 /** Unread tokens of a prompt beyond which it is read by a prefill engine
-    whenever there is one: about the time of one piece there. A decode engine
-    would read it between the tokens of its streams, in pieces that make each
-    of them wait. */
-constexpr double longest_direct_reading = 3000;
+    whenever there is one. A decode engine reads in pieces of a quarter of the
+    size, 512 tokens, and makes all its streams wait for each. */
+constexpr double longest_direct_reading = 600;
 
 /** Part of an engine's memory that running requests may take. */
 constexpr double usable_memory_part = 0.85;
--- a/modules/serving/placing/engine_placer_test.cpp
+++ b/modules/serving/placing/engine_placer_test.cpp
@@ -91,6 +91,20 @@
     BOOST_TEST(direct.decoder != nullptr);
 }
 
+// Seen on vandijk-dagtocht scale-2: streams of 90 events took seconds, as
+// their engines read what was left of cached prompts between the tokens.
+BOOST_AUTO_TEST_CASE(decoders_do_not_read_the_rest_of_a_kept_prompt_either)
+{
+    const engines all = fleet();
+    const prompt wanted = long_prompt("doc-1", "s1");
+    for (const std::shared_ptr<target_view>& target : all)
+        target->kept.add(wanted);
+    const engine_placement placed =
+        place(all, request_for(wanted), time_point{std::chrono::seconds(1)});
+    BOOST_TEST(placed.unread_tokens == 2890);
+    BOOST_TEST(placed.reader != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(short_questions_go_to_a_decoder_of_the_own_zone)
 {
     const engines all = fleet();
