Let store calls follow the platform's bounds and the number of hosts

Change: the wait for a configuration and the look at the targets' rows follow config-apply-ms and drain-ms; hosts write and read the roster less often the more of them there are. A relay within each zone would save most of the rest.

--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -29,6 +29,10 @@
     std::chrono::milliseconds stop_grace{8000};
     /** Orders of two holders must be at least this far apart. */
     std::chrono::milliseconds order_turn{3000};
+    /** How long a target serves on after its row says that it leaves. */
+    std::chrono::milliseconds leave_time{2000};
+    /** Within this time a new configuration is in force on every host. */
+    std::chrono::milliseconds configuration_time{2000};
     /** Time after the store's return within which rows that expired during
         its outage are back. */
     std::chrono::milliseconds outage_grace{2000};
--- a/modules/gateway/state/host_roster.cpp
+++ b/modules/gateway/state/host_roster.cpp
@@ -43,6 +43,11 @@
 {
 }
 
+void host_roster::set_time_limit(std::chrono::milliseconds time_limit)
+{
+    time_limit_ = time_limit;
+}
+
 void host_roster::take(const std::vector<table_row>& rows, time_point now)
 {
     std::map<std::string, entry> entries;
--- a/modules/gateway/state/host_roster.hpp
+++ b/modules/gateway/state/host_roster.hpp
@@ -33,6 +33,8 @@
 public:
     explicit host_roster(std::chrono::milliseconds time_limit);
 
+    void set_time_limit(std::chrono::milliseconds time_limit);
+
     /** All rows as of one moment. */
     void take(const std::vector<table_row>& rows, time_point now);
 
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -8,21 +8,25 @@
 namespace
 {
 
-/** A wait at the store ends after this time without a change; a connection
-    that fell silent is found shortly after. */
-constexpr std::chrono::milliseconds configuration_wait{1500};
+/** A wait at the store ends this much before a configuration has to be in
+    force, so that a connection that fell silent is found in time. */
+constexpr std::chrono::milliseconds configuration_margin{500};
 /** Beyond the wait: the time for the answer itself. */
 constexpr std::chrono::milliseconds store_answer_limit{700};
 constexpr std::chrono::milliseconds snapshot_limit{1500};
-/** Between two looks at the targets' rows; leaving targets serve on for two
-    seconds after their row says so. */
-constexpr std::chrono::milliseconds targets_period{850};
+/** Part of the time for which leaving targets serve on that may pass between
+    two looks at their rows; the rest covers a look that fails. */
+constexpr int targets_period_percent = 42;
 constexpr std::chrono::milliseconds retry_pause{150};
 /** Between two writes of a host's own row, and reads of all. */
-constexpr std::chrono::milliseconds roster_period{4000};
+constexpr std::chrono::milliseconds least_roster_period{4000};
+/** Added for each live host, so that the store's load does not grow with the
+    number of hosts. */
+constexpr std::chrono::milliseconds roster_period_for_host{150};
 /** The first reads come sooner, as all hosts start together. */
 constexpr std::chrono::milliseconds first_roster_period{600};
-constexpr std::chrono::milliseconds roster_time_limit{10000};
+/** A host is gone when its row has not changed for so many half periods. */
+constexpr int roster_half_periods_until_gone = 5;
 constexpr std::size_t roster_limit = 5000;
 /** A peer is asked when the store was silent for this long. */
 constexpr std::chrono::milliseconds peers_after_silence{700};
@@ -49,7 +53,7 @@
     , fleet_(fleet)
     , from_(from)
     , link_(core, fleet)
-    , roster_(roster_time_limit)
+    , roster_(least_roster_period * roster_half_periods_until_gone / 2)
 {
 }
 
@@ -136,12 +140,13 @@
 {
     const std::string key = from_.records.configuration_key();
     const bool is_snapshot = configuration_after_ == 0;
+    const std::chrono::milliseconds wait =
+        fleet_.settings().configuration_time - configuration_margin;
     const result<table_changes> changes =
         is_snapshot
             ? from_.feed.snapshot(table_of(key), snapshot_limit, yield)
-            : from_.feed.changes(
-                  table_of(key), configuration_after_, configuration_wait,
-                  configuration_wait + store_answer_limit, yield);
+            : from_.feed.changes(table_of(key), configuration_after_, wait,
+                                 wait + store_answer_limit, yield);
     if (!changes)
         return changes.error();
     for (const table_row& row : changes.value().rows)
@@ -187,7 +192,10 @@
         {
             link_.succeeded();
             targets_current_at_ = core_.now();
-            sleep_for(core_.context(), targets_period, yield);
+            sleep_for(core_.context(),
+                      targets_period_percent * fleet_.settings().leave_time /
+                          100,
+                      yield);
             continue;
         }
         if (read.error() == platform_error::history_gone)
@@ -286,9 +294,13 @@
     {
         write_own_row();
         read_roster();
+        const std::chrono::milliseconds period =
+            std::max<std::chrono::milliseconds>(least_roster_period,
+                                                roster_period_for_host *
+                                                    fleet_.live_hosts());
+        roster_.set_time_limit(period * roster_half_periods_until_gone / 2);
         sleep_for(core_.context(),
-                  round < first_rounds ? first_roster_period : roster_period,
-                  yield);
+                  round < first_rounds ? first_roster_period : period, yield);
     }
 }
 
