Judge an engine also by its stage as a whole

Change: the ratio leans on that of all engines of the stage, the more the less was seen of the engine lately.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -90,7 +90,7 @@
 void gateway_service::serve(http_exchange& exchange,
                             boost::asio::yield_context yield)
 {
-    if (open_requests_ >= most_open_requests)
+    if (callers_->open_exchanges() > most_open_requests)
     {
         constexpr std::chrono::milliseconds backlog{500};
         const result<void> ignored = exchange.respond(
@@ -104,22 +104,6 @@
             .add();
         return;
     }
-    struct open_request
-    {
-        explicit open_request(std::size_t& count)
-            : count_(count)
-        {
-            ++count_;
-        }
-        ~open_request()
-        {
-            --count_;
-        }
-        open_request(const open_request&) = delete;
-        open_request& operator=(const open_request&) = delete;
-        std::size_t& count_;
-    };
-    const open_request counted(open_requests_);
     request_run run(parts_, exchange, draws_);
     run.serve(yield);
 }
--- a/modules/gateway/process/gateway_service.hpp
+++ b/modules/gateway/process/gateway_service.hpp
@@ -41,7 +41,6 @@
     std::uint64_t limits_version_ = 0;
     bool was_ready_ = false;
     bool is_draining_ = false;
-    std::size_t open_requests_ = 0;
 };
 
 } // namespace hibiscusferry
--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -164,6 +164,7 @@
     wanted.until_late = context_.until_late(now);
     wanted.until_useless = context_.time_left(now);
     wanted.may_hand_over = context_.last_event.empty();
+    wanted.slowness = parts_.fleet.slowness(context_.service);
     wanted.common = placing_terms();
     const engine_placer placer{engine_speeds{}};
     return placer.place(targets, wanted, *context_.properties->engine, now,
@@ -216,8 +217,7 @@
     const offer_result result = offered.send(
         terms, first_byte_limit(context_.found->may_repeat()), yield);
     if (result == offer_result::answered && context_.request.wanted)
-        target->slowness.add(placement.decoder_plain_ms,
-                             parts_.core.now() - offered_at);
+        note_decoding(placement, parts_.core.now() - offered_at);
     if (copy && result != offer_result::answered &&
         result != offer_result::unknown)
         release(*copy);
@@ -262,8 +262,7 @@
             if (copy)
             {
                 reader->kept.add(*context_.request.wanted);
-                reader->slowness.add(placement.reader_plain_ms,
-                                     parts_.core.now() - asked_at);
+                note_reading(placement, parts_.core.now() - asked_at);
                 parts_.fleet.record_outcome(*reader, exchange_outcome::answered,
                                             context_.request.id);
                 return copy.value();
@@ -280,6 +279,24 @@
     return std::nullopt;
 }
 
+void request_run::note_reading(const engine_placement& placement,
+                               std::chrono::nanoseconds taken)
+{
+    const time_point now = parts_.core.now();
+    placement.reader->slowness.add(placement.reader_plain_ms, taken, now);
+    parts_.fleet.slowness(context_.service)
+        .readers.add(placement.reader_plain_ms, taken, now);
+}
+
+void request_run::note_decoding(const engine_placement& placement,
+                                std::chrono::nanoseconds taken)
+{
+    const time_point now = parts_.core.now();
+    placement.decoder->slowness.add(placement.decoder_plain_ms, taken, now);
+    parts_.fleet.slowness(context_.service)
+        .decoders.add(placement.decoder_plain_ms, taken, now);
+}
+
 void request_run::release(const kv_copy& copy)
 {
     constexpr std::chrono::milliseconds release_limit{500};
--- a/modules/gateway/request/request_run.hpp
+++ b/modules/gateway/request/request_run.hpp
@@ -52,6 +52,10 @@
     std::optional<kv_copy> read_prompt(const engine_placement& placement,
                                        next_step& step,
                                        boost::asio::yield_context yield);
+    void note_reading(const engine_placement& placement,
+                      std::chrono::nanoseconds taken);
+    void note_decoding(const engine_placement& placement,
+                       std::chrono::nanoseconds taken);
     void release(const kv_copy& copy);
     next_step after_offer(offer_result result, target_view& target);
     next_step deliver(target_exchange& offered, target_view& target,
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -142,6 +142,11 @@
         .first->second;
 }
 
+service_slowness& fleet_state::slowness(const std::string& service)
+{
+    return slowness_[service];
+}
+
 std::size_t fleet_state::live_hosts() const
 {
     return live_hosts_;
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -58,6 +58,9 @@
 
     fleet_retry_budget& budget(const std::string& service);
 
+    /** How slow the engines of a service are against expectation. */
+    service_slowness& slowness(const std::string& service);
+
     std::size_t live_hosts() const;
     void set_live_hosts(std::size_t hosts);
 
@@ -69,6 +72,7 @@
     target_board board_;
     bool knows_targets_ = false;
     std::map<std::string, fleet_retry_budget> budgets_;
+    std::map<std::string, service_slowness> slowness_;
     std::size_t live_hosts_;
 };
 
--- a/modules/serving/placing/engine_placer.cpp
+++ b/modules/serving/placing/engine_placer.cpp
@@ -213,10 +213,12 @@
         return chosen;
     }
     chosen.expected_ms =
-        chosen.decoder_plain_ms * chosen.decoder->slowness.factor();
+        chosen.decoder_plain_ms *
+        chosen.decoder->slowness.factor(request.slowness.decoders, now);
     if (chosen.reader)
         chosen.expected_ms +=
-            chosen.reader_plain_ms * chosen.reader->slowness.factor();
+            chosen.reader_plain_ms *
+            chosen.reader->slowness.factor(request.slowness.readers, now);
     if (chosen.expected_ms > longest_wait_ms(request))
     {
         reason = no_place::busy;
--- a/modules/serving/placing/engine_placer.hpp
+++ b/modules/serving/placing/engine_placer.hpp
@@ -35,6 +35,8 @@
     std::chrono::milliseconds until_useless{0};
     /** Whether the prompt may be read at one engine and decoded at another. */
     bool may_hand_over = true;
+    /** How slow the service's stages are as a whole. */
+    service_slowness slowness;
     server_request common;
 };
 
--- a/modules/serving/placing/engine_placer_test.cpp
+++ b/modules/serving/placing/engine_placer_test.cpp
@@ -139,7 +139,7 @@
     for (const std::shared_ptr<target_view>& target : all)
     {
         for (int sample = 0; sample < 60; ++sample)
-            target->slowness.add(20, std::chrono::milliseconds(80));
+            target->slowness.add(20, std::chrono::milliseconds(80), now);
     }
     no_place reason = no_place::no_target;
     const engine_placement refused =
@@ -150,6 +150,27 @@
     BOOST_TEST(refused.expected_ms > 150);
 }
 
+// Seen on vandijk-dagtocht-grown scale-1: 84 hosts hear of each of 45 engines
+// every few seconds, and went on sending into queues of 750 ms.
+BOOST_AUTO_TEST_CASE(what_was_seen_of_other_engines_of_the_stage_counts_too)
+{
+    const engines all = fleet();
+    const time_point now{std::chrono::seconds(1)};
+    const prompt wanted = long_prompt("doc-1", "s1");
+    engine_request request = request_for(wanted);
+    BOOST_TEST(place(all, request, now).reader != nullptr);
+    for (int sample = 0; sample < 60; ++sample)
+        request.slowness.readers.add(10, std::chrono::milliseconds(750), now);
+    for (int sample = 0; sample < 60; ++sample)
+        request.slowness.decoders.add(10, std::chrono::milliseconds(80), now);
+    no_place reason = no_place::no_target;
+    const engine_placement refused =
+        engine_placer(engine_speeds{})
+            .place(all, request, today_engine(), now, reason);
+    BOOST_TEST(refused.decoder == nullptr);
+    BOOST_TEST((reason == no_place::busy));
+}
+
 // Plays the heaviest burst of the standard days: long prompts at twice what
 // nine readers can read, from 740 documents. What is begun has to come in
 // time, and the readers have to stay busy.
@@ -187,8 +208,10 @@
                 continue;
             }
             entry->reader->slowness.add(
-                entry->plain_ms, std::chrono::duration<double, std::milli>(
-                                     now_ms - entry->began_ms));
+                entry->plain_ms,
+                std::chrono::duration<double, std::milli>(now_ms -
+                                                          entry->began_ms),
+                clock.now());
             if (now_ms > warm_up_ms)
                 (now_ms - entry->began_ms <= 150 ? in_time : late) += 1;
             entry = open.erase(entry);
