--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -161,7 +161,9 @@
 
     engine_request wanted;
     wanted.wanted = &*context_.request.wanted;
-    wanted.until_late = context_.until_late(now);
+    // What was offered before is served late rather than not at all.
+    wanted.until_late = context_.offers > 0 ? std::chrono::milliseconds(0)
+                                            : context_.until_late(now);
     wanted.until_useless = context_.time_left(now);
     wanted.may_hand_over = context_.last_event.empty();
     wanted.slowness = parts_.fleet.slowness(context_.service);
--- a/modules/serving/placing/engine_placer_test.cpp
+++ b/modules/serving/placing/engine_placer_test.cpp
@@ -180,7 +180,7 @@
     manual_clock clock;
     clock.advance(std::chrono::seconds(1));
     constexpr double tokens_per_ms = 341;
-    constexpr double arrivals_per_ms = 2.0;
+    constexpr int arrivals_per_ms = 2;
     struct reading
     {
         double ends_ms;
@@ -194,7 +194,6 @@
     std::size_t in_time = 0;
     std::size_t late = 0;
     std::size_t refused = 0;
-    double busy_ms = 0;
     constexpr int length_ms = 3000;
     constexpr int warm_up_ms = 500;
     std::uint64_t draw = 1;
@@ -234,7 +233,6 @@
             double& free = free_at[placed.reader->record.id];
             const double takes = placed.unread_tokens / tokens_per_ms;
             free = std::max<double>(free, now_ms) + takes;
-            busy_ms += takes;
             open.push_back(
                 {free, placed.reader,
                  std::make_unique<target_work>(
