Split the request path: answers and ends in files of their own

Change: the carrying back of answers and the ends with their log lines are in request_answers.cpp and request_ends.cpp; shared limits in request_limits.hpp; local names no longer hide the result type. No behaviour changes. The adapter's tests pass.

--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request/request_run.hpp"
 
+#include "gateway/request/request_limits.hpp"
+
 #include <algorithm>
 
 namespace hibiscusferry
@@ -8,30 +10,9 @@
 namespace
 {
 
-/** Of requests that went well, one in this many is logged, chosen by the
-    request's id so that all hosts choose alike. */
-constexpr std::uint64_t logged_success_share = 16;
-
 /** A target that may be replaced is given up after this many latency
-    objectives without a byte, and not before the shortest limit. */
+    objectives without a byte. */
 constexpr int objectives_until_silent = 4;
-constexpr std::chrono::milliseconds shortest_first_byte_limit{500};
-
-/** A resumable stream is resumed elsewhere after a pause of this many times
-    the route's longest pause. */
-constexpr int pauses_until_resumed = 4;
-
-/** Remaining time below which an offer is not worth sending. */
-constexpr std::chrono::milliseconds least_time_to_offer{15};
-
-/** When to come back if no target takes work: about when a crashed one is
-    found to be back. */
-constexpr std::chrono::milliseconds backlog_without_targets{300};
-
-bool is_server_error(unsigned status)
-{
-    return status >= 500;
-}
 
 } // namespace
 
@@ -216,20 +197,19 @@
     terms.copy = copy;
     terms.resume_after = context_.last_event;
     const time_point offered_at = parts_.core.now();
-    const offer_result result = offered.send(
+    const offer_result sent = offered.send(
         terms, first_byte_limit(context_.found->may_repeat()), yield);
-    if (result == offer_result::answered && context_.request.wanted)
+    if (sent == offer_result::answered && context_.request.wanted)
         note_decoding(placement, parts_.core.now() - offered_at);
-    if (copy && result != offer_result::answered &&
-        result != offer_result::unknown)
+    if (copy && sent != offer_result::answered && sent != offer_result::unknown)
         release(*copy);
-    if (result == offer_result::answered)
+    if (sent == offer_result::answered)
     {
         if (context_.request.wanted)
             target->kept.add(*context_.request.wanted);
         return deliver(offered, *target, work, yield);
     }
-    return after_offer(result, *target);
+    return after_offer(sent, *target);
 }
 
 std::optional<kv_copy>
@@ -250,16 +230,15 @@
 
     // Reading a prompt is not running the request: it may be done again.
     const time_point asked_at = parts_.core.now();
-    const offer_result result =
+    const offer_result sent =
         offered.send(terms, first_byte_limit(true), yield);
-    if (result == offer_result::answered && offered.head().status == 200)
+    if (sent == offer_result::answered && offered.head().status == 200)
     {
-        const ::hibiscusferry::result<std::string> body =
-            offered.read_body(yield);
+        const result<std::string> body = offered.read_body(yield);
         if (body)
         {
             offered.finish();
-            const ::hibiscusferry::result<kv_copy> copy =
+            const result<kv_copy> copy =
                 parts_.targets.read_copy(body.value(), reader->record);
             if (copy)
             {
@@ -271,10 +250,10 @@
             }
         }
     }
-    if (result == offer_result::answered && !context_.is_caller_gone)
+    if (sent == offer_result::answered && !context_.is_caller_gone)
         parts_.fleet.record_outcome(*reader, exchange_outcome::broken,
                                     context_.request.id);
-    if (result == offer_result::not_run)
+    if (sent == offer_result::not_run)
         parts_.fleet.budget(context_.service).count_send(parts_.core.now());
     context_.excluded.push_back(reader->record.id);
     step = next_step::again;
@@ -308,7 +287,7 @@
               release_answer_bytes, [](const result<http_response>&) {});
 }
 
-request_run::next_step request_run::after_offer(offer_result result,
+request_run::next_step request_run::after_offer(offer_result sent,
                                                 target_view& target)
 {
     context_.excluded.push_back(target.record.id);
@@ -319,9 +298,9 @@
          {"problem", context_.last_problem},
          {"elapsed_ms",
           std::to_string(context_.elapsed(parts_.core.now()).count())}});
-    const bool may_have_run = result == offer_result::unknown ||
-                              result == offer_result::out_of_time ||
-                              result == offer_result::caller_gone;
+    const bool may_have_run = sent == offer_result::unknown ||
+                              sent == offer_result::out_of_time ||
+                              sent == offer_result::caller_gone;
     if (!may_have_run)
         return next_step::again;
     context_.ran_at.insert(target.record.id);
@@ -357,276 +336,4 @@
     return is_allowed;
 }
 
-// ========================================================================
-// Answers
-
-request_run::next_step request_run::deliver(target_exchange& offered,
-                                            target_view& target,
-                                            target_work& work,
-                                            boost::asio::yield_context yield)
-{
-    const bool is_stream =
-        offered.answer().is_event_stream && offered.head().status == 200;
-    if (is_stream)
-        return relay_stream(offered, target, work, yield);
-    return deliver_whole(offered, target, yield);
-}
-
-request_run::next_step
-request_run::deliver_whole(target_exchange& offered, target_view& target,
-                           boost::asio::yield_context yield)
-{
-    const result<std::string> body = offered.read_body(yield);
-    if (!body)
-    {
-        context_.last_problem = "answer broke off: " + body.error().message();
-        if (!context_.is_caller_gone)
-            parts_.fleet.record_outcome(target, exchange_outcome::broken,
-                                        context_.request.id);
-        return after_offer(offer_result::unknown, target);
-    }
-    offered.finish();
-    http_response response;
-    response.status = offered.head().status;
-    response.headers =
-        parts_.targets.headers_for_caller(offered.head().headers);
-    response.body = body.value();
-    parts_.fleet.record_outcome(target,
-                                is_server_error(response.status)
-                                    ? exchange_outcome::failed
-                                    : exchange_outcome::answered,
-                                context_.request.id);
-    if (is_server_error(response.status) && context_.found->may_repeat() &&
-        !context_.has_stream_begun)
-    {
-        context_.last_problem =
-            "target answered " + std::to_string(response.status);
-        failed_answer_ = {std::move(response), target.record.id};
-        context_.ran_at.insert(target.record.id);
-        context_.excluded.push_back(target.record.id);
-        return next_step::may_have_run;
-    }
-    if (context_.has_stream_begun)
-        return after_offer(offer_result::unknown, target);
-
-    const result<void> sent = exchange_.respond(response, yield);
-    if (!sent || context_.is_caller_gone)
-    {
-        log_end(event_number::request_abandoned, "caller_gone");
-        return next_step::ended;
-    }
-    context_.first_event_after = context_.elapsed(parts_.core.now());
-    log_end(event_number::request_finished, std::to_string(response.status));
-    return next_step::ended;
-}
-
-request_run::next_step
-request_run::relay_stream(target_exchange& offered, target_view& target,
-                          target_work& work, boost::asio::yield_context yield)
-{
-    const bool may_resume = context_.found->may_repeat();
-    const std::chrono::milliseconds silence_limit =
-        may_resume
-            ? std::max<std::chrono::milliseconds>(
-                  pauses_until_resumed * context_.found->event_gap_objective,
-                  shortest_first_byte_limit)
-            : context_.found->time_limit;
-    event_stream_parser parser;
-    std::string received;
-    for (;;)
-    {
-        const result<std::string> piece =
-            offered.read_some(silence_limit, yield);
-        if (!piece)
-            return stream_interrupted(target, piece.error());
-        work.prompt_read();
-        if (piece.value().empty())
-            break;
-        if (!parser.add(piece.value()))
-            return stream_interrupted(target,
-                                      make_error_code(http_error::too_large));
-        received += piece.value();
-        for (std::optional<server_sent_event> event = parser.next(); event;
-             event = parser.next())
-        {
-            received.erase(0, std::min(received.size(), event->raw.size()));
-            if (!pass_event(*event, offered, yield))
-                return stream_interrupted(target,
-                                          make_error_code(http_error::broken));
-        }
-    }
-    // The target stopped in the middle of an event.
-    if (!received.empty() || !context_.has_stream_begun)
-        return stream_interrupted(target, make_error_code(http_error::broken));
-    offered.finish();
-    parts_.fleet.record_outcome(target, exchange_outcome::answered,
-                                context_.request.id);
-    const result<void> ended = exchange_.end_stream(yield);
-    if (!ended)
-        log_end(event_number::request_abandoned, "caller_gone");
-    else
-        log_end(event_number::request_finished, "200");
-    return next_step::ended;
-}
-
-bool request_run::pass_event(const server_sent_event& event,
-                             target_exchange& offered,
-                             boost::asio::yield_context yield)
-{
-    if (!context_.has_stream_begun)
-    {
-        const http_response_head head{
-            offered.head().status,
-            parts_.targets.headers_for_caller(offered.head().headers)};
-        if (!exchange_.begin_stream(head, yield))
-        {
-            context_.is_caller_gone = true;
-            return false;
-        }
-        context_.has_stream_begun = true;
-        context_.first_event_after = context_.elapsed(parts_.core.now());
-    }
-    if (!exchange_.write_piece(event.raw, yield))
-    {
-        context_.is_caller_gone = true;
-        return false;
-    }
-    if (!event.id.empty())
-        context_.last_event = event.id;
-    return true;
-}
-
-request_run::next_step request_run::stream_interrupted(target_view& target,
-                                                       std::error_code error)
-{
-    context_.last_problem = "stream broke off: " + error.message();
-    if (!context_.is_caller_gone)
-        parts_.fleet.record_outcome(target,
-                                    error == http_error::timed_out
-                                        ? exchange_outcome::silent
-                                        : exchange_outcome::broken,
-                                    context_.request.id);
-    return after_offer(offer_result::unknown, target);
-}
-
-// ========================================================================
-// Ends
-
-void request_run::refuse(refusal_cause reason,
-                         std::chrono::milliseconds backlog,
-                         boost::asio::yield_context yield)
-{
-    if (!context_.ran_at.empty() || context_.has_stream_begun)
-    {
-        give_up(refusal_cause::outcome_unknown, yield);
-        return;
-    }
-    const refusal answer{reason, return_time(backlog, draws_())};
-    const result<void> sent =
-        exchange_.respond(parts_.callers.write(answer), yield);
-    parts_.core.metrics()
-        .counter_of("hibiscusferry_refusals_total",
-                    "reason=\"" + std::string(to_text(reason)) + "\"")
-        .add();
-    std::vector<event_field> described = fields();
-    described.push_back({"reason", std::string(to_text(reason))});
-    described.push_back(
-        {"return_after_ms", std::to_string(answer.return_after->count())});
-    described.push_back({"sent", sent ? "yes" : "no"});
-    parts_.core.journal().record(event_number::request_refused,
-                                 std::move(described));
-}
-
-void request_run::give_up(refusal_cause reason,
-                          boost::asio::yield_context yield)
-{
-    if (context_.has_stream_begun)
-    {
-        // Ends without its final chunk, so that the caller sees the break.
-        log_end(event_number::stream_broken, context_.last_problem);
-        return;
-    }
-    if (failed_answer_)
-    {
-        const result<void> sent =
-            exchange_.respond(failed_answer_->response, yield);
-        log_end(sent ? event_number::request_finished
-                     : event_number::request_abandoned,
-                std::to_string(failed_answer_->response.status));
-        return;
-    }
-    const bool may_have_run = !context_.ran_at.empty();
-    const bool is_own_fault = reason == refusal_cause::no_route ||
-                              reason == refusal_cause::bad_request;
-    if (!may_have_run && !is_own_fault)
-    {
-        refuse(reason, backlog_without_targets, yield);
-        return;
-    }
-    const bool is_over = may_have_run && context_.time_left(parts_.core.now()) <
-                                             least_time_to_offer;
-    const refusal answer{is_over ? refusal_cause::no_answer_in_time : reason,
-                         std::nullopt};
-    const result<void> sent =
-        exchange_.respond(parts_.callers.write(answer), yield);
-    log_end(sent ? event_number::request_failed
-                 : event_number::request_abandoned,
-            std::string(to_text(answer.reason)));
-}
-
-void request_run::log_end(event_number number, const std::string& outcome)
-{
-    const std::chrono::milliseconds elapsed =
-        context_.elapsed(parts_.core.now());
-    const std::string route_label =
-        context_.found != nullptr ? "route=\"" + context_.found->name + "\""
-                                  : std::string();
-    parts_.core.metrics()
-        .counter_of("hibiscusferry_requests_total",
-                    "event=\"" + std::string(definition_of(number).name) + "\"")
-        .add();
-    if (context_.first_event_after)
-        parts_.core.metrics()
-            .durations_of("hibiscusferry_first_event_seconds", route_label)
-            .add(*context_.first_event_after);
-    const bool is_plain = number == event_number::request_finished &&
-                          context_.offers <= 2 && context_.excluded.empty();
-    if (is_plain &&
-        stable_hash(context_.request.id) % logged_success_share != 0)
-        return;
-    std::vector<event_field> described = fields();
-    described.push_back({"outcome", outcome});
-    described.push_back({"elapsed_ms", std::to_string(elapsed.count())});
-    if (context_.first_event_after)
-        described.push_back(
-            {"first_event_ms",
-             std::to_string(context_.first_event_after->count())});
-    parts_.core.journal().record(number, std::move(described));
-}
-
-std::vector<event_field> request_run::fields() const
-{
-    std::vector<event_field> described{{"request", context_.request.id}};
-    if (context_.found != nullptr)
-    {
-        described.push_back({"route", context_.found->name});
-        described.push_back(
-            {"version",
-             std::to_string(context_.routes->configuration().version)});
-        described.push_back({"service", context_.service});
-        described.push_back({"rank", std::to_string(context_.found->rank)});
-    }
-    described.push_back({"offers", std::to_string(context_.offers)});
-    if (!context_.last_target.empty())
-        described.push_back({"target", context_.last_target});
-    if (placement_.reader)
-        described.push_back({"reader", placement_.reader->record.id});
-    if (placement_.expected_ms > 0)
-        described.push_back({"expected_ms", std::to_string(static_cast<int>(
-                                                placement_.expected_ms))});
-    if (!context_.last_problem.empty())
-        described.push_back({"problem", context_.last_problem});
-    return described;
-}
-
 } // namespace hibiscusferry
