Refuse at a stopping host what it could not finish

Change: once callers have been asked to leave, a request whose deadline lies beyond the end of the stop is refused as not run; another host takes it.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -146,6 +146,7 @@
                    const time_point began = parts_.core.now();
                    const time_point last =
                        began + parts_.fleet.settings().stop_grace - exit_margin;
+                   parts_.fleet.set_stop(began + callers_leave_after, last);
                    sleep_for(parts_.core.context(), callers_leave_after, yield);
                    callers_->close_after_answers();
                    sleep_for(parts_.core.context(),
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -28,15 +28,16 @@
 /** Why a request is answered by this system and not by a target. */
 enum class refusal_cause
 {
-    no_configuration, ///< this host knows no configuration yet
-    no_route,         ///< no route takes the request
-    bad_request,      ///< the request cannot be understood
-    no_target,        ///< no target takes work
-    overloaded,       ///< it could not be served in time
-    target_refused,   ///< targets refused it as not run
-    out_of_time,      ///< its time was over before it was sent
-    outcome_unknown,  ///< it was sent, and may have run
-    no_answer_in_time ///< it was sent, and its time is over
+    no_configuration,  ///< this host knows no configuration yet
+    no_route,          ///< no route takes the request
+    bad_request,       ///< the request cannot be understood
+    no_target,         ///< no target takes work
+    overloaded,        ///< it could not be served in time
+    target_refused,    ///< targets refused it as not run
+    out_of_time,       ///< its time was over before it was sent
+    outcome_unknown,   ///< it was sent, and may have run
+    no_answer_in_time, ///< it was sent, and its time is over
+    stopping           ///< this host stops before it could be answered
 };
 
 /** "no_configuration", "no_route", and so on. */
--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -14,6 +14,9 @@
     objectives without a byte. */
 constexpr int objectives_until_silent = 4;
 
+/** Another host takes the caller's next connection at once. */
+constexpr std::chrono::milliseconds backlog_of_stop{1};
+
 } // namespace
 
 request_run::request_run(const gateway_parts& parts, http_exchange& exchange,
@@ -64,6 +67,11 @@
         limit = std::min(limit, *context_.request.time_left);
     context_.deadline = context_.arrived_at + limit;
     context_.late_at = context_.arrived_at + context_.found->latency_objective;
+    if (parts_.fleet.stops_before(context_.deadline, context_.arrived_at))
+    {
+        refuse(refusal_cause::stopping, backlog_of_stop, yield);
+        return false;
+    }
     parts_.fleet.budget(context_.service).count_request(context_.arrived_at);
     return true;
 }
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -142,6 +142,16 @@
         .first->second;
 }
 
+void fleet_state::set_stop(time_point refuses_from, time_point ends)
+{
+    stop_ = {refuses_from, ends};
+}
+
+bool fleet_state::stops_before(time_point deadline, time_point now) const
+{
+    return stop_ && now >= stop_->first && deadline > stop_->second;
+}
+
 service_slowness& fleet_state::slowness(const std::string& service)
 {
     return slowness_[service];
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -58,6 +58,14 @@
 
     fleet_retry_budget& budget(const std::string& service);
 
+    /** This host is stopping: what cannot be answered before `ends` is not
+        begun any more from `refuses_from` on. */
+    void set_stop(time_point refuses_from, time_point ends);
+
+    /** Whether a request that may last until its deadline would be cut by
+        the stop. */
+    bool stops_before(time_point deadline, time_point now) const;
+
     /** How slow the engines of a service are against expectation. */
     service_slowness& slowness(const std::string& service);
 
@@ -73,6 +81,7 @@
     bool knows_targets_ = false;
     std::map<std::string, fleet_retry_budget> budgets_;
     std::map<std::string, service_slowness> slowness_;
+    std::optional<std::pair<time_point, time_point>> stop_;
     std::size_t live_hosts_;
 };
 
