--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -49,15 +49,19 @@
     std::unique_ptr<state_follower> follower = std::make_unique<state_follower>(
         core, fleet, state_follower::sources{store, store, rows});
     state_follower& followed = *follower;
+    std::unique_ptr<load_exchange> exchange =
+        std::make_unique<load_exchange>(core, fleet, followed);
+    load_exchange& exchanged = *exchange;
     const bool is_complete =
         add(metrics_service::name,
             std::make_unique<metrics_service>(core, fleet, log)) &&
         add(settings_watch::name,
             std::make_unique<settings_watch>(core, fleet, source)) &&
         add(state_follower::name, std::move(follower)) &&
+        add(load_exchange::name, std::move(exchange)) &&
         add(gateway_service::name, std::make_unique<gateway_service>(parts)) &&
-        add(stage_controller::name,
-            std::make_unique<stage_controller>(parts, followed, store));
+        add(stage_controller::name, std::make_unique<stage_controller>(
+                                        parts, followed, exchanged, store));
     const result<void> started = services.start();
     if (!is_complete || !started)
     {
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -227,6 +227,14 @@
                     "The number of live entry hosts has changed; limits that "
                     "hosts share are divided anew.",
                     "")
+HIBISCUSFERRY_EVENT(1506, info, host_rows_removed,
+                    "Rows of entry hosts that ended without a word were "
+                    "removed.",
+                    "")
+HIBISCUSFERRY_EVENT(1507, info, relay_chosen,
+                    "This host reports its load to another relay, or has "
+                    "become the relay of its availability zone.",
+                    "")
 
 // 1550-1599 connections between processes
 HIBISCUSFERRY_EVENT(1550, info, peer_connected,
@@ -387,11 +395,8 @@
                     "A table was read whole, at the start or because the "
                     "store has dropped its history.",
                     "")
-HIBISCUSFERRY_EVENT(1903, info, peer_state_taken,
-                    "News of the fleet were taken from a peer, because the "
-                    "table service does not answer this host.",
-                    "")
-HIBISCUSFERRY_EVENT(1904, warning, snapshot_stale,
-                    "A snapshot was older than what this host knows; it is "
-                    "read again.",
-                    "")
+// 1903 was peer_state_taken, 1904 snapshot_stale.
+HIBISCUSFERRY_EVENT(1905, warning, peer_news_unreadable,
+                    "Another host's news of the fleet could not be read; they "
+                    "are read at the table service.",
+                    "Finish the upgrade of all hosts.")
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -5,7 +5,7 @@
     targets and their answers back, and orders engines to change their stage.
     The decisions are those of the serving module; what callers, targets,
     operators and the host speak is behind the interfaces in protocol/.
-    Depends on process, serving, storage, http and authority.
+    Depends on process, serving, sharing, storage, http and authority.
 */
 #ifndef HIBISCUSFERRY_GATEWAY_GATEWAY_HPP
 #define HIBISCUSFERRY_GATEWAY_GATEWAY_HPP
@@ -20,10 +20,10 @@
 #include "gateway/request/request_context.hpp"
 #include "gateway/request/request_run.hpp"
 #include "gateway/request/target_exchange.hpp"
+#include "gateway/sharing/load_exchange.hpp"
 #include "gateway/stages/stage_controller.hpp"
 #include "gateway/state/fleet_state.hpp"
 #include "gateway/state/host_roster.hpp"
-#include "gateway/state/known_rows.hpp"
 #include "gateway/state/state_follower.hpp"
 #include "gateway/state/store_link.hpp"
 
--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -21,7 +21,10 @@
     http_endpoint readiness;
     /** Where the table service answers. */
     http_endpoint table_service;
-    /** Port for the system's own processes, the same on all hosts. */
+    /** The host's processor, in cores. */
+    double processor_share = 1;
+    /** Port for the system's own processes, TCP and UDP; the same on all
+        hosts. */
     std::uint16_t peer_port = 0;
     /** The fleet's bound on sending requests again. */
     fleet_retry_settings retries;
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -54,6 +54,10 @@
     std::string last_event;
     bool has_stream_begun = false;
     std::optional<std::chrono::milliseconds> first_event_after;
+    /** What the last offers took: to read the prompt, and from the offer to
+        the decoder until its answer's head. */
+    std::optional<std::chrono::milliseconds> reading_time;
+    std::optional<std::chrono::milliseconds> decoding_time;
     std::string last_target;
     std::string last_problem;
 
--- a/modules/gateway/request/request_ends.cpp
+++ b/modules/gateway/request/request_ends.cpp
@@ -128,6 +128,20 @@
     if (placement_.expected_ms > 0)
         described.push_back({"expected_ms", std::to_string(static_cast<int>(
                                                 placement_.expected_ms))});
+    if (context_.reading_time)
+        described.push_back(
+            {"reading_ms", std::to_string(context_.reading_time->count())});
+    if (context_.decoding_time)
+        described.push_back(
+            {"decoding_ms", std::to_string(context_.decoding_time->count())});
+    if (placement_.reader)
+        described.push_back(
+            {"reader_expected_ms",
+             std::to_string(static_cast<int>(placement_.reader_plain_ms))});
+    if (placement_.decoder)
+        described.push_back(
+            {"decoder_expected_ms",
+             std::to_string(static_cast<int>(placement_.decoder_plain_ms))});
     if (!context_.last_problem.empty())
         described.push_back({"problem", context_.last_problem});
     return described;
--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -272,6 +272,8 @@
                                std::chrono::nanoseconds taken)
 {
     const time_point now = parts_.core.now();
+    context_.reading_time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(taken);
     placement.reader->slowness.add(placement.reader_plain_ms, taken, now);
     parts_.fleet.slowness(context_.service)
         .readers.add(placement.reader_plain_ms, taken, now);
@@ -281,6 +283,8 @@
                                 std::chrono::nanoseconds taken)
 {
     const time_point now = parts_.core.now();
+    context_.decoding_time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(taken);
     placement.decoder->slowness.add(placement.decoder_plain_ms, taken, now);
     parts_.fleet.slowness(context_.service)
         .decoders.add(placement.decoder_plain_ms, taken, now);
--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -36,9 +36,11 @@
 } // namespace
 
 stage_controller::stage_controller(const gateway_parts& parts,
-                                   state_follower& follower, table_store& store)
+                                   state_follower& follower,
+                                   load_exchange& exchange, table_store& store)
     : parts_(parts)
     , follower_(follower)
+    , exchange_(exchange)
     , store_(store)
     , lease_(parts.core.settings().region, "stages", identity_of(parts.core),
              stage_lease(), parts.core.identifiers())
@@ -72,7 +74,8 @@
 {
     if (is_stopping_ || !parts_.fleet.knows_targets())
         return;
-    lease_.set_live_hosts(follower_.live_host_names());
+    // Relays are up and read the store anyhow.
+    lease_.set_live_hosts(exchange_.relays());
     perform(lease_.tick(parts_.core.now()));
 }
 
--- a/modules/gateway/stages/stage_controller.hpp
+++ b/modules/gateway/stages/stage_controller.hpp
@@ -3,7 +3,7 @@
 
 #include "authority/authority.hpp"
 #include "gateway/request/request_context.hpp"
-#include "gateway/state/state_follower.hpp"
+#include "gateway/sharing/load_exchange.hpp"
 #include <map>
 #include <set>
 
@@ -25,7 +25,7 @@
     static constexpr const char* name = "stage_controller";
 
     stage_controller(const gateway_parts& parts, state_follower& follower,
-                     table_store& store);
+                     load_exchange& exchange, table_store& store);
 
     result<void> start() override;
     void drain(std::function<void()> finished) override;
@@ -45,6 +45,7 @@
 
     gateway_parts parts_;
     state_follower& follower_;
+    load_exchange& exchange_;
     table_store& store_;
     lease_holder lease_;
     std::optional<time_point> orders_from_;
--- a/modules/gateway/state/host_roster.hpp
+++ b/modules/gateway/state/host_roster.hpp
@@ -5,6 +5,7 @@
 #include "storage/storage.hpp"
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,9 +16,13 @@
 struct roster_host
 {
     std::string host;
+    std::string availability_zone;
     /** Where it speaks with its peers. */
     std::string address;
     std::uint16_t port = 0;
+    /** Its processor, in cores: the greatest of a zone are its first choice
+        of a relay. */
+    double processor_share = 0;
     /** Whether it serves callers; false while it stops. */
     bool is_serving = true;
 
@@ -25,34 +30,52 @@
     static result<roster_host> parse(const std::string& text);
 };
 
-/** Which entry hosts live, from the rows that each of them writes again and
-    again. A host whose row stays unchanged for the time limit, on this host's
-    clock, is taken for gone; no clock reading passes between hosts. */
+/** The entry hosts, from the row that each writes when it starts and stops.
+
+    A host that ends without a word leaves its row behind. The relay of its
+    availability zone notices that it no longer reports, and removes it.
+*/
 class host_roster
 {
 public:
-    explicit host_roster(std::chrono::milliseconds time_limit);
+    /** Takes all rows. */
+    void take(const std::map<std::string, table_row>& rows, time_point now);
+
+    /** The host of that name, or null. */
+    const roster_host* find(const std::string& host) const;
+
+    /** Hosts that serve callers, over all zones. */
+    std::size_t serving_hosts() const;
+
+    /** The serving hosts of a zone in the order in which they are chosen as
+        its relay; the same on all hosts that know the same rows. */
+    std::vector<std::string> line(const std::string& zone) const;
+
+    /** The zones that have serving hosts. */
+    std::set<std::string> zones() const;
 
-    void set_time_limit(std::chrono::milliseconds time_limit);
+    // =================================================================
+    // Hosts that ended without a word
 
-    /** All rows as of one moment. */
-    void take(const std::vector<table_row>& rows, time_point now);
+    /** From now on this host hears those of its zone. */
+    void begin_watch(time_point now);
 
-    /** The live hosts, by name. */
-    std::vector<roster_host> live(time_point now) const;
+    /** A host has reported. */
+    void heard(const std::string& host, time_point now);
 
-    /** Keys of rows whose hosts have long been gone; to be deleted. */
-    std::vector<table_row> forgotten(time_point now) const;
+    /** Rows of a zone's hosts that were not heard for a while. */
+    std::vector<table_row> silent(const std::string& zone,
+                                  time_point now) const;
 
 private:
     struct entry
     {
         roster_host host;
         table_row row;
-        time_point changed_at;
+        time_point heard_at{};
     };
 
-    std::chrono::milliseconds time_limit_;
+    /** By host. */
     std::map<std::string, entry> entries_;
 };
 
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -8,43 +8,59 @@
 namespace
 {
 
-/** A wait at the store ends this much before a configuration has to be in
-    force, so that a connection that fell silent is found in time. */
-constexpr std::chrono::milliseconds configuration_margin{500};
-/** Beyond the wait: the time for the answer itself. */
+/** Of the time within which a configuration has to be in force: how long a
+    relay waits at the store for the next one, and how old other hosts' news
+    may grow before they look for themselves. The rest is for a look that
+    fails. */
+constexpr int configuration_wait_percent = 40;
+constexpr int configuration_age_percent = 60;
+/** Of the time for which leaving targets serve on: between two looks at their
+    rows, which change with every heartbeat, and how old news may grow. */
+constexpr int targets_period_percent = 42;
+constexpr int targets_age_percent = 58;
+/** Hosts come and go seldom, and no promise depends on when that is seen. */
+constexpr std::chrono::milliseconds hosts_wait{3000};
+constexpr std::chrono::milliseconds oldest_hosts_news{8000};
+
+/** Beyond a wait: the time for the answer itself. */
 constexpr std::chrono::milliseconds store_answer_limit{700};
 constexpr std::chrono::milliseconds snapshot_limit{1500};
-/** Part of the time for which leaving targets serve on that may pass between
-    two looks at their rows; the rest covers a look that fails. */
-constexpr int targets_period_percent = 42;
 constexpr std::chrono::milliseconds retry_pause{150};
-/** Between two writes of a host's own row, and reads of all. */
-constexpr std::chrono::milliseconds least_roster_period{4000};
-/** Added for each live host, so that the store's load does not grow with the
-    number of hosts. */
-constexpr std::chrono::milliseconds roster_period_for_host{150};
-/** The first reads come sooner, as all hosts start together. */
-constexpr std::chrono::milliseconds first_roster_period{600};
-/** A host is gone when its row has not changed for so many half periods. */
-constexpr int roster_half_periods_until_gone = 5;
-constexpr std::size_t roster_limit = 5000;
-/** A peer is asked when the store was silent for this long. */
-constexpr std::chrono::milliseconds peers_after_silence{700};
-constexpr std::chrono::milliseconds peer_period{500};
-constexpr std::chrono::milliseconds peer_answer_limit{300};
-/** News that are older are no help. */
-constexpr std::chrono::milliseconds oldest_peer_news{2500};
-constexpr std::size_t peer_answer_bytes = 4U << 20;
-constexpr std::chrono::milliseconds catalogue_tick{200};
+/** Between two looks whether a table has to be read here. */
+constexpr std::chrono::milliseconds due_period{50};
+
+constexpr std::chrono::milliseconds pull_limit{500};
+constexpr std::size_t pull_answer_bytes = 8U << 20;
+constexpr std::chrono::milliseconds belief_tick{100};
+/** An own row that is missing is written again, but not faster than news of
+    it can come back. */
+constexpr std::chrono::milliseconds own_row_period{3000};
 
 const std::string roster_table = "hosts";
-const std::string peer_path = "/known-rows";
+const std::string news_path = "/news";
+constexpr std::array<const char*, news_tables> known_parameters{
+    "configuration", "targets", "hosts"};
 
 std::string table_of(const std::string& key)
 {
     return key.substr(0, key.find('/'));
 }
 
+std::string id_of(const std::string& key)
+{
+    return key.substr(key.find('/') + 1);
+}
+
+/** What the row of a target says; of one that cannot be read, its bytes. */
+row_mirror::meaning meaning_of_targets(const fleet_records& records)
+{
+    return [&records](const table_row& row)
+    {
+        const result<target_record> record = records.read_target(row);
+        return record ? hash_of(record.value()) : stable_hash(row.value);
+    };
+}
+
 } // namespace
 
 state_follower::state_follower(process_core& core, fleet_state& fleet,
@@ -53,7 +69,7 @@
     , fleet_(fleet)
     , from_(from)
     , link_(core, fleet)
-    , roster_(least_roster_period * roster_half_periods_until_gone / 2)
+    , news_(meaning_of_targets(from.records))
 {
 }
 
@@ -68,25 +84,26 @@
         return listening.error();
     peer_server_ = std::move(listening.value());
 
-    start_task(core_.context(), [this](boost::asio::yield_context yield)
-               { follow_configuration(yield); });
-    start_task(core_.context(), [this](boost::asio::yield_context yield)
-               { follow_targets(yield); });
-    start_task(core_.context(), [this](boost::asio::yield_context yield)
-               { follow_hosts(yield); });
-    start_task(core_.context(),
-               [this](boost::asio::yield_context yield) { ask_peers(yield); });
-    core_.repeat(catalogue_tick,
-                 [this] {
+    write_own_row();
+    for (const news_table table : all_news_tables)
+        start_task(core_.context(),
+                   [this, table](boost::asio::yield_context yield)
+                   { follow(table, yield); });
+    core_.repeat(belief_tick,
+                 [this]
+                 {
+                     link_.tick();
                      fleet_.apply(fleet_.catalogue().tick(core_.now()),
                                   "outage_grace");
+                     keep_own_row();
                  });
     return outcome::success();
 }
 
 void state_follower::drain(std::function<void()> finished)
 {
-    announce_stop();
+    is_serving_ = false;
+    write_own_row();
     finished();
 }
 
@@ -96,339 +113,338 @@
     peer_server_->close();
 }
 
+host_roster& state_follower::roster()
+{
+    return roster_;
+}
+
 store_link& state_follower::link()
 {
     return link_;
 }
 
-std::vector<std::string> state_follower::live_host_names() const
+const fleet_news& state_follower::news() const
 {
-    std::vector<std::string> names{fleet_.settings().host};
-    for (const roster_host& host : roster_.live(core_.now()))
-    {
-        if (host.is_serving && host.host != names.front())
-            names.push_back(host.host);
-    }
-    return names;
+    return news_;
+}
+
+void state_follower::set_relay(bool is_relay)
+{
+    is_relay_ = is_relay;
 }
 
 // ========================================================================
-// Configuration
+// Reading the table service
+
+std::string state_follower::store_table(news_table table) const
+{
+    const std::array<std::string, news_tables> tables{
+        table_of(from_.records.configuration_key()),
+        from_.records.target_table(), roster_table};
+    return tables[static_cast<std::size_t>(table)];
+}
+
+std::chrono::milliseconds state_follower::oldest_news(news_table table) const
+{
+    const host_settings& settings = fleet_.settings();
+    const std::array<std::chrono::milliseconds, news_tables> ages{
+        configuration_age_percent * settings.configuration_time / 100,
+        targets_age_percent * settings.leave_time / 100, oldest_hosts_news};
+    return ages[static_cast<std::size_t>(table)];
+}
 
-void state_follower::follow_configuration(boost::asio::yield_context yield)
+bool state_follower::is_due_here(news_table table) const
+{
+    return is_relay_ || news_.age(table, core_.now()) > oldest_news(table);
+}
+
+void state_follower::follow(news_table table, boost::asio::yield_context yield)
 {
     while (!is_stopping_)
     {
-        const result<void> read = read_configuration(yield);
-        if (read)
+        if (!is_due_here(table))
         {
-            link_.succeeded();
+            sleep_for(core_.context(), due_period, yield);
             continue;
         }
-        if (read.error() == platform_error::history_gone)
+        const result<void> done = read(table, yield);
+        if (!done)
         {
-            configuration_after_ = 0;
+            link_.failed(done.error());
+            sleep_for(core_.context(), retry_pause, yield);
             continue;
         }
-        link_.failed(read.error());
-        sleep_for(core_.context(), retry_pause, yield);
+        link_.succeeded();
+        if (table == news_table::targets)
+            sleep_for(core_.context(),
+                      targets_period_percent * fleet_.settings().leave_time /
+                          100,
+                      yield);
     }
 }
 
-result<void>
-state_follower::read_configuration(boost::asio::yield_context yield)
+result<void> state_follower::read(news_table table,
+                                  boost::asio::yield_context yield)
 {
-    const std::string key = from_.records.configuration_key();
-    const bool is_snapshot = configuration_after_ == 0;
+    const host_settings& settings = fleet_.settings();
+    const std::array<std::chrono::milliseconds, news_tables> waits{
+        configuration_wait_percent * settings.configuration_time / 100,
+        std::chrono::milliseconds(0), hosts_wait};
     const std::chrono::milliseconds wait =
-        fleet_.settings().configuration_time - configuration_margin;
-    const result<table_changes> changes =
-        is_snapshot
-            ? from_.feed.snapshot(table_of(key), snapshot_limit, yield)
-            : from_.feed.changes(table_of(key), configuration_after_, wait,
+        waits[static_cast<std::size_t>(table)];
+    const row_version known = news_.mirror(table).as_of();
+    bool is_whole = known == 0;
+    result<table_changes> changes =
+        is_whole
+            ? from_.feed.snapshot(store_table(table), snapshot_limit, yield)
+            : from_.feed.changes(store_table(table), known, wait,
                                  wait + store_answer_limit, yield);
-    if (!changes)
-        return changes.error();
-    for (const table_row& row : changes.value().rows)
+    if (!changes && changes.error() == platform_error::history_gone)
     {
-        if (row.key == key)
-            take_configuration_row(row, "store");
+        is_whole = true;
+        changes =
+            from_.feed.snapshot(store_table(table), snapshot_limit, yield);
     }
-    configuration_after_ =
-        std::max(configuration_after_, changes.value().version);
-    if (is_snapshot && !fleet_.routes())
+    if (!changes)
+        return changes.error();
+    take({table, is_whole, std::move(changes.value())}, "store");
+    const bool is_config_missing =
+        table == news_table::configuration && !fleet_.routes();
+    if (is_whole && is_config_missing)
         sleep_for(core_.context(), retry_pause, yield);
     return outcome::success();
 }
 
-void state_follower::take_configuration_row(const table_row& row,
-                                            const std::string& source)
+// ========================================================================
+// Taking news
+
+void state_follower::take(const table_news& told, const std::string& source)
 {
-    if (row.version <= known_.configuration.version)
-        return;
-    result<fleet_configuration> configuration =
-        from_.records.read_configuration(row.value);
-    known_.configuration = row;
-    if (!configuration)
-    {
-        core_.journal().record(event_number::configuration_unreadable,
-                               {{"row_version", std::to_string(row.version)},
-                                {"problem", configuration.error().message()},
-                                {"source", source}});
+    using apply_function =
+        void (state_follower::*)(const table_changes&, const std::string&);
+    constexpr std::array<apply_function, news_tables> functions{
+        &state_follower::apply_configuration, &state_follower::apply_targets,
+        &state_follower::apply_hosts};
+    row_mirror& mirror = news_.mirror(told.table);
+    // A whole table of a relay that is behind would undo later changes.
+    if (told.is_whole && told.changes.version < mirror.as_of())
         return;
-    }
-    fleet_.take_configuration(std::move(configuration.value()), source);
+    if (told.is_whole)
+        core_.journal().record(
+            event_number::snapshot_taken,
+            {{"table", std::string(to_text(told.table))},
+             {"rows", std::to_string(told.changes.rows.size())},
+             {"version", std::to_string(told.changes.version)},
+             {"age_ms", std::to_string(told.age.count())},
+             {"source", source}});
+    const table_changes changed = told.is_whole ? mirror.replace(told.changes)
+                                                : mirror.take(told.changes);
+    (this->*functions[static_cast<std::size_t>(told.table)])(changed, source);
+    news_.set_current(told.table, core_.now() - told.age);
+    if (told.table == news_table::targets)
+        fleet_.set_knows_targets();
 }
 
-// ========================================================================
-// Targets
-
-void state_follower::follow_targets(boost::asio::yield_context yield)
+void state_follower::apply_configuration(const table_changes& changes,
+                                         const std::string& source)
 {
-    while (!is_stopping_)
+    const std::string key = from_.records.configuration_key();
+    for (const table_row& row : changes.rows)
     {
-        const result<void> read = read_targets(yield);
-        if (read)
-        {
-            link_.succeeded();
-            targets_current_at_ = core_.now();
-            sleep_for(core_.context(),
-                      targets_period_percent * fleet_.settings().leave_time /
-                          100,
-                      yield);
+        if (row.key != key)
             continue;
-        }
-        if (read.error() == platform_error::history_gone)
+        result<fleet_configuration> configuration =
+            from_.records.read_configuration(row.value);
+        if (configuration)
         {
-            known_.targets_version = 0;
+            fleet_.take_configuration(std::move(configuration.value()), source);
             continue;
         }
-        link_.failed(read.error());
-        sleep_for(core_.context(), retry_pause, yield);
-    }
-}
-
-result<void> state_follower::read_targets(boost::asio::yield_context yield)
-{
-    const std::string table = from_.records.target_table();
-    if (fleet_.knows_targets() && known_.targets_version > 0)
-    {
-        const result<table_changes> changes = from_.feed.changes(
-            table, known_.targets_version, std::chrono::milliseconds(0),
-            store_answer_limit, yield);
-        if (!changes)
-            return changes.error();
-        take_target_changes(changes.value());
-        return outcome::success();
+        core_.journal().record(event_number::configuration_unreadable,
+                               {{"row_version", std::to_string(row.version)},
+                                {"problem", configuration.error().message()},
+                                {"source", source}});
     }
-
-    const result<table_changes> all =
-        from_.feed.snapshot(table, snapshot_limit, yield);
-    if (!all)
-        return all.error();
-    known_.targets.clear();
-    for (const table_row& row : all.value().rows)
-        known_.targets[row.key] = row;
-    known_.targets_version = all.value().version;
-    take_target_snapshot("store");
-    return outcome::success();
 }
 
-void state_follower::take_target_changes(const table_changes& changes)
+void state_follower::apply_targets(const table_changes& changes,
+                                   const std::string& source)
 {
     const time_point now = core_.now();
     for (const table_row& row : changes.rows)
     {
-        known_.targets[row.key] = row;
         const result<target_record> record = from_.records.read_target(row);
         if (record)
         {
-            fleet_.apply(fleet_.catalogue().put(record.value()), "store");
+            fleet_.apply(fleet_.catalogue().put(record.value()), source);
             continue;
         }
         core_.journal().record(event_number::target_row_unreadable,
                                {{"row", row.key},
                                 {"version", std::to_string(row.version)},
                                 {"problem", record.error().message()}});
-        const std::string id = row.key.substr(row.key.find('/') + 1);
-        fleet_.apply(fleet_.catalogue().spoil(id, now), "store");
+        fleet_.apply(fleet_.catalogue().spoil(id_of(row.key), now), source);
     }
     for (const std::string& key : changes.deleted)
-    {
-        known_.targets.erase(key);
-        const std::string id = key.substr(key.find('/') + 1);
-        fleet_.apply(fleet_.catalogue().remove(id, now), "store");
-    }
-    known_.targets_version = std::max(known_.targets_version, changes.version);
+        fleet_.apply(fleet_.catalogue().remove(id_of(key), now), source);
 }
 
-void state_follower::take_target_snapshot(const std::string& source)
+void state_follower::apply_hosts(const table_changes&, const std::string&)
 {
-    std::vector<target_record> records;
-    for (const auto& [key, row] : known_.targets)
-    {
-        const result<target_record> record = from_.records.read_target(row);
-        if (record)
-            records.push_back(record.value());
-        else
-            core_.journal().record(event_number::target_row_unreadable,
-                                   {{"row", key},
-                                    {"version", std::to_string(row.version)},
-                                    {"problem", record.error().message()}});
-    }
-    core_.journal().record(event_number::snapshot_taken,
-                           {{"rows", std::to_string(known_.targets.size())},
-                            {"version", std::to_string(known_.targets_version)},
-                            {"source", source}});
-    fleet_.apply(fleet_.catalogue().replace_all(records, core_.now()), source);
-    fleet_.set_knows_targets();
+    roster_.take(news_.mirror(news_table::hosts).rows(), core_.now());
+    fleet_.set_live_hosts(std::max<std::size_t>(roster_.serving_hosts(), 1));
 }
 
 // ========================================================================
-// Other hosts
+// News from relays
 
-void state_follower::follow_hosts(boost::asio::yield_context yield)
+bool state_follower::take_marks(const roster_host& relay,
+                                const news_marks& marks, time_point as_of)
 {
-    constexpr int first_rounds = 4;
-    for (int round = 0; !is_stopping_; ++round)
+    bool is_behind = false;
+    bool is_fresh = true;
+    std::chrono::milliseconds newest = marks.front().age;
+    for (const news_table table : all_news_tables)
     {
-        write_own_row();
-        read_roster();
-        const std::chrono::milliseconds period =
-            std::max<std::chrono::milliseconds>(least_roster_period,
-                                                roster_period_for_host *
-                                                    fleet_.live_hosts());
-        roster_.set_time_limit(period * roster_half_periods_until_gone / 2);
-        sleep_for(core_.context(),
-                  round < first_rounds ? first_roster_period : period, yield);
-    }
-}
-
-void state_follower::write_own_row()
-{
-    const host_settings& settings = fleet_.settings();
-    const roster_host own{settings.host, settings.address, settings.peer_port,
-                          is_serving_};
-    table_transaction transaction;
-    transaction.writes.push_back(
-        {roster_table + "/" + settings.host, own.text()});
-    from_.store.commit(transaction, snapshot_limit,
-                       [this](const result<commit_receipt>& receipt)
-                       {
-                           if (!receipt)
-                               link_.failed(receipt.error());
-                       });
-}
-
-void state_follower::read_roster()
-{
-    from_.store.scan(
-        roster_table + "/", "", roster_limit, snapshot_limit,
-        [this](const result<std::vector<table_row>>& rows)
+        const news_mark& mark = marks[static_cast<std::size_t>(table)];
+        newest = std::min(newest, mark.age);
+        if (mark.as_of == 0 || mark.age > oldest_news(table))
         {
-            if (!rows)
-            {
-                link_.failed(rows.error());
-                return;
-            }
-            roster_.take(rows.value(), core_.now());
-            fleet_.set_live_hosts(live_host_names().size());
-            const std::vector<table_row> forgotten =
-                roster_.forgotten(core_.now());
-            if (forgotten.empty())
-                return;
-            table_transaction clean_up;
-            for (const table_row& row : forgotten)
-            {
-                clean_up.conditions.push_back({row.key, row.version});
-                clean_up.writes.push_back({row.key, std::nullopt});
-            }
-            from_.store.commit(clean_up, snapshot_limit,
-                               [](const result<commit_receipt>&) {});
-        });
+            is_fresh = false;
+            continue;
+        }
+        row_mirror& mirror = news_.mirror(table);
+        const bool is_ahead = mark.as_of < mirror.as_of();
+        if (is_ahead)
+            continue;
+        if (mark.digest != mirror.digest())
+        {
+            is_behind = true;
+            continue;
+        }
+        mirror.advance(mark.as_of);
+        news_.set_current(table, as_of - mark.age);
+    }
+    link_.heard_by(relay.host, as_of - newest);
+    if (is_behind && !is_pulling_)
+        pull(relay);
+    return is_fresh;
 }
 
-void state_follower::announce_stop()
+void state_follower::pull(const roster_host& relay)
 {
-    is_serving_ = false;
-    write_own_row();
+    is_pulling_ = true;
+    http_request request;
+    request.target = news_path + "?";
+    for (const news_table table : all_news_tables)
+    {
+        const std::size_t at = static_cast<std::size_t>(table);
+        const row_version known =
+            wants_whole_[at] ? 0 : news_.mirror(table).as_of();
+        request.target += std::string(known_parameters[at]) + "=" +
+                          std::to_string(known) + "&";
+    }
+    const std::string source = "relay " + relay.host;
+    http_call(core_.context(), core_.connections(), {relay.address, relay.port},
+              request, pull_limit, pull_answer_bytes,
+              [this, source](const result<http_response>& answer)
+              {
+                  is_pulling_ = false;
+                  if (!answer || answer.value().status != 200)
+                      return;
+                  const result<std::vector<table_news>> news =
+                      decode_news(answer.value().body);
+                  if (!news)
+                  {
+                      core_.journal().record(event_number::peer_news_unreadable,
+                                             {{"source", source}});
+                      return;
+                  }
+                  for (const table_news& told : news.value())
+                  {
+                      take(told, source);
+                      wants_whole_[static_cast<std::size_t>(told.table)] =
+                          news_.mirror(told.table).digest() != told.digest;
+                  }
+              });
 }
 
-// ========================================================================
-// News from peers
-
 void state_follower::serve_peer(http_exchange& exchange,
                                 boost::asio::yield_context yield)
 {
-    if (exchange.request().path() != peer_path)
+    http_response response;
+    if (exchange.request().path() != news_path)
     {
         const result<void> ignored =
             exchange.respond(json_response(404, "{}"), yield);
         static_cast<void>(ignored);
         return;
     }
-    const std::chrono::milliseconds age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            core_.now() - targets_current_at_);
-    http_response response;
+    std::array<row_version, news_tables> known{};
+    for (std::size_t at = 0; at < known.size(); ++at)
+        known[at] = std::strtoull(
+            exchange.request().query(known_parameters[at]).c_str(), nullptr,
+            10);
     response.headers.set("Content-Type", "application/cbor");
-    response.body = known_.encode(age);
+    response.body = encode_news(news_.since(known, core_.now()));
     const result<void> ignored = exchange.respond(response, yield);
     static_cast<void>(ignored);
 }
 
-void state_follower::ask_peers(boost::asio::yield_context yield)
+// ========================================================================
+// The row of this host
+
+void state_follower::write_own_row()
 {
-    std::size_t turn = stable_hash(core_.id());
-    while (!is_stopping_)
-    {
-        sleep_for(core_.context(), peer_period, yield);
-        if (link_.silence() < peers_after_silence)
-            continue;
-        const std::vector<roster_host> hosts = roster_.live(core_.now());
-        if (hosts.empty())
-            continue;
-        const roster_host& peer = hosts[++turn % hosts.size()];
-        if (peer.host == fleet_.settings().host)
-            continue;
-        http_request request;
-        request.target = peer_path;
-        const result<http_response> answer =
-            http_call(core_.connections(), {peer.address, peer.port}, request,
-                      peer_answer_limit, peer_answer_bytes, yield);
-        if (!answer || answer.value().status != 200)
-            continue;
-        const result<peer_news> news = peer_news::decode(answer.value().body);
-        if (news)
-            take_peer_news(news.value(), peer.host);
-    }
+    const host_settings& settings = fleet_.settings();
+    const roster_host own{
+        settings.host,      settings.availability_zone, settings.address,
+        settings.peer_port, settings.processor_share,   is_serving_};
+    table_transaction transaction;
+    transaction.writes.push_back(
+        {roster_table + "/" + settings.host, own.text()});
+    own_row_written_at_ = core_.now();
+    from_.store.commit(transaction, snapshot_limit,
+                       [this](const result<commit_receipt>& receipt)
+                       {
+                           if (!receipt)
+                               link_.failed(receipt.error());
+                       });
+}
+
+void state_follower::keep_own_row()
+{
+    const roster_host* const known = roster_.find(fleet_.settings().host);
+    const bool is_right = known != nullptr &&
+                          known->is_serving == is_serving_ &&
+                          known->address == fleet_.settings().address;
+    const bool may_write = !own_row_written_at_ ||
+                           core_.now() - *own_row_written_at_ > own_row_period;
+    const bool knows_hosts = news_.mirror(news_table::hosts).as_of() > 0;
+    if (!is_right && may_write && knows_hosts && !is_stopping_)
+        write_own_row();
 }
 
-void state_follower::take_peer_news(const peer_news& news,
-                                    const std::string& peer)
+void state_follower::remove_rows(const std::vector<table_row>& rows)
 {
-    if (news.age > oldest_peer_news)
+    if (rows.empty())
         return;
-    const known_rows& rows = news.rows;
-    const bool has_configuration =
-        rows.configuration.version > known_.configuration.version;
-    const bool has_targets = rows.targets_version > known_.targets_version;
-    if (has_configuration)
-        take_configuration_row(rows.configuration, "peer " + peer);
-    if (has_targets)
+    table_transaction transaction;
+    for (const table_row& row : rows)
     {
-        known_.targets = rows.targets;
-        known_.targets_version = rows.targets_version;
-        take_target_snapshot("peer " + peer);
+        transaction.conditions.push_back({row.key, row.version});
+        transaction.writes.push_back({row.key, std::nullopt});
     }
-    if (has_configuration || has_targets)
-        core_.journal().record(
-            event_number::peer_state_taken,
-            {{"peer", peer},
-             {"age_ms", std::to_string(news.age.count())},
-             {"targets_version", std::to_string(rows.targets_version)},
-             {"configuration_version",
-              std::to_string(rows.configuration.version)}});
+    from_.store.commit(
+        transaction, snapshot_limit,
+        [this, count = rows.size()](const result<commit_receipt>& receipt)
+        {
+            if (!receipt)
+                link_.failed(receipt.error());
+            else
+                core_.journal().record(event_number::host_rows_removed,
+                                       {{"rows", std::to_string(count)}});
+        });
 }
 
 } // namespace hibiscusferry
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -4,8 +4,8 @@
 #include "gateway/protocol/fleet_records.hpp"
 #include "gateway/state/fleet_state.hpp"
 #include "gateway/state/host_roster.hpp"
-#include "gateway/state/known_rows.hpp"
 #include "gateway/state/store_link.hpp"
+#include "sharing/sharing.hpp"
 #include <memory>
 
 namespace hibiscusferry
@@ -13,12 +13,11 @@
 
 /** Keeps the fleet_state up to date.
 
-    The configuration is waited for at the store, so that a change is in force
-    within milliseconds. The targets' rows change with every heartbeat; they
-    are asked for about once a second, which keeps the store's load flat and
-    is well within the time that leaving targets go on serving. Each host
-    writes a row of its own, by which the others count the live hosts. While
-    the store does not answer this host, a peer is asked for what it knows.
+    Three tables are followed: the configuration, the targets, the entry
+    hosts. The relay of an availability zone reads them at the table service;
+    the other hosts of the zone hear from it how far it has read, and ask it
+    for what is new to them. A host whose news grow old, because no relay
+    tells it any, reads the table service itself until one does.
 */
 class state_follower final : public kernel_service
 {
@@ -39,43 +38,57 @@
     void drain(std::function<void()> finished) override;
     void stop() override;
 
-    /** The live hosts' names, this one included. */
-    std::vector<std::string> live_host_names() const;
+    // =================================================================
+    // For the exchange with other hosts
 
+    host_roster& roster();
     store_link& link();
+    const fleet_news& news() const;
 
-    /** Tells the roster of other hosts that this one stops serving. */
-    void announce_stop();
+    /** Whether this host reads the table service for its zone. */
+    void set_relay(bool is_relay);
+
+    /** A relay has told how far it has read.
+        @param as_of  when it was asked
+        @returns whether its news are fresh enough to be followed */
+    bool take_marks(const roster_host& relay, const news_marks& marks,
+                    time_point as_of);
+
+    /** Deletes rows of hosts that have ended without a word. */
+    void remove_rows(const std::vector<table_row>& rows);
 
 private:
-    void follow_configuration(boost::asio::yield_context yield);
-    void follow_targets(boost::asio::yield_context yield);
-    void follow_hosts(boost::asio::yield_context yield);
-    void ask_peers(boost::asio::yield_context yield);
-
-    result<void> read_configuration(boost::asio::yield_context yield);
-    result<void> read_targets(boost::asio::yield_context yield);
-    void take_configuration_row(const table_row& row,
-                                const std::string& source);
-    void take_target_changes(const table_changes& changes);
-    void take_target_snapshot(const std::string& source);
-    void take_peer_news(const peer_news& news, const std::string& peer);
-    void write_own_row();
-    void read_roster();
+    void follow(news_table table, boost::asio::yield_context yield);
+    result<void> read(news_table table, boost::asio::yield_context yield);
+    bool is_due_here(news_table table) const;
+    std::string store_table(news_table table) const;
+    std::chrono::milliseconds oldest_news(news_table table) const;
+
+    void take(const table_news& told, const std::string& source);
+    void apply_configuration(const table_changes& changes,
+                             const std::string& source);
+    void apply_targets(const table_changes& changes, const std::string& source);
+    void apply_hosts(const table_changes& changes, const std::string& source);
+
+    void pull(const roster_host& relay);
     void serve_peer(http_exchange& exchange, boost::asio::yield_context yield);
+    void keep_own_row();
+    void write_own_row();
 
     process_core& core_;
     fleet_state& fleet_;
     sources from_;
     store_link link_;
-    known_rows known_;
-    /** Version up to which the configuration's table was followed. */
-    row_version configuration_after_ = 0;
-    time_point targets_current_at_{};
+    fleet_news news_;
     host_roster roster_;
     std::unique_ptr<http_server> peer_server_;
+    bool is_relay_ = false;
+    bool is_pulling_ = false;
+    /** Tables of which a relay's changes did not lead to its copy. */
+    std::array<bool, news_tables> wants_whole_{};
     bool is_serving_ = true;
     bool is_stopping_ = false;
+    std::optional<time_point> own_row_written_at_;
 };
 
 } // namespace hibiscusferry
--- a/modules/serving/model/target_record.hpp
+++ b/modules/serving/model/target_record.hpp
@@ -27,6 +27,9 @@
     std::chrono::milliseconds started_at{0};
 };
 
+/** A hash of all that the record says. */
+std::uint64_t hash_of(const target_record& record);
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/serving/placing/engine_placer.cpp
+++ b/modules/serving/placing/engine_placer.cpp
@@ -111,8 +111,9 @@
         const double kept =
             target.get() == home ? shared : target->kept.kept_tokens(wanted);
         const double unread = std::max(wanted.prompt_tokens - kept, 0.0);
-        const double waiting = expected_over_hosts(
-            target->unread_tokens, request.common.live_hosts, now);
+        const double waiting =
+            expected_load(*target, request.common.live_hosts, now)
+                .unread_tokens;
         const double plain = (waiting + unread) / speeds_.prefill_tokens_per_ms;
         const double cost = plain + zone_cost(*target, request);
         if (best.target && cost >= best.cost_ms)
@@ -136,10 +137,10 @@
         if (target->record.stage == target_role::prefill ||
             !is_candidate(*target, request, now))
             continue;
-        const double memory = expected_over_hosts(
-            target->kv_tokens, request.common.live_hosts, now);
+        const open_load load =
+            expected_load(*target, request.common.live_hosts, now);
         if (engine.kv_capacity_tokens > 0 &&
-            memory + wanted.prompt_tokens + wanted.output_tokens >
+            load.kv_tokens + wanted.prompt_tokens + wanted.output_tokens >
                 usable_memory_part * engine.kv_capacity_tokens)
             continue;
         const double unread =
@@ -147,14 +148,11 @@
                                         target->kept.kept_tokens(wanted),
                                     0.0)
                          : 0;
-        const double waiting = expected_over_hosts(
-            target->unread_tokens, request.common.live_hosts, now);
-        const double streams = expected_over_hosts(
-            target->requests, request.common.live_hosts, now);
         // A copy that is handed over waits for running steps only.
-        const double plain =
-            (reads_prompt ? waiting + unread : waiting / 4) / reading_speed +
-            streams * speeds_.stream_step_ms;
+        const double plain = (reads_prompt ? load.unread_tokens + unread
+                                           : load.unread_tokens / 4) /
+                                 reading_speed +
+                             load.requests * speeds_.stream_step_ms;
         const double cost = plain + zone_cost(*target, request);
         if (best.target && cost >= best.cost_ms)
             continue;
--- a/modules/serving/placing/engine_placer.hpp
+++ b/modules/serving/placing/engine_placer.hpp
@@ -68,8 +68,8 @@
     decode engine that reads it itself, more slowly. Shared parts have a home
     among the prefill engines by rendezvous hashing, which counts as keeping
     them; so a prompt leaves its home only when the wait there exceeds what
-    reading all of it elsewhere takes. The wait counts this host's own unread
-    tokens, and their mean again for each other host.
+    reading all of it elsewhere takes. The wait counts the unread tokens of
+    all hosts.
 */
 class engine_placer
 {
--- a/modules/serving/placing/server_placer.cpp
+++ b/modules/serving/placing/server_placer.cpp
@@ -26,9 +26,7 @@
 {
     const double slots = std::max(target.record.slots, 1U);
     double load =
-        (target.requests.level() +
-         expected_over_hosts(target.requests, request.live_hosts, now)) /
-        2 / slots;
+        expected_load(target, request.live_hosts, now).requests / slots;
     if (target.record.availability_zone != request.availability_zone)
         load += other_zone_load;
     return load + failure_load * target.health.failure_rate();
@@ -36,13 +34,6 @@
 
 } // namespace
 
-double expected_over_hosts(const smoothed_level& own, std::size_t live_hosts,
-                           time_point now)
-{
-    const double others = static_cast<double>(live_hosts) - 1;
-    return own.level() + std::max(others, 0.0) * own.mean(now);
-}
-
 std::shared_ptr<target_view>
 server_placer::place(const std::vector<std::shared_ptr<target_view>>& targets,
                      const server_request& request, time_point now,
--- a/modules/serving/placing/server_placer.hpp
+++ b/modules/serving/placing/server_placer.hpp
@@ -31,8 +31,7 @@
     Load it answers: a few servers of few slots, each asked by all hosts, tens
     of requests a second of some ten milliseconds. The server with the least
     expected work for each slot is taken, the own zone first while its servers
-    have free slots: bytes between zones are charged. Expected work is this
-    host's own, and as much of its mean again for each other host.
+    have free slots: bytes between zones are charged.
 */
 class server_placer
 {
@@ -43,10 +42,6 @@
           const server_request& request, time_point now, no_place& reason);
 };
 
-/** The expected number of a level over all hosts, from one host's view. */
-double expected_over_hosts(const smoothed_level& own, std::size_t live_hosts,
-                           time_point now);
-
 } // namespace hibiscusferry
 
 #endif
--- a/modules/serving/placing/target_board.cpp
+++ b/modules/serving/placing/target_board.cpp
@@ -16,6 +16,7 @@
 
 target_view::target_view(const target_record& described)
     : record(described)
+    , key(key_of_target(described.id))
     , kept(remembered_tokens)
     , is_leaving(described.is_draining)
 {
@@ -32,6 +33,18 @@
                                                  : record.stage;
 }
 
+open_load expected_load(const target_view& target, std::size_t live_hosts,
+                        time_point now)
+{
+    open_load load{target.requests.level(), target.unread_tokens.level(),
+                   target.kv_tokens.level()};
+    const double others = std::max(static_cast<double>(live_hosts) - 1, 0.0);
+    load += {others * target.requests.mean(now),
+             others * target.unread_tokens.mean(now),
+             others * target.kv_tokens.mean(now)};
+    return load;
+}
+
 target_work::target_work(std::shared_ptr<target_view> target,
                          double unread_tokens, double kv_tokens,
                          const clock& time)
@@ -101,6 +114,12 @@
     return found == services_.end() ? none : found->second;
 }
 
+const std::map<std::string, std::shared_ptr<target_view>>&
+target_board::targets() const
+{
+    return by_id_;
+}
+
 std::shared_ptr<target_view> target_board::find(const std::string& id) const
 {
     const auto found = by_id_.find(id);
--- a/modules/serving/placing/target_board.hpp
+++ b/modules/serving/placing/target_board.hpp
@@ -7,6 +7,7 @@
 #include "serving/placing/kept_chains.hpp"
 #include "serving/placing/observed_slowness.hpp"
 #include "serving/placing/smoothed_level.hpp"
+#include "sharing/sharing.hpp"
 #include <map>
 #include <memory>
 #include <vector>
@@ -29,6 +30,8 @@
     explicit target_view(const target_record& described);
 
     target_record record;
+    /** Names the target in the messages of hosts. */
+    target_key key = 0;
     observed_health health;
     std::optional<reported_load> load;
     /** Requests of this host that are open at the target. */
@@ -37,6 +40,9 @@
     smoothed_level unread_tokens;
     /** Tokens of KV cache that this host's open requests take there. */
     smoothed_level kv_tokens;
+    /** What the other hosts have under way there, as they told. */
+    open_load elsewhere;
+    std::optional<time_point> elsewhere_heard_at;
     kept_chains kept;
     /** How much longer exchanges take than expected from their tokens. */
     observed_slowness slowness;
@@ -54,6 +60,12 @@
     target_role coming_stage(time_point now) const;
 };
 
+/** What all hosts have under way at a target: this host's own work, and what
+    the others have told. While they tell nothing, each of them is taken to do
+    what this host did lately. */
+open_load expected_load(const target_view& target, std::size_t live_hosts,
+                        time_point now);
+
 /** Work that this host has under way at a target; ends when destroyed. */
 class target_work
 {
@@ -85,6 +97,9 @@
     const std::vector<std::shared_ptr<target_view>>&
     of_service(const std::string& service) const;
 
+    /** All targets by id. */
+    const std::map<std::string, std::shared_ptr<target_view>>& targets() const;
+
     /** The target of that id, or null. */
     std::shared_ptr<target_view> find(const std::string& id) const;
 
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -6,6 +6,7 @@
 #include "serving/model/fleet_configuration.cpp"
 #include "serving/model/prompt.cpp"
 #include "serving/model/route_table.cpp"
+#include "serving/model/target_record.cpp"
 #include "serving/placing/engine_placer.cpp"
 #include "serving/placing/kept_chains.cpp"
 #include "serving/placing/server_placer.cpp"
--- /dev/null
+++ b/modules/sharing/load/open_load.hpp
@@ -0,0 +1,45 @@
+#ifndef HIBISCUSFERRY_SHARING_LOAD_OPEN_LOAD_HPP
+#define HIBISCUSFERRY_SHARING_LOAD_OPEN_LOAD_HPP
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace hibiscusferry
+{
+
+/** What hosts have under way at one target. */
+struct open_load
+{
+    /** Open requests. */
+    double requests = 0;
+    /** Prompt tokens that the target has yet to read. */
+    double unread_tokens = 0;
+    /** Tokens of KV cache that open requests take. */
+    double kv_tokens = 0;
+
+    open_load& operator+=(const open_load& other);
+
+    bool is_none() const;
+};
+
+/** Names a target in messages: a hash of its id. */
+using target_key = std::uint32_t;
+
+target_key key_of_target(const std::string& target_id);
+
+/** Loads by target; a target that is not named has none. */
+using open_loads = std::unordered_map<target_key, open_load>;
+
+void add_loads(open_loads& sum, const open_loads& other);
+
+/** Loads with the number of hosts that they stem from. */
+struct counted_loads
+{
+    std::size_t hosts = 0;
+    open_loads loads;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- /dev/null
+++ b/modules/sharing/message/sharing_message.cpp
@@ -0,0 +1,160 @@
+#include "sharing/message/sharing_message.hpp"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::uint64_t message_version = 1;
+constexpr double requests_unit = 0.1;
+constexpr double tokens_unit = 16;
+/** Numbers for each target: its key and its load. */
+constexpr std::size_t numbers_for_target = 4;
+constexpr std::size_t numbers_for_table = 3;
+
+std::uint64_t rounded(double value, double unit)
+{
+    return static_cast<std::uint64_t>(
+        std::llround(std::max(value, 0.0) / unit));
+}
+
+/** A number that is not negative; throws if there is none. */
+std::uint64_t number_at(const nlohmann::json& numbers, std::size_t at)
+{
+    const nlohmann::json& number = numbers.at(at);
+    if (!number.is_number_unsigned())
+        throw std::invalid_argument("no count");
+    return number.get<std::uint64_t>();
+}
+
+nlohmann::json loads_of(const load_part& part)
+{
+    nlohmann::json numbers = nlohmann::json::array();
+    for (const auto& [key, load] : part.loads)
+    {
+        numbers.push_back(key);
+        numbers.push_back(rounded(load.requests, requests_unit));
+        numbers.push_back(rounded(load.unread_tokens, tokens_unit));
+        numbers.push_back(rounded(load.kv_tokens, tokens_unit));
+    }
+    return numbers;
+}
+
+nlohmann::json marks_of(const news_marks& marks)
+{
+    nlohmann::json numbers = nlohmann::json::array();
+    for (const news_mark& mark : marks)
+    {
+        numbers.push_back(mark.as_of);
+        numbers.push_back(mark.digest);
+        numbers.push_back(mark.age.count());
+    }
+    return numbers;
+}
+
+load_part read_loads(const nlohmann::json& part, const nlohmann::json& numbers)
+{
+    load_part loads;
+    loads.index = static_cast<std::uint32_t>(number_at(part, 0));
+    loads.count = std::max(static_cast<std::uint32_t>(number_at(part, 1)), 1U);
+    loads.hosts = number_at(part, 2);
+    for (std::size_t at = 0; at + numbers_for_target <= numbers.size();
+         at += numbers_for_target)
+    {
+        open_load& load =
+            loads.loads[static_cast<target_key>(number_at(numbers, at))];
+        load.requests =
+            static_cast<double>(number_at(numbers, at + 1)) * requests_unit;
+        load.unread_tokens =
+            static_cast<double>(number_at(numbers, at + 2)) * tokens_unit;
+        load.kv_tokens =
+            static_cast<double>(number_at(numbers, at + 3)) * tokens_unit;
+    }
+    return loads;
+}
+
+news_marks read_marks(const nlohmann::json& numbers)
+{
+    news_marks marks;
+    for (std::size_t at = 0; at < marks.size(); ++at)
+    {
+        const std::size_t first = at * numbers_for_table;
+        marks[at].as_of = number_at(numbers, first);
+        marks[at].digest = number_at(numbers, first + 1);
+        marks[at].age =
+            std::chrono::milliseconds(number_at(numbers, first + 2));
+    }
+    return marks;
+}
+
+} // namespace
+
+std::vector<load_part> split_loads(const counted_loads& loads)
+{
+    const std::size_t needed =
+        (loads.loads.size() + targets_in_message - 1) / targets_in_message;
+    // Keys are hashes: their remainders are even, but not exactly.
+    const std::uint32_t count =
+        static_cast<std::uint32_t>(needed <= 1 ? 1 : needed + (needed + 3) / 4);
+    std::vector<load_part> parts(count);
+    for (std::uint32_t index = 0; index < count; ++index)
+    {
+        parts[index].index = index;
+        parts[index].count = count;
+        parts[index].hosts = loads.hosts;
+    }
+    for (const auto& [key, load] : loads.loads)
+        parts[key % count].loads[key] = load;
+    return parts;
+}
+
+std::string encode_message(const sharing_message& message)
+{
+    const nlohmann::json fields{
+        message_version,
+        static_cast<unsigned>(message.what),
+        message.host,
+        message.availability_zone,
+        message.number,
+        message.is_relay,
+        nlohmann::json::array(
+            {message.load.index, message.load.count, message.load.hosts}),
+        loads_of(message.load),
+        marks_of(message.news)};
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(fields);
+    return {bytes.begin(), bytes.end()};
+}
+
+result<sharing_message> decode_message(std::string_view bytes)
+{
+    try
+    {
+        const nlohmann::json fields =
+            nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        const std::uint64_t kind = number_at(fields, 1);
+        constexpr std::uint64_t last_kind =
+            static_cast<std::uint64_t>(sharing_message::kind::zone_answer);
+        if (number_at(fields, 0) != message_version || kind > last_kind)
+            return std::make_error_code(std::errc::bad_message);
+        sharing_message message;
+        message.what = static_cast<sharing_message::kind>(kind);
+        message.host = fields.at(2).get<std::string>();
+        message.availability_zone = fields.at(3).get<std::string>();
+        message.number = number_at(fields, 4);
+        message.is_relay = fields.at(5).get<bool>();
+        message.load = read_loads(fields.at(6), fields.at(7));
+        message.news = read_marks(fields.at(8));
+        return message;
+    }
+    catch (const std::exception&)
+    {
+        return std::make_error_code(std::errc::bad_message);
+    }
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/sharing/message/sharing_message_test.cpp
@@ -0,0 +1,86 @@
+#include "sharing/sharing.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace hibiscusferry;
+
+namespace
+{
+
+sharing_message example()
+{
+    sharing_message message;
+    message.what = sharing_message::kind::zone_answer;
+    message.host = "h1";
+    message.availability_zone = "a";
+    message.number = 77;
+    message.is_relay = true;
+    message.load = {1, 3, 20, {{4000000000U, {2.3, 1600, 32000}}}};
+    message.news = {news_mark{10, 9, std::chrono::milliseconds(40)},
+                    news_mark{900, 20, std::chrono::milliseconds(0)},
+                    news_mark{}};
+    return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(sharing_message_test)
+
+BOOST_AUTO_TEST_CASE(a_message_is_read_as_it_was_written)
+{
+    const sharing_message read =
+        decode_message(encode_message(example())).value();
+    BOOST_TEST((read.what == sharing_message::kind::zone_answer));
+    BOOST_TEST(read.host == "h1");
+    BOOST_TEST(read.availability_zone == "a");
+    BOOST_TEST(read.number == 77U);
+    BOOST_TEST(read.is_relay);
+    BOOST_TEST(read.load.index == 1U);
+    BOOST_TEST(read.load.count == 3U);
+    BOOST_TEST(read.load.hosts == 20U);
+    const open_load& load = read.load.loads.at(4000000000U);
+    BOOST_TEST(load.requests == 2.3, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(load.unread_tokens == 1600);
+    BOOST_TEST(load.kv_tokens == 32000);
+    BOOST_TEST(read.news[0].digest == 9U);
+    BOOST_TEST(read.news[0].age.count() == 40);
+    BOOST_TEST(read.news[1].as_of == 900U);
+}
+
+BOOST_AUTO_TEST_CASE(other_bytes_are_no_message)
+{
+    const std::string good = encode_message(example());
+    for (std::size_t size = 0; size < good.size(); ++size)
+        BOOST_TEST(!decode_message(std::string_view(good).substr(0, size)));
+    BOOST_TEST(!decode_message("\x80"));
+    BOOST_TEST(!decode_message("text"));
+    std::string flipped = good;
+    flipped[1] = '\x02'; // Another version.
+    BOOST_TEST(!decode_message(flipped));
+    const std::vector<std::uint8_t> negative =
+        nlohmann::json::to_cbor({1, 0, "h", "z", -5, true, {0, 1, 1}, {}, {}});
+    BOOST_TEST(!decode_message(
+        {reinterpret_cast<const char*>(negative.data()), negative.size()}));
+}
+
+BOOST_AUTO_TEST_CASE(each_part_fits_into_a_datagram_and_none_is_lost)
+{
+    counted_loads loads;
+    loads.hosts = 370;
+    for (std::uint32_t target = 0; target < 740; ++target)
+        loads.loads[key_of_target("engine-" + std::to_string(target))] = {
+            999.9, 1e6, 1e6};
+    std::size_t told = 0;
+    for (const load_part& part : split_loads(loads))
+    {
+        sharing_message message = example();
+        message.load = part;
+        BOOST_TEST(encode_message(message).size() <= 2048U);
+        told += part.loads.size();
+    }
+    BOOST_TEST(told == 740U);
+    BOOST_TEST(split_loads({}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
