Place generations by what all hosts have under way and have seen

While engines were replaced, the new ones joined as decoders and half of the readers lacked for six seconds; hosts other than the one that orders sent to engines that were changing their stage.

Change: reader_choice takes the better of a document's two homes, and the one that lacks the shared parts fetches them from the keeper. decoder_choice counts slots, draws four engines for a short answer, and packs long answers in the caller's zone first. The decoder is chosen when the prompt has been read, and a copy that one refuses goes to the next. Delays are added to what tokens say, not multiplied, fade, and are shared between hosts, like engines found silent and engines that change their stage. Reports go two to three times as often. The planner counts slots and sets newcomers right at once.

The test of the division for faster links now has the 32 slots that the engines with those links have; with 16 slots they need one decoder more.

--- a/modules/gateway/protocol/target_protocol.hpp
+++ b/modules/gateway/protocol/target_protocol.hpp
@@ -29,6 +29,8 @@
     bool reads_only = false;
     /** Fetch the prompt's KV cache from there. */
     std::optional<kv_copy> copy;
+    /** First fetch what that engine keeps of the prompt. */
+    std::optional<http_endpoint> keeper;
     /** Go on after this event of a stream; empty for all of it. */
     std::string resume_after;
 };
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -20,6 +20,15 @@
     const target_protocol& targets;
 };
 
+/** One step of a request's way at an engine. */
+struct timed_step
+{
+    std::string target;
+    /** What the request's tokens and the engine's load said. */
+    std::chrono::milliseconds expected{0};
+    std::chrono::milliseconds taken{0};
+};
+
 /** One request on its way: what it asks for, its times, and what has become
     of it so far. */
 struct request_context
@@ -49,15 +58,19 @@
     unsigned offers = 0;
     /** The first offer to read the prompt costs no budget. */
     bool has_asked_reader = false;
+    /** The prompt's KV cache, from the end of its reading until a decoder has
+        taken it, and the engine that keeps it. */
+    std::optional<kv_copy> copy;
+    std::shared_ptr<target_view> copy_keeper;
 
     /** Last event of the stream that the caller has. */
     std::string last_event;
     bool has_stream_begun = false;
     std::optional<std::chrono::milliseconds> first_event_after;
-    /** What the last offers took: to read the prompt, and from the offer to
-        the decoder until its answer's head. */
-    std::optional<std::chrono::milliseconds> reading_time;
-    std::optional<std::chrono::milliseconds> decoding_time;
+    /** The last reading of the prompt, and the last offer to a decoder until
+        its answer's head; each once it has ended well. */
+    std::optional<timed_step> reading;
+    std::optional<timed_step> decoding;
     std::string last_target;
     std::string last_problem;
 
--- a/modules/gateway/request/request_ends.cpp
+++ b/modules/gateway/request/request_ends.cpp
@@ -14,6 +14,17 @@
     request's id so that all hosts choose alike. */
 constexpr std::uint64_t logged_success_share = 16;
 
+void add_step(std::vector<event_field>& described, const std::string& name,
+              const std::optional<timed_step>& step)
+{
+    if (!step)
+        return;
+    described.push_back({name + "_at", step->target});
+    described.push_back({name + "_ms", std::to_string(step->taken.count())});
+    described.push_back(
+        {name + "_expected_ms", std::to_string(step->expected.count())});
+}
+
 } // namespace
 
 void request_run::refuse(refusal_cause reason,
@@ -123,25 +134,11 @@
     described.push_back({"offers", std::to_string(context_.offers)});
     if (!context_.last_target.empty())
         described.push_back({"target", context_.last_target});
-    if (placement_.reader)
-        described.push_back({"reader", placement_.reader->record.id});
     if (placement_.expected_ms > 0)
         described.push_back({"expected_ms", std::to_string(static_cast<int>(
                                                 placement_.expected_ms))});
-    if (context_.reading_time)
-        described.push_back(
-            {"reading_ms", std::to_string(context_.reading_time->count())});
-    if (context_.decoding_time)
-        described.push_back(
-            {"decoding_ms", std::to_string(context_.decoding_time->count())});
-    if (placement_.reader)
-        described.push_back(
-            {"reader_expected_ms",
-             std::to_string(static_cast<int>(placement_.reader_plain_ms))});
-    if (placement_.decoder)
-        described.push_back(
-            {"decoder_expected_ms",
-             std::to_string(static_cast<int>(placement_.decoder_plain_ms))});
+    add_step(described, "reading", context_.reading);
+    add_step(described, "decoding", context_.decoding);
     if (!context_.last_problem.empty())
         described.push_back({"problem", context_.last_problem});
     return described;
--- a/modules/gateway/request/request_run.cpp
+++ b/modules/gateway/request/request_run.cpp
@@ -41,6 +41,7 @@
                 context_.open_connection->close();
         });
     run(yield);
+    release_copy();
 }
 
 bool request_run::admit(boost::asio::yield_context yield)
@@ -107,7 +108,7 @@
         const next_step step = offer(placement_, yield);
         if (step == next_step::ended)
             return;
-        if (may_send_again(step))
+        if (step == next_step::read || may_send_again(step))
             continue;
         give_up(context_.ran_at.empty() ? refusal_cause::target_refused
                                         : refusal_cause::outcome_unknown,
@@ -150,12 +151,14 @@
 
     engine_request wanted;
     wanted.wanted = &*context_.request.wanted;
+    wanted.has_read = context_.copy ? context_.copy_keeper : nullptr;
     // What was offered before is served late rather than not at all.
     wanted.until_late = context_.offers > 0 ? std::chrono::milliseconds(0)
                                             : context_.until_late(now);
     wanted.until_useless = context_.time_left(now);
     wanted.may_hand_over = context_.last_event.empty();
-    wanted.slowness = parts_.fleet.slowness(context_.service);
+    wanted.delays = parts_.fleet.delays(context_.service);
+    wanted.draw = stable_hash(context_.request.id) + context_.offers;
     wanted.common = placing_terms();
     const engine_placer placer{engine_speeds{}};
     return placer.place(targets, wanted, *context_.properties->engine, now,
@@ -178,50 +181,53 @@
 request_run::next_step request_run::offer(const engine_placement& placement,
                                           boost::asio::yield_context yield)
 {
-    std::optional<kv_copy> copy;
-    if (placement.reader)
-    {
-        next_step step = next_step::again;
-        copy = read_prompt(placement, step, yield);
-        if (!copy)
-            return step;
-        if (context_.is_caller_gone || placement.decoder->is_leaving)
-        {
-            release(*copy);
-            return next_step::again;
-        }
-    }
+    return placement.reader ? read_prompt(placement, yield)
+                            : offer_to_decoder(placement, yield);
+}
 
+request_run::next_step
+request_run::offer_to_decoder(const engine_placement& placement,
+                              boost::asio::yield_context yield)
+{
     const std::shared_ptr<target_view> target = placement.decoder;
     const double prompt_tokens =
         context_.request.wanted ? context_.request.wanted->prompt_tokens : 0;
     const double output_tokens =
         context_.request.wanted ? context_.request.wanted->output_tokens : 0;
-    target_work work(target, copy ? 0 : placement.unread_tokens,
+    target_work work(target, context_.copy ? 0 : placement.unread_tokens,
                      prompt_tokens + output_tokens, parts_.core.time());
     target_exchange offered(parts_, context_, target);
     offer_terms terms{context_.request, target->record};
     terms.rank = context_.found->rank;
-    terms.copy = copy;
+    terms.copy = context_.copy;
     terms.resume_after = context_.last_event;
     const time_point offered_at = parts_.core.now();
     const offer_result sent = offered.send(
         terms, first_byte_limit(context_.found->may_repeat()), yield);
-    if (sent == offer_result::answered && context_.request.wanted)
-        note_decoding(placement, parts_.core.now() - offered_at);
-    if (copy && sent != offer_result::answered && sent != offer_result::unknown)
-        release(*copy);
-    if (sent == offer_result::answered)
+    const bool is_taken =
+        sent == offer_result::answered || sent == offer_result::unknown;
+    if (is_taken)
+        context_.copy.reset();
+    if (context_.copy && sent == offer_result::not_run &&
+        !may_keep_copy(*target))
+    {
+        context_.excluded.push_back(context_.copy_keeper->record.id);
+        release_copy();
+    }
+    if (sent != offer_result::answered)
+        return after_offer(sent, *target);
+    if (context_.request.wanted)
     {
-        if (context_.request.wanted)
-            target->kept.add(*context_.request.wanted);
-        return deliver(offered, *target, work, yield);
+        note_step(
+            target, placement.decoder_plain_ms, parts_.core.now() - offered_at,
+            parts_.fleet.delays(context_.service).decoders, context_.decoding);
+        target->kept.add(*context_.request.wanted);
     }
-    return after_offer(sent, *target);
+    return deliver(offered, *target, work, yield);
 }
 
-std::optional<kv_copy>
-request_run::read_prompt(const engine_placement& placement, next_step& step,
+request_run::next_step
+request_run::read_prompt(const engine_placement& placement,
                          boost::asio::yield_context yield)
 {
     const std::shared_ptr<target_view> reader = placement.reader;
@@ -232,6 +238,8 @@
     offer_terms terms{context_.request, reader->record};
     terms.rank = context_.found->rank;
     terms.reads_only = true;
+    if (placement.reader_fetches_from)
+        terms.keeper = placement.reader_fetches_from->record.endpoint;
     if (context_.has_asked_reader)
         parts_.fleet.budget(context_.service).count_send(parts_.core.now());
     context_.has_asked_reader = true;
@@ -243,19 +251,23 @@
     if (sent == offer_result::answered && offered.head().status == 200)
     {
         const result<std::string> body = offered.read_body(yield);
+        const result<kv_copy> copy =
+            body ? parts_.targets.read_copy(body.value(), reader->record)
+                 : result<kv_copy>(body.error());
         if (body)
-        {
             offered.finish();
-            const result<kv_copy> copy =
-                parts_.targets.read_copy(body.value(), reader->record);
-            if (copy)
-            {
-                reader->kept.add(*context_.request.wanted);
-                note_reading(placement, parts_.core.now() - asked_at);
-                parts_.fleet.record_outcome(*reader, exchange_outcome::answered,
-                                            context_.request.id);
-                return copy.value();
-            }
+        if (copy)
+        {
+            context_.copy = copy.value();
+            context_.copy_keeper = reader;
+            reader->kept.add(*context_.request.wanted);
+            note_step(reader, placement.reader_plain_ms,
+                      parts_.core.now() - asked_at,
+                      parts_.fleet.delays(context_.service).readers,
+                      context_.reading);
+            parts_.fleet.record_outcome(*reader, exchange_outcome::answered,
+                                        context_.request.id);
+            return next_step::read;
         }
     }
     if (sent == offer_result::answered && !context_.is_caller_gone)
@@ -264,39 +276,41 @@
     if (sent == offer_result::not_run)
         parts_.fleet.budget(context_.service).count_send(parts_.core.now());
     context_.excluded.push_back(reader->record.id);
-    step = next_step::again;
-    return std::nullopt;
+    return next_step::again;
 }
 
-void request_run::note_reading(const engine_placement& placement,
-                               std::chrono::nanoseconds taken)
+bool request_run::may_keep_copy(const target_view& decoder) const
 {
-    const time_point now = parts_.core.now();
-    context_.reading_time =
-        std::chrono::duration_cast<std::chrono::milliseconds>(taken);
-    placement.reader->slowness.add(placement.reader_plain_ms, taken, now);
-    parts_.fleet.slowness(context_.service)
-        .readers.add(placement.reader_plain_ms, taken, now);
-}
-
-void request_run::note_decoding(const engine_placement& placement,
-                                std::chrono::nanoseconds taken)
-{
-    const time_point now = parts_.core.now();
-    context_.decoding_time =
-        std::chrono::duration_cast<std::chrono::milliseconds>(taken);
-    placement.decoder->slowness.add(placement.decoder_plain_ms, taken, now);
-    parts_.fleet.slowness(context_.service)
-        .decoders.add(placement.decoder_plain_ms, taken, now);
+    // A decoder that was not full could not fetch the copy.
+    const bool was_full =
+        decoder.load && decoder.load->running >= decoder.load->slots;
+    return was_full && !context_.copy_keeper->is_leaving;
 }
 
-void request_run::release(const kv_copy& copy)
+void request_run::release_copy()
 {
+    if (!context_.copy)
+        return;
     constexpr std::chrono::milliseconds release_limit{500};
     constexpr std::size_t release_answer_bytes = 4096;
-    http_call(parts_.core.context(), parts_.core.connections(), copy.engine,
-              parts_.targets.write_release(copy), release_limit,
+    http_call(parts_.core.context(), parts_.core.connections(),
+              context_.copy->engine,
+              parts_.targets.write_release(*context_.copy), release_limit,
               release_answer_bytes, [](const result<http_response>&) {});
+    context_.copy.reset();
+}
+
+void request_run::note_step(const std::shared_ptr<target_view>& target,
+                            double expected_ms, std::chrono::nanoseconds taken,
+                            observed_delay& stage,
+                            std::optional<timed_step>& step)
+{
+    const time_point now = parts_.core.now();
+    target->delay.add(expected_ms, taken, now);
+    stage.add(expected_ms, taken, now);
+    step = {target->record.id,
+            std::chrono::milliseconds(static_cast<int>(expected_ms)),
+            std::chrono::duration_cast<std::chrono::milliseconds>(taken)};
 }
 
 request_run::next_step request_run::after_offer(offer_result sent,
--- a/modules/gateway/request/request_run.hpp
+++ b/modules/gateway/request/request_run.hpp
@@ -29,6 +29,7 @@
     enum class next_step
     {
         ended,       ///< the caller has its answer, or is gone
+        read,        ///< the prompt was read; a decoder is to be found
         again,       ///< place it anew; the request has not run there
         may_have_run ///< as again, but only if it may be repeated
     };
@@ -49,14 +50,17 @@
 
     next_step offer(const engine_placement& placement,
                     boost::asio::yield_context yield);
-    std::optional<kv_copy> read_prompt(const engine_placement& placement,
-                                       next_step& step,
-                                       boost::asio::yield_context yield);
-    void note_reading(const engine_placement& placement,
-                      std::chrono::nanoseconds taken);
-    void note_decoding(const engine_placement& placement,
-                       std::chrono::nanoseconds taken);
-    void release(const kv_copy& copy);
+    next_step read_prompt(const engine_placement& placement,
+                          boost::asio::yield_context yield);
+    next_step offer_to_decoder(const engine_placement& placement,
+                               boost::asio::yield_context yield);
+    /** Learns from a step at an engine that has ended well. */
+    void note_step(const std::shared_ptr<target_view>& target,
+                   double expected_ms, std::chrono::nanoseconds taken,
+                   observed_delay& stage, std::optional<timed_step>& step);
+    /** After a decoder refused a copy: whether another one may take it. */
+    bool may_keep_copy(const target_view& decoder) const;
+    void release_copy();
     next_step after_offer(offer_result result, target_view& target);
     next_step deliver(target_exchange& offered, target_view& target,
                       target_work& work, boost::asio::yield_context yield);
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -21,6 +21,10 @@
 /** Greatest body of an answer that is not a stream. */
 constexpr std::size_t answer_limit_bytes = 8U << 20;
 
+/** How long a target is let alone that refused though it had room; a change
+    of stage takes seconds. */
+constexpr std::chrono::milliseconds refusal_pause{300};
+
 /** Late answers to other requests that are dropped before the one that is
     waited for. */
 constexpr int most_foreign_answers = 2;
@@ -145,6 +149,10 @@
                                 context_.request.id);
     if (answer_.is_wrong_target)
         target_->is_leaving = true;
+    const bool had_room =
+        answer_.load && answer_.load->running < answer_.load->slots;
+    if (had_room)
+        target_->refuses_until = parts_.core.now() + refusal_pause;
     return offer_result::not_run;
 }
 
--- a/modules/gateway/sharing/load_exchange.cpp
+++ b/modules/gateway/sharing/load_exchange.cpp
@@ -11,18 +11,18 @@
 /** Between two reports of a host: so much for each host of its zone, so that
     the relay's work does not grow with them, and no less than a fraction of
     what a prompt takes to read. */
-constexpr std::chrono::milliseconds period_for_host{4};
-constexpr std::chrono::milliseconds least_period{40};
+constexpr std::chrono::milliseconds period_for_host{2};
+constexpr std::chrono::milliseconds least_period{25};
 /** Between two reports to the other zones. */
-constexpr std::chrono::milliseconds zones_period{100};
+constexpr std::chrono::milliseconds zones_period{30};
 /** Loads that were not renewed for this long say nothing any more. */
 constexpr std::chrono::milliseconds load_lifetime{600};
 /** An answer that comes later is too old to tell a load. */
 constexpr std::chrono::milliseconds answer_lifetime{1000};
 constexpr std::size_t datagram_bytes = 2048;
-/** Means of this host that are below this are left out. */
-constexpr double least_requests = 0.05;
-constexpr double least_tokens = 8;
+/** Targets of which this host has less to tell are left out. */
+constexpr double least_requests = 0.5;
+constexpr double least_exchanges = 0.2;
 
 boost::asio::ip::udp::endpoint endpoint_of(const std::string& address,
                                            std::uint16_t port)
@@ -336,15 +336,22 @@
 
 counted_loads load_exchange::own_loads() const
 {
+    const time_point now = core_.now();
     counted_loads own;
     own.hosts = 1;
     for (const auto& [id, target] : fleet_.board().targets())
     {
+        const double exchanges = target->delay.exchanges(now);
         const open_load load{target->requests.level(),
                              target->unread_tokens.level(),
-                             target->kv_tokens.level()};
-        const bool is_worth_telling = load.requests >= least_requests ||
-                                      load.unread_tokens >= least_tokens;
+                             target->kv_tokens.level(),
+                             target->health.is_usable(now) ? 0.0 : 1.0,
+                             now < target->changing_until ? 1.0 : 0.0,
+                             exchanges,
+                             exchanges * target->delay.mean_ms(now)};
+        const bool is_worth_telling =
+            load.requests >= least_requests || load.hosts_without_word > 0 ||
+            load.hosts_changing_it > 0 || exchanges >= least_exchanges;
         if (is_worth_telling)
             own.loads[target->key] = load;
     }
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -100,7 +100,7 @@
 {
     for (const target_change& change : changes)
     {
-        board_.apply(change);
+        board_.apply(change, !knows_targets_, core_.now());
         core_.journal().record(
             event_of(change.what),
             {{"target", change.record.id},
@@ -152,9 +152,9 @@
     return stop_ && now >= stop_->first && deadline > stop_->second;
 }
 
-service_slowness& fleet_state::slowness(const std::string& service)
+service_delays& fleet_state::delays(const std::string& service)
 {
-    return slowness_[service];
+    return delays_[service];
 }
 
 std::size_t fleet_state::live_hosts() const
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -66,8 +66,8 @@
         the stop. */
     bool stops_before(time_point deadline, time_point now) const;
 
-    /** How slow the engines of a service are against expectation. */
-    service_slowness& slowness(const std::string& service);
+    /** How much longer the engines of a service take than expected. */
+    service_delays& delays(const std::string& service);
 
     std::size_t live_hosts() const;
     void set_live_hosts(std::size_t hosts);
@@ -80,7 +80,7 @@
     target_board board_;
     bool knows_targets_ = false;
     std::map<std::string, fleet_retry_budget> budgets_;
-    std::map<std::string, service_slowness> slowness_;
+    std::map<std::string, service_delays> delays_;
     std::optional<std::pair<time_point, time_point>> stop_;
     std::size_t live_hosts_;
 };
--- a/modules/serving/health/observed_health.cpp
+++ b/modules/serving/health/observed_health.cpp
@@ -66,6 +66,11 @@
     return periods_in_row_ > 0 && is_usable(now);
 }
 
+bool observed_health::has_answered_lately(time_point now) const
+{
+    return now - last_answer_ <= silence;
+}
+
 double observed_health::failure_rate() const
 {
     return failure_rate_;
--- a/modules/serving/health/observed_health.hpp
+++ b/modules/serving/health/observed_health.hpp
@@ -44,6 +44,9 @@
         since: it gets one request at a time. */
     bool is_on_trial(time_point now) const;
 
+    /** Whether the target gave this host an answer a moment ago. */
+    bool has_answered_lately(time_point now) const;
+
     /** Part of recent exchanges that failed or broke, from 0 to 1. */
     double failure_rate() const;
 
--- a/modules/serving/placing/engine_placer_test.cpp
+++ b/modules/serving/placing/engine_placer_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <queue>
+#include <set>
 
 using namespace hibiscusferry;
 
@@ -49,20 +50,69 @@
     BOOST_TEST(one.unread_tokens == 2890);
 }
 
-BOOST_AUTO_TEST_CASE(a_prompt_leaves_its_home_only_for_a_long_wait)
+BOOST_AUTO_TEST_CASE(a_prompt_leaves_its_home_only_for_a_wait)
 {
     const engines all = fleet();
     manual_clock clock;
     clock.advance(std::chrono::seconds(1));
     const prompt wanted = long_prompt("doc-1", "s1");
     engine_request request = request_for(wanted);
-    request.common.live_hosts = 1;
     const std::shared_ptr<target_view> home =
         place(all, request, clock.now()).reader;
-    const target_work some(home, 2890, 9190, clock);
+    request.common.availability_zone = home->record.availability_zone;
+    request.common.live_hosts = 1;
+    const target_work some(home, 1500, 9190, clock);
     BOOST_TEST(place(all, request, clock.now()).reader == home);
     const target_work more(home, 9190, 9190, clock);
-    BOOST_TEST(place(all, request, clock.now()).reader != home);
+    const engine_placement moved = place(all, request, clock.now());
+    BOOST_TEST(moved.reader != home);
+    BOOST_TEST(moved.reader_fetches_from == home);
+    BOOST_TEST(moved.unread_tokens == 2890);
+}
+
+// Seen on sblro-returns-grown: hosts with the same news all took the least
+// loaded engine, and shared parts were read again everywhere.
+BOOST_AUTO_TEST_CASE(a_prompt_has_two_homes_whatever_the_load)
+{
+    const engines all = fleet();
+    manual_clock clock;
+    clock.advance(std::chrono::seconds(1));
+    const prompt wanted = long_prompt("doc-1", "s1");
+    engine_request request = request_for(wanted);
+    request.until_late = std::chrono::seconds(10);
+    request.until_useless = std::chrono::seconds(10);
+    request.common.connection_allowance = 1000;
+    std::set<std::string> readers;
+    std::vector<std::unique_ptr<target_work>> work;
+    for (int times = 0; times < 40; ++times)
+    {
+        const engine_placement placed = place(all, request, clock.now());
+        readers.insert(placed.reader->record.id);
+        work.push_back(
+            std::make_unique<target_work>(placed.reader, 9190, 9190, clock));
+    }
+    BOOST_TEST(readers.size() == 2U);
+}
+
+// Seen on vandijk-dagtocht-grown scale-1: 23 engines were replaced while the
+// burst was at its height, and the new ones read every document again.
+BOOST_AUTO_TEST_CASE(a_home_that_has_just_joined_fetches_from_the_one_before)
+{
+    const engines all = fleet();
+    const time_point now{std::chrono::seconds(100)};
+    const prompt wanted = long_prompt("doc-1", "s1");
+    const std::shared_ptr<target_view> home =
+        place(all, request_for(wanted), now).reader;
+    home->settles_at = now + std::chrono::seconds(5);
+    const engine_placement placed = place(all, request_for(wanted), now);
+    BOOST_REQUIRE(placed.reader);
+    const std::shared_ptr<target_view> keeper =
+        placed.reader == home ? placed.reader_fetches_from : placed.reader;
+    BOOST_REQUIRE(keeper);
+    BOOST_TEST(keeper != home);
+    keeper->is_leaving = true;
+    BOOST_TEST(place(all, request_for(wanted), now).reader_fetches_from ==
+               keeper);
 }
 
 // Seen on sblro-returns trouble-2: streams stood still for seconds while
@@ -118,7 +168,7 @@
 
 // Seen on vandijk-dagtocht quiet-1: in a burst, expected times of 200 ms were
 // observed as 800 ms, and whatever was begun came late.
-BOOST_AUTO_TEST_CASE(observed_slowness_refuses_what_would_come_late)
+BOOST_AUTO_TEST_CASE(observed_delay_refuses_what_would_come_late)
 {
     const engines all = fleet();
     const time_point now{std::chrono::seconds(1)};
@@ -139,7 +189,7 @@
     for (const std::shared_ptr<target_view>& target : all)
     {
         for (int sample = 0; sample < 60; ++sample)
-            target->slowness.add(20, std::chrono::milliseconds(80), now);
+            target->delay.add(20, std::chrono::milliseconds(140), now);
     }
     no_place reason = no_place::no_target;
     const engine_placement refused =
@@ -160,9 +210,9 @@
     engine_request request = request_for(wanted);
     BOOST_TEST(place(all, request, now).reader != nullptr);
     for (int sample = 0; sample < 60; ++sample)
-        request.slowness.readers.add(10, std::chrono::milliseconds(750), now);
+        request.delays.readers.add(10, std::chrono::milliseconds(750), now);
     for (int sample = 0; sample < 60; ++sample)
-        request.slowness.decoders.add(10, std::chrono::milliseconds(80), now);
+        request.delays.decoders.add(10, std::chrono::milliseconds(80), now);
     no_place reason = no_place::no_target;
     const engine_placement refused =
         engine_placer(engine_speeds{})
@@ -206,11 +256,10 @@
                 ++entry;
                 continue;
             }
-            entry->reader->slowness.add(
-                entry->plain_ms,
-                std::chrono::duration<double, std::milli>(now_ms -
-                                                          entry->began_ms),
-                clock.now());
+            entry->reader->delay.add(entry->plain_ms,
+                                     std::chrono::duration<double, std::milli>(
+                                         now_ms - entry->began_ms),
+                                     clock.now());
             if (now_ms > warm_up_ms)
                 (now_ms - entry->began_ms <= 150 ? in_time : late) += 1;
             entry = open.erase(entry);
--- /dev/null
+++ b/modules/serving/placing/engine_request.hpp
@@ -0,0 +1,58 @@
+#ifndef HIBISCUSFERRY_SERVING_PLACING_ENGINE_REQUEST_HPP
+#define HIBISCUSFERRY_SERVING_PLACING_ENGINE_REQUEST_HPP
+
+#include "serving/model/prompt.hpp"
+#include "serving/placing/observed_delay.hpp"
+#include "serving/placing/server_placer.hpp"
+#include "serving/placing/target_board.hpp"
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace hibiscusferry
+{
+
+using target_list = std::vector<std::shared_ptr<target_view>>;
+
+/** What a generation is placed by. */
+struct engine_request
+{
+    const prompt* wanted = nullptr;
+    /** Time until an answer would be late; negative when it already is. */
+    std::chrono::milliseconds until_late{0};
+    /** Time until nobody waits for the answer any more. */
+    std::chrono::milliseconds until_useless{0};
+    /** Whether the prompt may be read at one engine and decoded at another. */
+    bool may_hand_over = true;
+    /** The engine that has read the prompt and keeps it for a decoder. */
+    std::shared_ptr<target_view> has_read;
+    /** What was observed of the service's stages as a whole. */
+    service_delays delays;
+    /** Differs from request to request. */
+    std::uint64_t draw = 0;
+    server_request common;
+};
+
+/** One engine with what the request would take there. */
+struct engine_candidate
+{
+    std::shared_ptr<target_view> target;
+    /** What the choice is made by: the expected time, and prices as time. */
+    double cost_ms = 0;
+    /** The time that its tokens say. */
+    double plain_ms = 0;
+    /** The time with what was observed of the engine. */
+    double expected_ms = 0;
+    double unread_tokens = 0;
+    /** Keeps shared parts of the prompt that this one lacks. */
+    std::shared_ptr<target_view> fetches_from;
+};
+
+/** Whether an engine may be given the request at all. */
+bool is_candidate(const target_view& target, const engine_request& request,
+                  time_point now);
+
+} // namespace hibiscusferry
+
+#endif
--- a/modules/serving/placing/target_board.cpp
+++ b/modules/serving/placing/target_board.cpp
@@ -12,6 +12,16 @@
     less than today's smallest engine keeps beside its running requests. */
 constexpr double remembered_tokens = 500000;
 
+/** Within this time most documents in use are asked for again. */
+constexpr std::chrono::seconds settling_time{8};
+
+/** What others told this long ago is no help any more; they tell at least
+    twice in that time. */
+constexpr std::chrono::milliseconds oldest_told_load{800};
+
+/** One host alone may have lost its own way to a target. */
+constexpr double hosts_to_be_believed = 2;
+
 } // namespace
 
 target_view::target_view(const target_record& described)
@@ -24,7 +34,27 @@
 
 bool target_view::takes_work(time_point now) const
 {
-    return !is_leaving && now >= changing_until && health.is_usable(now);
+    return !is_leaving && now >= changing_until && now >= refuses_until &&
+           health.is_usable(now) && !is_avoided_by_others(now);
+}
+
+bool target_view::is_avoided_by_others(time_point now) const
+{
+    const bool is_told =
+        elsewhere_heard_at && now - *elsewhere_heard_at <= oldest_told_load;
+    if (!is_told)
+        return false;
+    if (elsewhere.hosts_changing_it > 0)
+        return true;
+    return elsewhere.hosts_without_word >= hosts_to_be_believed &&
+           !health.has_answered_lately(now);
+}
+
+double target_view::expected_delay_ms(const observed_delay& stage,
+                                      time_point now) const
+{
+    return delay.expected_ms(stage, elsewhere.exchanges, elsewhere.delays_ms,
+                             now);
 }
 
 target_role target_view::coming_stage(time_point now) const
@@ -36,12 +66,26 @@
 open_load expected_load(const target_view& target, std::size_t live_hosts,
                         time_point now)
 {
-    open_load load{target.requests.level(), target.unread_tokens.level(),
-                   target.kv_tokens.level()};
+    open_load load{target.requests.level(),
+                   target.unread_tokens.level(),
+                   target.kv_tokens.level(),
+                   0,
+                   0,
+                   0};
+    const bool is_told = target.elsewhere_heard_at &&
+                         now - *target.elsewhere_heard_at <= oldest_told_load;
+    if (is_told)
+    {
+        load += target.elsewhere;
+        return load;
+    }
     const double others = std::max(static_cast<double>(live_hosts) - 1, 0.0);
     load += {others * target.requests.mean(now),
              others * target.unread_tokens.mean(now),
-             others * target.kv_tokens.mean(now)};
+             others * target.kv_tokens.mean(now),
+             0,
+             0,
+             0};
     return load;
 }
 
@@ -73,8 +117,10 @@
     unread_tokens_ = 0;
 }
 
-void target_board::apply(const target_change& change)
+void target_board::apply(const target_change& change, bool is_first_look,
+                         time_point now)
 {
+    const time_point settles_at = is_first_look ? now : now + settling_time;
     const target_record& record = change.record;
     if (change.what == target_change::kind::left ||
         change.what == target_change::kind::restarted)
@@ -87,6 +133,7 @@
     {
         const std::shared_ptr<target_view> added =
             std::make_shared<target_view>(record);
+        added->settles_at = settles_at;
         by_id_[record.id] = added;
         services_[record.service].push_back(added);
         return;
@@ -94,13 +141,14 @@
     if (known->record.service != record.service)
     {
         remove(record.id);
-        apply({target_change::kind::joined, record});
+        apply({target_change::kind::joined, record}, is_first_look, now);
         return;
     }
     if (known->record.stage != record.stage)
     {
         known->changing_until = {};
         known->ordered_stage.reset();
+        known->settles_at = settles_at;
     }
     known->record = record;
     known->is_leaving = record.is_draining;
--- a/modules/serving/placing/target_board.hpp
+++ b/modules/serving/placing/target_board.hpp
@@ -5,7 +5,7 @@
 #include "serving/catalogue/target_catalogue.hpp"
 #include "serving/health/observed_health.hpp"
 #include "serving/placing/kept_chains.hpp"
-#include "serving/placing/observed_slowness.hpp"
+#include "serving/placing/observed_delay.hpp"
 #include "serving/placing/smoothed_level.hpp"
 #include "sharing/sharing.hpp"
 #include <map>
@@ -45,17 +45,32 @@
     std::optional<time_point> elsewhere_heard_at;
     kept_chains kept;
     /** How much longer exchanges take than expected from their tokens. */
-    observed_slowness slowness;
+    observed_delay delay;
     /** The target is changing its stage and refuses work until then. */
     time_point changing_until{};
+    /** It has refused work though it had room: it is changing its stage, or
+        about to leave. */
+    time_point refuses_until{};
     /** The stage it was ordered to change to. */
     std::optional<target_role> ordered_stage;
+    /** Until then it has joined its stage too lately to keep much of what
+        others keep. */
+    time_point settles_at{};
     /** No new work: it is draining or gone. */
     bool is_leaving = false;
 
     /** Whether it may be given work now. */
     bool takes_work(time_point now) const;
 
+    /** Whether another host changes its stage, or several found it silent and
+        it has not answered this one since. */
+    bool is_avoided_by_others(time_point now) const;
+
+    /** How much longer an exchange takes there than expected, from what all
+        hosts have seen.
+        @param stage  what this host saw of its whole stage */
+    double expected_delay_ms(const observed_delay& stage, time_point now) const;
+
     /** Its stage, or the one that an order under way leads to. */
     target_role coming_stage(time_point now) const;
 };
@@ -90,8 +105,9 @@
 class target_board
 {
 public:
-    /** Takes a change of the catalogue into account. */
-    void apply(const target_change& change);
+    /** Takes a change of the catalogue into account.
+        @param is_first_look  the targets were there before this host */
+    void apply(const target_change& change, bool is_first_look, time_point now);
 
     /** The targets of a service, also those that take no work. */
     const std::vector<std::shared_ptr<target_view>>&
--- a/modules/serving/stages/stage_planner.cpp
+++ b/modules/serving/stages/stage_planner.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-using target_list = std::vector<std::shared_ptr<target_view>>;
-
 target_list engines_of(const target_list& targets)
 {
     target_list engines;
@@ -33,6 +31,19 @@
                       { return engine->coming_stage(now) == stage; }));
 }
 
+/** Engines of that stage that have joined lately and have little to lose. */
+target_list newcomers(const target_list& engines, target_role stage,
+                      time_point now)
+{
+    target_list found;
+    std::copy_if(engines.begin(), engines.end(), std::back_inserter(found),
+                 [stage, now](const std::shared_ptr<target_view>& engine) {
+                     return engine->coming_stage(now) == stage &&
+                            now < engine->settles_at;
+                 });
+    return found;
+}
+
 /** An engine of that stage from the zone that has most of them, the one with
     the least work first. */
 target_list::iterator take_from(target_list& engines, target_role stage,
@@ -82,8 +93,12 @@
         wanted.unread_tokens / speeds.prefill_tokens_per_ms;
     const double fetching_ms = wanted.tokens * engine.kv_bytes_per_token * 8 /
                                engine.link_megabits_per_second / 1000;
-    const double part =
-        reading_ms / (reading_ms + decode_reserve * zone_factor * fetching_ms);
+    const double slot_ms = wanted.output_tokens *
+                           speeds.slot_ms_per_output_token /
+                           std::max(engine.slots, 1U);
+    const double decoding_ms =
+        std::max(decode_reserve * zone_factor * fetching_ms, slot_ms);
+    const double part = reading_ms / (reading_ms + decoding_ms);
     return std::clamp(part, least, greatest);
 }
 
@@ -135,13 +150,13 @@
     const std::size_t difference =
         wanted > readers ? wanted - readers : readers - wanted;
     const bool lacks_a_stage = readers == 0 || readers == engines.size();
-    if (!is_due(difference, lacks_a_stage, now))
-        return {};
-
     const target_role from =
         wanted > readers ? target_role::decode : target_role::prefill;
     const target_role to =
         wanted > readers ? target_role::prefill : target_role::decode;
+    const bool is_great = difference >= settings_.least_difference;
+    if (!is_due(difference, lacks_a_stage, now))
+        engines = is_great ? newcomers(engines, from, now) : target_list{};
     std::vector<wanted_stage> changes;
     for (std::size_t step = 0; step < difference; ++step)
     {
--- a/modules/serving/stages/stage_planner.hpp
+++ b/modules/serving/stages/stage_planner.hpp
@@ -34,12 +34,13 @@
     double tokens = 9200;
     /** Their own part, and a tenth of the shared ones. */
     double unread_tokens = 3500;
+    double output_tokens = 2;
 };
 
 /** The part of a service's engines that is to read prompts, so that readers
     and decoders can pass the same number of prompts: a reader is busy with
-    the unread tokens, a decoder's link with fetching all of them, two thirds
-    from other zones at half the speed. */
+    the unread tokens; a decoder with fetching all of them, two thirds from
+    other zones at half the speed, or with the slots that answers hold. */
 double planned_prefill_part(const engine_properties& engine,
                             const engine_speeds& speeds,
                             const planned_prompt& wanted);
@@ -56,7 +57,9 @@
     Load it answers: a mix that swings between long prompts and long answers
     every few seconds, while a change takes an engine away for as long as a
     swing lasts. Swings are left to the placing of requests; the division is
-    corrected only for what lasts, such as engines that were lost or replaced.
+    corrected only for what lasts, such as engines that were lost. Engines that
+    have just joined, as when a fleet is replaced, are set right at once: they
+    have no work and keep nothing yet.
     Engines are taken from the zone that has the most of the other stage, so
     that every zone keeps some of both.
 */
--- a/modules/serving/stages/stage_planner_test.cpp
+++ b/modules/serving/stages/stage_planner_test.cpp
@@ -65,6 +65,7 @@
     engine_properties slow = today_engine();
     engine_properties fast = today_engine();
     fast.link_megabits_per_second = 22000000;
+    fast.slots = 32;
     const double slow_part =
         planned_prefill_part(slow, engine_speeds{}, planned_prompt{});
     const double fast_part =
@@ -76,6 +77,39 @@
                0.5);
 }
 
+BOOST_AUTO_TEST_CASE(fewer_slots_need_more_decoders)
+{
+    engine_properties few = today_engine();
+    few.slots = 4;
+    BOOST_TEST(planned_prefill_part(few, engine_speeds{}, planned_prompt{}) <
+               planned_prefill_part(today_engine(), engine_speeds{},
+                                    planned_prompt{}));
+}
+
+// Seen on vandijk-dagtocht-grown scale-1: while 23 engines were replaced, the
+// new ones joined as decoders, and for six seconds half of the readers lacked.
+BOOST_AUTO_TEST_CASE(newcomers_are_set_right_at_once_when_many_lack)
+{
+    stage_planner planner(stage_plan_settings{});
+    engines all = fourteen(9);
+    for (int now = 0; now <= 5000; now += 500)
+        BOOST_TEST(planner.plan(all, at(now)).empty());
+    for (std::size_t number = 0; number < 3; ++number)
+    {
+        all[number]->record.stage = target_role::decode;
+        all[number]->settles_at = at(13500);
+    }
+    const std::vector<wanted_stage> wanted = planner.plan(all, at(5500));
+    BOOST_REQUIRE(wanted.size() == 3U);
+    for (const wanted_stage& change : wanted)
+        BOOST_TEST((change.target == "e0" || change.target == "e1" ||
+                    change.target == "e2"));
+    // One too few is left alone.
+    all[0]->record.stage = target_role::prefill;
+    all[1]->record.stage = target_role::prefill;
+    BOOST_TEST(planner.plan(all, at(6000)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(every_zone_keeps_a_decoder)
 {
     stage_planner planner(stage_plan_settings{});
--- a/modules/sharing/load/open_load.cpp
+++ b/modules/sharing/load/open_load.cpp
@@ -10,14 +10,13 @@
     requests += other.requests;
     unread_tokens += other.unread_tokens;
     kv_tokens += other.kv_tokens;
+    hosts_without_word += other.hosts_without_word;
+    hosts_changing_it += other.hosts_changing_it;
+    exchanges += other.exchanges;
+    delays_ms += other.delays_ms;
     return *this;
 }
 
-bool open_load::is_none() const
-{
-    return requests <= 0 && unread_tokens <= 0 && kv_tokens <= 0;
-}
-
 target_key key_of_target(const std::string& target_id)
 {
     return static_cast<target_key>(stable_hash(target_id));
--- a/modules/sharing/load/open_load.hpp
+++ b/modules/sharing/load/open_load.hpp
@@ -8,7 +8,7 @@
 namespace hibiscusferry
 {
 
-/** What hosts have under way at one target. */
+/** What hosts have under way at one target, and have seen of it lately. */
 struct open_load
 {
     /** Open requests. */
@@ -17,10 +17,16 @@
     double unread_tokens = 0;
     /** Tokens of KV cache that open requests take. */
     double kv_tokens = 0;
+    /** Hosts that got no word from the target and have set it aside. */
+    double hosts_without_word = 0;
+    /** Hosts that have ordered it to change its stage and wait for that. */
+    double hosts_changing_it = 0;
+    /** Recent exchanges, and their delays in milliseconds against what was
+        expected, added up. */
+    double exchanges = 0;
+    double delays_ms = 0;
 
     open_load& operator+=(const open_load& other);
-
-    bool is_none() const;
 };
 
 /** Names a target in messages: a hash of its id. */
--- a/modules/sharing/message/sharing_message.cpp
+++ b/modules/sharing/message/sharing_message.cpp
@@ -1,5 +1,6 @@
 #include "sharing/message/sharing_message.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -13,8 +14,11 @@
 constexpr std::uint64_t message_version = 1;
 constexpr double requests_unit = 0.1;
 constexpr double tokens_unit = 16;
+constexpr double exchanges_unit = 0.1;
+/** Of all exchanges with a target, either way. */
+constexpr double greatest_delays_ms = 1e9;
 /** Numbers for each target: its key and its load. */
-constexpr std::size_t numbers_for_target = 4;
+constexpr std::size_t numbers_for_target = 8;
 constexpr std::size_t numbers_for_table = 3;
 
 std::uint64_t rounded(double value, double unit)
@@ -41,6 +45,11 @@
         numbers.push_back(rounded(load.requests, requests_unit));
         numbers.push_back(rounded(load.unread_tokens, tokens_unit));
         numbers.push_back(rounded(load.kv_tokens, tokens_unit));
+        numbers.push_back(rounded(load.hosts_without_word, 1));
+        numbers.push_back(rounded(load.hosts_changing_it, 1));
+        numbers.push_back(rounded(load.exchanges, exchanges_unit));
+        numbers.push_back(std::llround(std::clamp(
+            load.delays_ms, -greatest_delays_ms, greatest_delays_ms)));
     }
     return numbers;
 }
@@ -74,6 +83,14 @@
             static_cast<double>(number_at(numbers, at + 2)) * tokens_unit;
         load.kv_tokens =
             static_cast<double>(number_at(numbers, at + 3)) * tokens_unit;
+        load.hosts_without_word =
+            static_cast<double>(number_at(numbers, at + 4));
+        load.hosts_changing_it =
+            static_cast<double>(number_at(numbers, at + 5));
+        load.exchanges =
+            static_cast<double>(number_at(numbers, at + 6)) * exchanges_unit;
+        load.delays_ms = std::clamp(numbers.at(at + 7).get<double>(),
+                                    -greatest_delays_ms, greatest_delays_ms);
     }
     return loads;
 }
--- a/modules/sharing/message/sharing_message.hpp
+++ b/modules/sharing/message/sharing_message.hpp
@@ -37,7 +37,7 @@
 
 /** Targets that one datagram holds; with them it stays below the 1,400 bytes
     that pass any link unfragmented. */
-constexpr std::size_t targets_in_message = 80;
+constexpr std::size_t targets_in_message = 45;
 
 /** Loads in parts that fit into a message each; at least one. */
 std::vector<load_part> split_loads(const counted_loads& loads);
--- a/modules/sharing/message/sharing_message_test.cpp
+++ b/modules/sharing/message/sharing_message_test.cpp
@@ -16,7 +16,8 @@
     message.availability_zone = "a";
     message.number = 77;
     message.is_relay = true;
-    message.load = {1, 3, 20, {{4000000000U, {2.3, 1600, 32000}}}};
+    message.load = {
+        1, 3, 20, {{4000000000U, {2.3, 1600, 32000, 2, 1, 7.5, -40}}}};
     message.news = {news_mark{10, 9, std::chrono::milliseconds(40)},
                     news_mark{900, 20, std::chrono::milliseconds(0)},
                     news_mark{}};
@@ -43,6 +44,10 @@
     BOOST_TEST(load.requests == 2.3, boost::test_tools::tolerance(0.001));
     BOOST_TEST(load.unread_tokens == 1600);
     BOOST_TEST(load.kv_tokens == 32000);
+    BOOST_TEST(load.hosts_without_word == 2);
+    BOOST_TEST(load.hosts_changing_it == 1);
+    BOOST_TEST(load.exchanges == 7.5);
+    BOOST_TEST(load.delays_ms == -40);
     BOOST_TEST(read.news[0].digest == 9U);
     BOOST_TEST(read.news[0].age.count() == 40);
     BOOST_TEST(read.news[1].as_of == 900U);
@@ -70,13 +75,13 @@
     loads.hosts = 370;
     for (std::uint32_t target = 0; target < 740; ++target)
         loads.loads[key_of_target("engine-" + std::to_string(target))] = {
-            999.9, 1e6, 1e6};
+            999.9, 1e6, 1e6, 370, 1, 9999, 1e6};
     std::size_t told = 0;
     for (const load_part& part : split_loads(loads))
     {
         sharing_message message = example();
         message.load = part;
-        BOOST_TEST(encode_message(message).size() <= 2048U);
+        BOOST_TEST(encode_message(message).size() <= 1400U);
         told += part.loads.size();
     }
     BOOST_TEST(told == 740U);
