Speak the users' store protocol everywhere, through one client

Change: the stand-in of the platform serves the users' rows, feed and raw objects with the fault switches as before (and a dropped history). The native daemons get their table, objects and host list from the adapter; hosts are listed in a table. http_table_store, http_object_store, http_host_list and their form are gone.

--- a/daemons/router/main.cpp
+++ b/daemons/router/main.cpp
@@ -1,3 +1,4 @@
+#include "platform/platform_adapter.hpp"
 #include "router/router.hpp"
 
 namespace
@@ -7,10 +8,17 @@
 
 result<void> add_services(process_core& core)
 {
-    return add_kernel_services<
-        admin_service, platform_adapters, host_list_service, peer_service,
-        document_service, document_exchange, service_directory, load_poller,
-        control_service, limit_service, claim_service, caller_service>(core);
+    const result<void> storage = core.services().add(
+        platform_adapters::name,
+        std::make_unique<platform_adapters>(platform::open_storage(
+            core.context(), core.connections(), table_service_of(core))));
+    if (!storage)
+        return storage;
+    return add_kernel_services<admin_service, host_list_service, peer_service,
+                               document_service, document_exchange,
+                               service_directory, load_poller, control_service,
+                               limit_service, claim_service, caller_service>(
+        core);
 }
 
 } // namespace
--- a/extras/stand_ins/platform/platform_stand_in_main.cpp
+++ b/extras/stand_ins/platform/platform_stand_in_main.cpp
@@ -5,7 +5,7 @@
     using namespace hibiscusferry;
     stand_ins::read_command_line(
         argument_count, arguments,
-        "serves a table service, an object store and a host list from memory");
+        "serves the users' metadata store from memory");
     boost::asio::io_context context;
     stand_ins::platform_stand_in platform(context);
     stand_ins::run_stand_in(
--- /dev/null
+++ b/extras/stand_ins/platform/store_table.cpp
@@ -0,0 +1,84 @@
+#include "stand_ins/platform/store_table.hpp"
+
+#include <limits>
+#include <map>
+
+namespace hibiscusferry::stand_ins
+{
+
+namespace
+{
+
+constexpr std::size_t most_history = 20000;
+
+} // namespace
+
+commit_receipt store_table::commit(const table_transaction& transaction)
+{
+    const commit_receipt receipt = rows_.commit(transaction);
+    if (!receipt.committed)
+        return receipt;
+    version_ = receipt.version;
+    for (const row_write& write : transaction.writes)
+        history_.push_back(
+            {{write.key, write.value.value_or(""), version_}, !write.value});
+    while (history_.size() > most_history)
+    {
+        history_after_ = history_.front().row.version;
+        history_.pop_front();
+    }
+    return receipt;
+}
+
+std::vector<table_row> store_table::rows(const std::string& table,
+                                         const std::string& from,
+                                         const std::string& to,
+                                         std::size_t limit) const
+{
+    const std::string prefix = table + "/";
+    std::vector<table_row> found;
+    for (const table_row& row :
+         rows_.scan(prefix, "", std::numeric_limits<std::size_t>::max()))
+    {
+        const std::string name = row.key.substr(prefix.size());
+        const bool is_wanted = name >= from && (to.empty() || name < to);
+        if (is_wanted && found.size() < limit)
+            found.push_back(row);
+    }
+    return found;
+}
+
+std::optional<std::vector<row_change>>
+store_table::changes(const std::string& table, row_version after) const
+{
+    if (after < history_after_)
+        return std::nullopt;
+    const std::string prefix = table + "/";
+    std::map<std::string, row_change> last;
+    for (const row_change& change : history_)
+    {
+        const bool is_wanted =
+            change.row.version > after &&
+            change.row.key.compare(0, prefix.size(), prefix) == 0;
+        if (is_wanted)
+            last[change.row.key] = change;
+    }
+    std::vector<row_change> changes;
+    changes.reserve(last.size());
+    for (const auto& [key, change] : last)
+        changes.push_back(change);
+    return changes;
+}
+
+row_version store_table::version() const
+{
+    return version_;
+}
+
+void store_table::forget_history()
+{
+    history_.clear();
+    history_after_ = version_;
+}
+
+} // namespace hibiscusferry::stand_ins
--- a/modules/runtime/platform/platform_adapters.cpp
+++ b/modules/runtime/platform/platform_adapters.cpp
@@ -3,39 +3,24 @@
 namespace hibiscusferry
 {
 
-namespace
-{
-
-platform_service service_at(process_core& core, const address_setting& where)
-{
-    return {core.context(), core.connections(), {where.address, where.port}};
-}
-
-} // namespace
-
-platform_adapters::platform_adapters(process_core& core)
-    : table_(std::make_unique<http_table_store>(
-          service_at(core, core.settings().table_service)))
-    , objects_(std::make_unique<http_object_store>(
-          service_at(core, core.settings().object_store)))
-    , hosts_(std::make_unique<http_host_list>(
-          service_at(core, core.settings().host_list)))
+platform_adapters::platform_adapters(storage_access access)
+    : access_(std::move(access))
 {
 }
 
 table_store& platform_adapters::table()
 {
-    return *table_;
+    return *access_.table;
 }
 
 object_store& platform_adapters::objects()
 {
-    return *objects_;
+    return *access_.objects;
 }
 
 host_list& platform_adapters::hosts()
 {
-    return *hosts_;
+    return *access_.hosts;
 }
 
 result<void> platform_adapters::start()
@@ -47,4 +32,10 @@
 {
 }
 
+http_endpoint table_service_of(const process_core& core)
+{
+    const address_setting& where = core.settings().table_service;
+    return {where.address, where.port};
+}
+
 } // namespace hibiscusferry
--- a/modules/runtime/platform/platform_adapters.hpp
+++ b/modules/runtime/platform/platform_adapters.hpp
@@ -8,7 +8,8 @@
 namespace hibiscusferry
 {
 
-/** The platform's adapters of a process, found by name in the kernel. */
+/** What a process stores and reads outside itself, found by name in the
+    kernel. */
 class platform_adapters final : public kernel_service
 {
 public:
@@ -17,8 +18,7 @@
     /** Time limit of a call to the platform. */
     static constexpr std::chrono::milliseconds call_limit{2000};
 
-    /** Over HTTP, at the endpoints of the process's settings. */
-    explicit platform_adapters(process_core& core);
+    explicit platform_adapters(storage_access access);
 
     table_store& table();
     object_store& objects();
@@ -28,11 +28,12 @@
     void stop() override;
 
 private:
-    std::unique_ptr<table_store> table_;
-    std::unique_ptr<object_store> objects_;
-    std::unique_ptr<host_list> hosts_;
+    storage_access access_;
 };
 
+/** Where the settings of the process say that the table service answers. */
+http_endpoint table_service_of(const process_core& core);
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/settings/process/process_settings.cpp
+++ b/modules/settings/process/process_settings.cpp
@@ -88,8 +88,6 @@
     settings.admin = read_address(root.table("admin"));
     settings.peers = read_address(root.table("peers"));
     settings.table_service = read_address(root.table("table_service"));
-    settings.object_store = read_address(root.table("object_store"));
-    settings.host_list = read_address(root.table("host_list"));
     for (const checked_table& controller : root.tables("controllers"))
         settings.controllers.push_back(read_address(controller));
     read_keys(root, settings);
--- a/modules/settings/process/process_settings.hpp
+++ b/modules/settings/process/process_settings.hpp
@@ -35,8 +35,6 @@
 
     /** The platform's endpoints. */
     address_setting table_service;
-    address_setting object_store;
-    address_setting host_list;
 
     /** Controllers a router speaks to, nearest first; a controller's first
         peers before it has read the host list. */
--- a/modules/storage/host_list/http_host_list.cpp
+++ b/modules/storage/host_list/table_host_list.cpp
@@ -1,6 +1,6 @@
-#include "storage/host_list/http_host_list.hpp"
+#include "storage/host_list/table_host_list.hpp"
 
-#include "storage/service/platform_call.hpp"
+#include "http/http.hpp"
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -55,18 +55,16 @@
     return host;
 }
 
-result<host_list_reading> read_list(const http_response& answer)
+result<host_list_reading> read_list(const table_changes& rows)
 {
-    if (answer.status != 200)
-        return make_error_code(unexpected_status(answer.status));
     try
     {
-        const nlohmann::json body = nlohmann::json::parse(answer.body);
         host_list_reading reading;
-        reading.revision = body.at("revision").get_ref<const natural_number&>();
-        for (const nlohmann::json& item : body.at("hosts"))
+        reading.revision = rows.version;
+        for (const table_row& row : rows.rows)
         {
-            const result<listed_host> host = read_host(item);
+            const result<listed_host> host =
+                read_host(nlohmann::json::parse(row.value));
             if (!host)
                 return host.error();
             reading.hosts.push_back(host.value());
@@ -81,25 +79,26 @@
 
 } // namespace
 
-http_host_list::http_host_list(platform_service service)
-    : service_(std::move(service))
+table_host_list::table_host_list(boost::asio::io_context& context,
+                                 table_feed& feed)
+    : context_(context)
+    , feed_(feed)
 {
 }
 
-void http_host_list::read(std::chrono::milliseconds time_limit,
-                          read_handler handler)
+void table_host_list::read(std::chrono::milliseconds time_limit,
+                           read_handler handler)
 {
-    const time_point deadline = boot_clock::now() + time_limit;
-    start_task(service_.context,
-               [service = service_, deadline,
+    start_task(context_,
+               [this, time_limit,
                 handler = std::move(handler)](boost::asio::yield_context yield)
                {
-                   const result<http_response> answer = platform_read(
-                       service, {"GET", "/v1/hosts"}, deadline, yield);
-                   if (!answer)
-                       handler(answer.error());
+                   const result<table_changes> rows =
+                       feed_.snapshot(table, time_limit, yield);
+                   if (!rows)
+                       handler(rows.error());
                    else
-                       handler(read_list(answer.value()));
+                       handler(read_list(rows.value()));
                });
 }
 
--- a/modules/storage/testing/platform_server.hpp
+++ b/modules/storage/testing/platform_server.hpp
@@ -39,9 +39,14 @@
     {
     }
 
-    platform_service service()
+    http_connection_pool& pool()
     {
-        return {context_, pool_, server_->endpoint()};
+        return pool_;
+    }
+
+    http_endpoint endpoint() const
+    {
+        return server_->endpoint();
     }
 
     boost::asio::io_context& context()
