--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -29,7 +29,9 @@
     target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK
         HIBISCUSFERRY_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     add_test(NAME ${name} COMMAND ${name})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    # Property tests draw the same cases in each run.
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300
+        ENVIRONMENT "RC_PARAMS=seed=1 max_success=500")
 endfunction()
 
 # hibiscusferry_program(NAME DIRECTORY DEPENDS MODULE...)
--- a/extras/stand_ins/platform/platform_stand_in.cpp
+++ b/extras/stand_ins/platform/platform_stand_in.cpp
@@ -179,6 +179,10 @@
             random_.seed(body.at("seed").get<std::uint64_t>());
         if (body.value("forget", false))
             table_.clear_history();
+        if (body.value("save", false))
+            table_.save();
+        if (body.value("restore", false))
+            table_.restore();
         faults_ = faults;
     }
     catch (const nlohmann::json::exception& problem)
@@ -221,6 +225,15 @@
                            .count()}};
 }
 
+void platform_stand_in::send_rows(http_exchange& exchange, unsigned status,
+                                  const nlohmann::json& body,
+                                  boost::asio::yield_context yield)
+{
+    http_response response = json_response(status, body.dump());
+    response.headers.set("Store-Era", std::to_string(table_.era()));
+    send_response(exchange, response, yield);
+}
+
 void platform_stand_in::commit(http_exchange& exchange,
                                boost::asio::yield_context yield)
 {
@@ -231,10 +244,10 @@
     }
     catch (const std::exception&)
     {
-        return send_json(exchange, 400, error_body("bad_transaction"), yield);
+        return send_rows(exchange, 400, error_body("bad_transaction"), yield);
     }
     if (is_too_large(transaction))
-        return send_json(exchange, 413, error_body("too_large"), yield);
+        return send_rows(exchange, 413, error_body("too_large"), yield);
 
     delay_write(yield);
     const commit_receipt receipt = table_.commit(transaction);
@@ -243,7 +256,7 @@
     if (should_inject(faults_.lost_response_percent))
         return;
     if (receipt.committed)
-        return send_json(exchange, 200, rows_response(nlohmann::json::array()),
+        return send_rows(exchange, 200, rows_response(nlohmann::json::array()),
                          yield);
     nlohmann::json rows = nlohmann::json::array();
     for (const row_condition& condition : transaction.conditions)
@@ -254,7 +267,7 @@
              table_.rows(condition.key.substr(0, slash), name, name + '\0', 1))
             rows.push_back(to_json(row));
     }
-    send_json(exchange, 412, rows_response(std::move(rows)), yield);
+    send_rows(exchange, 412, rows_response(std::move(rows)), yield);
 }
 
 void platform_stand_in::read_rows(http_exchange& exchange,
@@ -274,7 +287,7 @@
         rows.push_back(to_json(matching_rows[index]));
     nlohmann::json response_body = rows_response(std::move(rows));
     response_body["truncated"] = matching_rows.size() > limit;
-    send_json(exchange, 200, response_body, yield);
+    send_rows(exchange, 200, response_body, yield);
 }
 
 void platform_stand_in::feed(http_exchange& exchange,
@@ -294,13 +307,13 @@
         const std::optional<std::vector<row_change>> changes =
             table_.changes(table, after);
         if (!changes)
-            return send_json(exchange, 410, error_body("gone"), yield);
+            return send_rows(exchange, 410, error_body("gone"), yield);
         if (!changes->empty() || boot_clock::now() >= deadline)
         {
             nlohmann::json rows = nlohmann::json::array();
             for (const row_change& change : *changes)
                 rows.push_back(to_json(change));
-            return send_json(exchange, 200, rows_response(std::move(rows)),
+            return send_rows(exchange, 200, rows_response(std::move(rows)),
                              yield);
         }
         sleep_for(context_, feed_poll_interval, yield);
--- a/extras/stand_ins/platform/platform_stand_in.hpp
+++ b/extras/stand_ins/platform/platform_stand_in.hpp
@@ -35,7 +35,8 @@
     provides the feed of their changes, and stores raw objects.
 
     POST /control/faults sets the injected faults: omitted fields are reset,
-    and "forget" clears the change history once. GET /control/counts returns
+    "forget" clears the change history once, "save" keeps a copy of the rows,
+   and "restore" returns to that copy in a new era. GET /control/counts returns
     the number of reads, writes and conflicts.
 */
 class platform_stand_in
@@ -52,6 +53,10 @@
     void set_faults(http_exchange& exchange, boost::asio::yield_context yield);
 
     void serve_store(http_exchange& exchange, boost::asio::yield_context yield);
+    /** Sends a response about rows, with the era of the store. */
+    void send_rows(http_exchange& exchange, unsigned status,
+                   const nlohmann::json& body,
+                   boost::asio::yield_context yield);
     void commit(http_exchange& exchange, boost::asio::yield_context yield);
     void read_rows(http_exchange& exchange, boost::asio::yield_context yield);
     void feed(http_exchange& exchange, boost::asio::yield_context yield);
--- a/extras/stand_ins/platform/store_table.hpp
+++ b/extras/stand_ins/platform/store_table.hpp
@@ -40,11 +40,22 @@
 
     row_version version() const;
 
+    /** Keeps a copy of the rows for restore(). */
+    void save();
+
+    /** Returns to the last saved copy, without its history, and enters a new
+        era. */
+    void restore();
+
+    std::uint64_t era() const;
+
     /** Discards the change history. */
     void clear_history();
 
 private:
     memory_table rows_;
+    memory_table saved_rows_;
+    row_version saved_version_ = 0;
     std::deque<row_change> history_;
     /** The history contains only changes after this version. */
     row_version history_start_ = 0;
--- a/modules/authority/lease/lease_holder.cpp
+++ b/modules/authority/lease/lease_holder.cpp
@@ -5,6 +5,17 @@
 namespace hibiscusferry
 {
 
+namespace
+{
+
+/** The numbers available to each era of the store. */
+constexpr unsigned fencing_number_bits = 32;
+
+/** A store that has never been restored may count its eras from 0 or from 1. */
+constexpr std::uint64_t max_initial_era = 1;
+
+} // namespace
+
 lease_holder::lease_holder(const std::string& region,
                            const std::string& service, process_identity self,
                            const lease_settings& settings,
@@ -39,6 +50,28 @@
     }
 }
 
+lease_actions lease_holder::store_era_seen(std::uint64_t era, time_point now)
+{
+    lease_actions actions;
+    if (era <= era_)
+        return actions;
+    if (is_holder_)
+        actions.change = lease_change::lost;
+    enter_era(era, now);
+    return actions;
+}
+
+void lease_holder::enter_era(std::uint64_t era, time_point now)
+{
+    const bool is_restored = era > max_initial_era || (has_row_ && era > era_);
+    era_ = era;
+    if (is_restored)
+        era_entered_at_ = now;
+    is_holder_ = false;
+    has_row_ = false;
+    next_read_ = now;
+}
+
 lease_actions lease_holder::tick(time_point now)
 {
     lease_actions actions;
@@ -77,8 +110,13 @@
             observe({}, 0, now);
         return tick(now);
     }
+    // Sent before the era of the store changed.
+    if (row.value().era < era_)
+        return tick(now);
+    if (row.value().era > era_)
+        enter_era(row.value().era, now);
     const result<lease_record> record = lease_record::parse(row.value().value);
-    if (record && row.value().version >= version_)
+    if (record && (!has_row_ || row.value().version >= version_))
         observe(record.value(), row.value().version, now);
     return tick(now);
 }
@@ -95,10 +133,19 @@
     if (state == write_progress::pending)
         return actions;
 
-    const lease_change change = state == write_progress::committed
-                                    ? write_committed(now)
-                                    : write_rejected(now);
+    const bool was_holder = is_holder_;
+    lease_change change = state == write_progress::committed
+                              ? write_committed(now)
+                              : write_rejected(now);
     write_.reset();
+    // The fencing number was assigned for another era than the one in which the
+    // lease was written, or the lease was lost together with its era.
+    const std::uint64_t current_era = std::max(era_, response.value().era);
+    if (current_era != write_era_)
+    {
+        enter_era(current_era, now);
+        change = was_holder ? lease_change::lost : lease_change::none;
+    }
     actions = tick(now);
     actions.change = change;
     return actions;
@@ -162,6 +209,12 @@
     return record_.fencing_number;
 }
 
+bool lease_holder::is_first_holder() const
+{
+    const std::uint64_t first_number = (era_ << fencing_number_bits) + 1;
+    return !era_entered_at_ && record_.fencing_number == first_number;
+}
+
 row_version lease_holder::fence_version() const
 {
     return fence_version_;
@@ -189,7 +242,8 @@
 {
     lease_record record;
     record.holder = self_;
-    record.fencing_number = record_.fencing_number + 1;
+    const std::uint64_t first_number = (era_ << fencing_number_bits) + 1;
+    record.fencing_number = std::max(record_.fencing_number + 1, first_number);
     record.term = settings_.term;
     return submit(record, true, now);
 }
@@ -208,6 +262,7 @@
 {
     record.write_id = identifiers_.next();
     pending_record_ = record;
+    write_era_ = era_;
     is_acquiring_ = new_holder;
 
     table_transaction transaction;
@@ -286,6 +341,10 @@
 {
     if (!is_candidate() || !has_row_)
         return false;
+    const std::chrono::nanoseconds max_term =
+        settings_.term * (100 + settings_.clock_drift_percent) / 100;
+    if (era_entered_at_ && now < *era_entered_at_ + max_term)
+        return false;
     std::chrono::nanoseconds wait = settings_.rank_delay * rank_;
     if (version_ != 0 && !record_.is_released())
         wait += record_.term * (100 + settings_.clock_drift_percent) / 100;
--- a/modules/authority/lease/lease_holder.hpp
+++ b/modules/authority/lease/lease_holder.hpp
@@ -86,6 +86,12 @@
         this host. */
     void set_live_hosts(const std::vector<std::string>& hosts);
 
+    /** Sets the era of the store. A new era means that the store has lost its
+        latest commits, possibly including the lease of this or another process.
+        The holder then gives up the lease, and no candidate acquires it before
+        the term of any former holder has expired. */
+    lease_actions store_era_seen(std::uint64_t era, time_point now);
+
     /** Must be called at least every 100 ms. */
     lease_actions tick(time_point now);
 
@@ -132,9 +138,15 @@
         empty. */
     const process_identity& former_holder() const;
 
-    /** The fencing number of this holder. Valid only while is_holder(). */
+    /** The fencing number of this holder. Valid only while is_holder().
+        Numbers of a later era of the store are greater than all numbers of the
+        eras before, including those whose record the store has lost. */
     std::uint64_t fencing_number() const;
 
+    /** Returns true if the fencing number is the first one ever assigned, so
+        that no former holder can exist. Valid only while is_holder(). */
+    bool is_first_holder() const;
+
     /** The version of the row fence_key(), on which every write of an order row
         is conditional. Valid only while is_holder(). */
     row_version fence_version() const;
@@ -155,6 +167,7 @@
     lease_change write_rejected(time_point now);
     void observe(const lease_record& record, row_version version,
                  time_point now);
+    void enter_era(std::uint64_t era, time_point now);
     bool is_candidate() const;
     bool can_acquire(time_point now) const;
 
@@ -171,6 +184,10 @@
     bool has_row_ = false;
     lease_record record_;
     row_version version_ = 0;
+    std::uint64_t era_ = 0;
+    /** The start of the era as observed by this process; none in the initial
+        era of the store. */
+    std::optional<time_point> era_entered_at_;
     time_point unchanged_since_;
     bool is_reading_ = false;
     time_point next_read_;
@@ -184,6 +201,8 @@
     time_point next_renewal_;
     std::optional<settled_write> write_;
     lease_record pending_record_;
+    /** The era in which `write_` was created. */
+    std::uint64_t write_era_ = 0;
     bool is_acquiring_ = false;
 };
 
--- a/modules/authority/lease/lease_holder_test.cpp
+++ b/modules/authority/lease/lease_holder_test.cpp
@@ -218,4 +218,53 @@
     BOOST_TEST(max_held <= 8U);
 }
 
+// The store forgets the seconds in which the lease changed its holder. The row
+// then names the former holder, or is missing, and a candidate that trusted it
+// would issue orders together with the holder, under the same number.
+BOOST_AUTO_TEST_CASE(a_restored_store_leaves_one_holder_and_no_reused_number)
+{
+    run(seconds(10), {&a, &b, &c});
+    const memory_table copy_of_first = table;
+    run(milliseconds(7700), {second});
+    BOOST_REQUIRE(second->lease.may_act(now));
+    const std::uint64_t lost_number = second->lease.fencing_number();
+    for (const memory_table& copy : {copy_of_first, memory_table()})
+    {
+        table.restore(copy);
+        run(seconds(3), {&a, &b, &c});
+        for (lease_process* process : {&a, &b, &c})
+            process->perform(process->lease.store_era_seen(table.era(), now),
+                             now);
+        for (const lease_process* process : {&a, &b, &c})
+            BOOST_TEST(!process->lease.may_act(now));
+        run(seconds(3), {&a, &b, &c});
+        // The term of a former holder may last until now.
+        for (const lease_process* process : {&a, &b, &c})
+            BOOST_TEST(!process->lease.may_act(now));
+        run(seconds(6), {&a, &b, &c});
+        const bool has_holder = a.lease.may_act(now) || b.lease.may_act(now) ||
+                                c.lease.may_act(now);
+        BOOST_TEST(has_holder);
+        for (const lease_process* process : {&a, &b, &c})
+        {
+            if (!process->lease.is_holder())
+                continue;
+            BOOST_TEST(process->lease.fencing_number() > lost_number);
+            BOOST_TEST(!process->lease.is_first_holder());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_lease_written_after_a_restore_is_given_up)
+{
+    lease_process late("late", table);
+    late.lease.set_live_hosts({"late"});
+    table.restore(memory_table());
+    // The process knows only the era before.
+    late.tick(now);
+    now += milliseconds(50);
+    late.tick(now);
+    BOOST_TEST(!late.lease.may_act(now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -206,6 +206,10 @@
                     "A row in the table of targets does not describe a usable "
                     "target; the other rows remain in use.",
                     "")
+HIBISCUSFERRY_EVENT(1415, info, target_refuses,
+                    "A target wants no requests from this host for a time that "
+                    "it has stated; it receives none until then.",
+                    "")
 
 // 1500-1599 membership and peers
 HIBISCUSFERRY_EVENT(1500, info, host_alive,
@@ -400,3 +404,9 @@
                     "A fleet update from another host could not be read; the "
                     "tables are read from the table service instead.",
                     "Complete the upgrade of all hosts.")
+HIBISCUSFERRY_EVENT(1906, warning, store_restored,
+                    "The table service was restored from an older copy; the "
+                    "table was read again completely. Writes of the last "
+                    "seconds before the restore are lost.",
+                    "None. Hosts write their rows again, and the lease holder "
+                    "is chosen anew after one term.")
--- a/modules/gateway/protocol/target_protocol.hpp
+++ b/modules/gateway/protocol/target_protocol.hpp
@@ -36,6 +36,15 @@
     std::string resume_after;
 };
 
+/** What a target states about itself in any of its responses. */
+struct target_notice
+{
+    /** The target is leaving and must receive no new requests. */
+    bool is_leaving = false;
+    /** The target wants no requests from this host for this long. */
+    std::optional<std::chrono::milliseconds> refuses_for;
+};
+
 /** Properties of a target's response that its head shows. */
 struct target_response
 {
@@ -47,6 +56,7 @@
     bool is_misdirected = false;
     bool is_event_stream = false;
     std::optional<reported_load> load;
+    target_notice notice;
 };
 
 /** The status that an engine reports. */
@@ -91,6 +101,10 @@
                                           const gateway_request& request,
                                           time_point now) const = 0;
 
+    /** Reads the notice from the head of any response of a target. */
+    virtual target_notice read_notice(unsigned status,
+                                      const http_headers& headers) const = 0;
+
     /** Returns the headers of a target's response that are relayed to the
         caller. */
     virtual http_headers
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -27,6 +27,10 @@
     /** Predicted from the tokens of the request and the load of the engine. */
     std::chrono::milliseconds expected{0};
     std::chrono::milliseconds duration{0};
+    /** Tokens to be prefilled for the request, and those of other requests
+        before them. */
+    double pending_tokens = 0;
+    double queued_tokens = 0;
 };
 
 /** The state of one request in flight: its route, its time limits, and the
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -103,7 +103,7 @@
                 reason == scheduling_failure::busy
                     ? std::chrono::milliseconds(
                           static_cast<int>(assignment_.expected_ms))
-                    : no_target_backlog;
+                    : std::max(no_target_backlog, refusal_time_left());
             refuse(reason == scheduling_failure::busy
                        ? refusal_cause::overloaded
                        : refusal_cause::no_target,
@@ -123,6 +123,16 @@
     }
 }
 
+std::chrono::milliseconds request_forwarder::refusal_time_left() const
+{
+    const time_point now = services_.core.now();
+    const std::optional<time_point> end = earliest_refusal_end(
+        services_.fleet.registry().targets_for_service(context_.service), now);
+    if (!end)
+        return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(*end - now);
+}
+
 // ========================================================================
 // Scheduling
 
@@ -160,6 +170,7 @@
     generation.prompt = &*context_.request.prompt;
     generation.prefilled_by =
         context_.kv_cache ? context_.kv_cache_engine : nullptr;
+    generation.latency_objective = context_.matched_route->latency_objective;
     // After a first attempt, a request that misses its latency objective is
     // served rather than refused.
     generation.time_to_objective = context_.attempts > 0
@@ -171,7 +182,8 @@
     generation.random_value =
         stable_hash(context_.request.id) + context_.attempts;
     generation.constraints = constraints();
-    const engine_scheduler scheduler{engine_speeds{}};
+    const engine_scheduler scheduler(
+        services_.fleet.performance(context_.service).estimates(now));
     return scheduler.schedule(targets, generation, *context_.properties->engine,
                               now, reason);
 }
@@ -232,15 +244,26 @@
     }
     if (attempt_outcome != attempt_result::response_received)
         return handle_failed_attempt(attempt_outcome, *target);
-    if (context_.request.prompt)
-    {
-        record_step(target, assignment.decode_baseline_ms,
-                    services_.core.now() - attempt_start,
-                    services_.fleet.delays(context_.service).decode_engines,
-                    context_.decode_step);
-        target->cached_prefixes.add(*context_.request.prompt);
-    }
-    return relay_response(upstream, *target, work, yield);
+    const bool is_generation = context_.request.prompt.has_value() &&
+                               context_.properties != nullptr &&
+                               context_.properties->engine.has_value();
+    if (!is_generation)
+        return relay_response(upstream, *target, work, yield);
+    const time_point response_start = services_.core.now();
+    record_step(target, assignment.decode_baseline_ms,
+                response_start - attempt_start,
+                services_.fleet.delays(context_.service).decode_engines,
+                context_.decode_step);
+    observe_decode_start(assignment, options.kv_cache.has_value(),
+                         response_start - attempt_start);
+    target->cached_prefixes.add(
+        *context_.request.prompt,
+        context_.properties->engine->kv_capacity_tokens);
+    const next_step step = relay_response(upstream, *target, work, yield);
+    if (step == next_step::completed && !context_.is_caller_disconnected)
+        observe_completion(options.kv_cache.has_value(), attempt_start,
+                           response_start);
+    return step;
 }
 
 request_forwarder::next_step
@@ -282,7 +305,10 @@
         {
             context_.kv_cache = kv_cache.value();
             context_.kv_cache_engine = prefill_engine;
-            prefill_engine->cached_prefixes.add(*context_.request.prompt);
+            prefill_engine->cached_prefixes.add(
+                *context_.request.prompt,
+                context_.properties->engine->kv_capacity_tokens);
+            observe_prefill(assignment, services_.core.now() - prefill_start);
             record_step(
                 prefill_engine, assignment.prefill_baseline_ms,
                 services_.core.now() - prefill_start,
@@ -318,6 +344,12 @@
 {
     if (!context_.kv_cache)
         return;
+    // The handle of an engine that wants no requests expires by itself.
+    if (services_.core.now() < context_.kv_cache_engine->refuses_until)
+    {
+        context_.kv_cache.reset();
+        return;
+    }
     constexpr std::chrono::milliseconds release_timeout{500};
     constexpr std::size_t max_release_response_bytes = 4096;
     http_call(services_.core.context(), services_.core.connections(),
@@ -335,11 +367,60 @@
                                     std::optional<timed_step>& step)
 {
     const time_point now = services_.core.now();
-    target->delay.add(expected_ms, duration, now);
-    stage.add(expected_ms, duration, now);
+    const std::chrono::milliseconds objective =
+        context_.matched_route->latency_objective;
+    target->delay.add(expected_ms, duration, objective, now);
+    stage.add(expected_ms, duration, objective, now);
     step = {target->record.id,
             std::chrono::milliseconds(static_cast<int>(expected_ms)),
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration)};
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration),
+            assignment_.pending_prefill_tokens,
+            assignment_.queued_prefill_tokens};
+}
+
+void request_forwarder::observe_prefill(const engine_assignment& assignment,
+                                        std::chrono::nanoseconds duration)
+{
+    const double tokens =
+        assignment.queued_prefill_tokens + assignment.pending_prefill_tokens;
+    if (assignment.pending_prefill_tokens <= 0)
+        return;
+    const std::chrono::duration<double, std::milli> fetch(
+        assignment.prefix_fetch_ms);
+    services_.fleet.performance(context_.service)
+        .add(engine_step::prefill, tokens, assignment.pending_prefill_tokens,
+             duration - fetch, assignment.pending_prefill_tokens / tokens,
+             services_.core.now());
+}
+
+void request_forwarder::observe_decode_start(
+    const engine_assignment& assignment, bool was_transferred,
+    std::chrono::nanoseconds duration)
+{
+    if (!was_transferred)
+        return;
+    const bool is_same_zone =
+        context_.kv_cache_engine->record.availability_zone ==
+        assignment.decode_engine->record.availability_zone;
+    const double tokens = context_.request.prompt->prompt_tokens;
+    services_.fleet.performance(context_.service)
+        .add(engine_step::transfer, tokens * (is_same_zone ? 1 : 2), tokens,
+             duration, 1, services_.core.now());
+}
+
+void request_forwarder::observe_completion(bool was_transferred,
+                                           time_point attempt_start,
+                                           time_point response_start)
+{
+    const double tokens = context_.request.prompt->output_tokens;
+    const time_point now = services_.core.now();
+    engine_performance& performance =
+        services_.fleet.performance(context_.service);
+    performance.add(engine_step::completion, tokens, tokens,
+                    now - response_start, 1, now);
+    if (was_transferred)
+        performance.add(engine_step::decode, tokens, tokens,
+                        now - attempt_start, 1, now);
 }
 
 request_forwarder::next_step
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -45,6 +45,9 @@
     bool admit(boost::asio::yield_context yield);
     void run(boost::asio::yield_context yield);
     engine_assignment schedule(scheduling_failure& reason);
+    /** Time until the first target that wants no requests accepts them again;
+        zero if there is none. */
+    std::chrono::milliseconds refusal_time_left() const;
     scheduling_constraints constraints() const;
     std::chrono::milliseconds first_byte_timeout(bool is_repeatable) const;
 
@@ -59,6 +62,15 @@
     void record_step(const std::shared_ptr<target_view>& target,
                      double expected_ms, std::chrono::nanoseconds duration,
                      observed_delay& stage, std::optional<timed_step>& step);
+    /** Record the durations of the steps of a generation, from which the speed
+        of the engines is learned. */
+    void observe_prefill(const engine_assignment& assignment,
+                         std::chrono::nanoseconds duration);
+    void observe_decode_start(const engine_assignment& assignment,
+                              bool was_transferred,
+                              std::chrono::nanoseconds duration);
+    void observe_completion(bool was_transferred, time_point attempt_start,
+                            time_point response_start);
     /** Returns whether another decode engine may fetch the KV cache after
         `decode_engine` refused the request. */
     bool can_reuse_kv_cache(const target_view& decode_engine) const;
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -24,6 +24,11 @@
         {name + "_ms", std::to_string(step->duration.count())});
     event_fields.push_back(
         {name + "_expected_ms", std::to_string(step->expected.count())});
+    event_fields.push_back({name + "_tokens", std::to_string(static_cast<int>(
+                                                  step->pending_tokens))});
+    event_fields.push_back(
+        {name + "_queued_tokens",
+         std::to_string(static_cast<int>(step->queued_tokens))});
 }
 
 } // namespace
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -100,10 +100,18 @@
                    : context_.matched_route->time_limit;
     event_stream_parser parser;
     std::string received;
+    // A stalled target may still send a byte now and then, so the timeout ends
+    // with the next complete event.
+    time_point event_due = services_.core.now() + read_timeout;
     for (;;)
     {
-        const result<std::string> chunk =
-            upstream.read_some(read_timeout, yield);
+        const std::chrono::milliseconds time_left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                event_due - services_.core.now());
+        if (time_left <= std::chrono::milliseconds(0))
+            return handle_stream_failure(
+                target, make_error_code(http_error::timed_out));
+        const result<std::string> chunk = upstream.read_some(time_left, yield);
         if (!chunk)
             return handle_stream_failure(target, chunk.error());
         work.prefill_finished();
@@ -117,6 +125,7 @@
              event = parser.next())
         {
             received.erase(0, std::min(received.size(), event->raw.size()));
+            event_due = services_.core.now() + read_timeout;
             if (!forward_event(*event, upstream, yield))
                 return handle_stream_failure(
                     target, make_error_code(http_error::broken));
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -142,6 +142,7 @@
         return handle_failure(make_error_code(http_error::bad_message), true);
     if (parsed_response_.load)
         target_->load = parsed_response_.load;
+    services_.fleet.apply_notice(*target_, parsed_response_.notice);
     if (!parsed_response_.is_not_run)
         return attempt_result::response_received;
 
@@ -158,7 +159,8 @@
         parsed_response_.load &&
         parsed_response_.load->running < parsed_response_.load->slots;
     if (had_free_slots)
-        target_->refuses_until = services_.core.now() + refusal_backoff;
+        target_->refuses_until = std::max<time_point>(
+            target_->refuses_until, services_.core.now() + refusal_backoff);
     return attempt_result::not_run;
 }
 
--- a/modules/gateway/sharing/load_exchange.cpp
+++ b/modules/gateway/sharing/load_exchange.cpp
@@ -19,7 +19,12 @@
 constexpr std::chrono::milliseconds load_lifetime{600};
 /** Responses that take longer are ignored because their loads are outdated. */
 constexpr std::chrono::milliseconds max_response_age{1000};
-constexpr std::size_t max_datagram_bytes = 2048;
+/** Of the reports in several parts, one in this many is answered with
+    observations of engines. */
+constexpr std::uint64_t report_parts_interval = 8;
+constexpr std::size_t max_datagram_bytes = 4096;
+/** Interval between reports that contain observations of engines. */
+constexpr std::chrono::milliseconds observation_period{400};
 /** Targets with less load than this are left out of reports. */
 constexpr double min_reported_requests = 0.5;
 constexpr double min_reported_exchanges = 0.2;
@@ -147,6 +152,37 @@
            now - pending_reports_.begin()->second.sent_at > max_response_age)
         pending_reports_.erase(pending_reports_.begin());
 
+    update_relay();
+    const bool is_relay = was_relay_;
+    aggregated_loads local_load = local_loads();
+    const bool has_observations =
+        now - observations_sent_at_ >= observation_period;
+    if (has_observations)
+    {
+        observations_sent_at_ = now;
+        local_load.observations = fleet_.local_observations(now);
+    }
+    if (!is_relay)
+    {
+        send_report(sharing_message::kind::host_report, local_load,
+                    current_relay_);
+        return;
+    }
+    aggregator_.update_host(
+        fleet_.settings().host,
+        {0, 1, local_load.hosts, local_load.loads, local_load.observations},
+        now);
+    follower_.directory().record_report(fleet_.settings().host, now);
+    apply(loads_except(fleet_.settings().host));
+    if (now - zones_reported_at_ < zone_report_period)
+        return;
+    zones_reported_at_ = now;
+    report_to_zones();
+}
+
+void load_exchange::update_relay()
+{
+    const time_point now = core_.now();
     selector_.set_self_eligible(follower_.monitor().is_store_reachable());
     const std::string current_relay = selector_.relay(now).value_or("");
     const bool is_relay = current_relay.empty();
@@ -164,28 +200,16 @@
     current_relay_ = current_relay;
     was_relay_ = is_relay;
     follower_.set_relay(is_relay);
-
-    const aggregated_loads local_load = local_loads();
-    if (!is_relay)
-    {
-        send_report(sharing_message::kind::host_report, local_load,
-                    current_relay);
-        return;
-    }
-    aggregator_.update_host(fleet_.settings().host,
-                            {0, 1, local_load.hosts, local_load.loads}, now);
-    follower_.directory().record_report(fleet_.settings().host, now);
-    apply(loads_except(fleet_.settings().host));
-    if (now - zones_reported_at_ < zone_report_period)
-        return;
-    zones_reported_at_ = now;
-    report_to_zones();
 }
 
 void load_exchange::report_to_zones()
 {
     const time_point now = core_.now();
-    const aggregated_loads sum = aggregator_.sum_of_hosts_except("", now);
+    aggregated_loads sum = aggregator_.sum_of_hosts_except("", now);
+    if (now - zone_observations_sent_at_ >= observation_period)
+        zone_observations_sent_at_ = now;
+    else
+        sum.observations.clear();
     for (auto& [zone, remote] : zones_)
     {
         const std::optional<std::string> relay = remote.selector.relay(now);
@@ -285,10 +309,13 @@
     const time_point now = core_.now();
     aggregator_.update_host(message.host, message.load, now);
     follower_.directory().record_report(message.host, now);
+    selector_.record_report(now);
+    if (!was_relay_ && selector_.is_relay(now))
+        update_relay();
     const bool is_last_part = message.load.index + 1 == message.load.count;
     if (is_last_part)
         send(sharing_message::kind::host_response, message.number,
-             loads_except(message.host), sender);
+             response_loads(message, loads_except(message.host)), sender);
 }
 
 void load_exchange::handle_zone_report(
@@ -301,7 +328,21 @@
     const bool is_last_part = message.load.index + 1 == message.load.count;
     if (is_last_part)
         send(sharing_message::kind::zone_response, message.number,
-             aggregator_.sum_of_hosts_except("", now), sender);
+             response_loads(message, aggregator_.sum_of_hosts_except("", now)),
+             sender);
+}
+
+aggregated_loads load_exchange::response_loads(const sharing_message& report,
+                                               aggregated_loads loads)
+{
+    // Reports in several parts contain observations in the first one only, and
+    // are answered after the last one.
+    const bool wants_observations =
+        !report.load.observations.empty() ||
+        (report.load.count > 1 && report.number % report_parts_interval == 0);
+    if (!wants_observations)
+        loads.observations.clear();
+    return loads;
 }
 
 std::optional<load_exchange::pending_report>
@@ -325,7 +366,7 @@
         return;
     const bool is_fresh =
         follower_.apply_positions(*relay, message.positions, pending->sent_at);
-    selector_.record_response(message.host, is_fresh, now);
+    selector_.record_response(message.host, is_fresh && message.is_relay, now);
     if (message.host == current_relay_)
         apply_part(message.load);
 }
@@ -383,17 +424,20 @@
     const aggregated_loads zones = aggregator_.sum_of_zones(now);
     remote_loads.hosts += zones.hosts;
     add_loads(remote_loads.loads, zones.loads);
+    add_observations(remote_loads.observations, zones.observations);
     return remote_loads;
 }
 
 void load_exchange::apply(const aggregated_loads& remote_loads)
 {
-    apply_part({0, 1, remote_loads.hosts, remote_loads.loads});
+    apply_part({0, 1, remote_loads.hosts, remote_loads.loads,
+                remote_loads.observations});
 }
 
 void load_exchange::apply_part(const load_part& part)
 {
     const time_point now = core_.now();
+    fleet_.set_remote_observations(part.observations, now);
     for (const auto& [id, target] : fleet_.registry().targets())
     {
         if (target->key % part.count != part.index)
--- a/modules/gateway/sharing/load_exchange.hpp
+++ b/modules/gateway/sharing/load_exchange.hpp
@@ -52,6 +52,8 @@
     void report_loop(boost::asio::yield_context yield);
     void update_candidates();
     void report();
+    /** Selects the relay of the own zone, or this host. */
+    void update_relay();
     void report_to_zones();
 
     void handle_message(const sharing_message& message,
@@ -64,6 +66,10 @@
                             const boost::asio::ip::udp::endpoint& sender);
     void handle_zone_response(const sharing_message& message,
                               const boost::asio::ip::udp::endpoint& sender);
+    /** Removes the observations of engines from a response, unless the report
+        contained some. */
+    static aggregated_loads response_loads(const sharing_message& report,
+                                           aggregated_loads loads);
     std::optional<pending_report>
     find_pending_report(const sharing_message& message);
 
@@ -95,6 +101,8 @@
     /** Digest of the host table from which the relay candidates were taken. */
     std::uint64_t host_table_digest_ = 0;
     time_point zones_reported_at_{};
+    time_point observations_sent_at_{};
+    time_point zone_observations_sent_at_{};
     bool is_stopping_ = false;
 };
 
--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -28,6 +28,14 @@
     return settings;
 }
 
+std::size_t count_zones(const target_list& targets)
+{
+    std::set<std::string> zones;
+    for (const std::shared_ptr<target_view>& target : targets)
+        zones.insert(target->record.availability_zone);
+    return zones.size();
+}
+
 process_identity identity_of(process_core& core)
 {
     return {core.settings().host, core.id()};
@@ -77,6 +85,8 @@
         return;
     // Relays are known to be live, and they read the store anyway.
     lease_.set_live_hosts(exchange_.relays());
+    perform(lease_.store_era_seen(follower_.replicas().era(),
+                                  services_.core.now()));
     perform(lease_.tick(services_.core.now()));
 }
 
@@ -85,9 +95,8 @@
     const time_point now = services_.core.now();
     if (actions.change == lease_change::acquired)
     {
-        const bool is_first_holder = lease_.fencing_number() <= 1;
         orders_allowed_from_ =
-            is_first_holder
+            lease_.is_first_holder()
                 ? now
                 : now + services_.fleet.settings().min_order_interval +
                       order_delivery_margin;
@@ -138,13 +147,21 @@
         if (!service.engine)
             continue;
         stage_planner_settings settings;
-        settings.prefill_fraction = planned_prefill_fraction(
-            *service.engine, engine_speeds{}, reference_prompt{});
+        settings.is_already_divided = !lease_.is_first_holder();
         stage_planner& planner =
             planners_.try_emplace(service.name, settings).first->second;
-        const std::vector<stage_change> requested_changes = planner.plan(
-            services_.fleet.registry().targets_for_service(service.name),
-            services_.core.now());
+        const target_list& targets =
+            services_.fleet.registry().targets_for_service(service.name);
+        const time_point now = services_.core.now();
+        const std::optional<stage_demand> demand =
+            services_.fleet.performance(service.name).demand(now);
+        if (demand)
+            planner.set_prefill_fraction(
+                planned_prefill_fraction(*service.engine, *demand,
+                                         count_zones(targets)),
+                now);
+        const std::vector<stage_change> requested_changes =
+            planner.plan(targets, now);
         for (const stage_change& change : requested_changes)
             start_order(service, change);
     }
@@ -155,7 +172,10 @@
 {
     const std::shared_ptr<target_view> target =
         services_.fleet.registry().find(change.target);
-    if (!target || !orders_in_progress_.insert(change.target).second)
+    const bool may_send = target && !target->is_withdrawn &&
+                          services_.core.now() >= target->refuses_until &&
+                          orders_in_progress_.insert(change.target).second;
+    if (!may_send)
         return;
     services_.core.journal().record(
         event_number::role_change_wanted,
@@ -177,8 +197,10 @@
                                   target_role stage,
                                   boost::asio::yield_context yield)
 {
-    const result<engine_status> status = query_status(target->record, yield);
-    if (!status || status.value().is_changing_stage ||
+    const result<engine_status> status = query_status(*target, yield);
+    const bool is_leaving_or_refusing =
+        target->is_withdrawn || services_.core.now() < target->refuses_until;
+    if (!status || is_leaving_or_refusing || status.value().is_changing_stage ||
         status.value().stage == stage || !can_issue_orders())
         return;
 
@@ -208,6 +230,9 @@
         target->stage_change_until = services_.core.now() + late_order_timeout;
         return;
     }
+    services_.fleet.apply_notice(
+        *target, services_.targets.read_notice(response.value().status,
+                                               response.value().headers));
     const bool is_refused =
         services_.targets.read_order_response(response.value().status) ==
         stage_order_result::refused;
@@ -222,15 +247,18 @@
 }
 
 result<engine_status>
-stage_controller::query_status(const target_record& engine,
+stage_controller::query_status(target_view& engine,
                                boost::asio::yield_context yield)
 {
     const result<http_response> response =
-        http_call(services_.core.connections(), engine.endpoint,
+        http_call(services_.core.connections(), engine.record.endpoint,
                   services_.targets.write_status_request(), status_timeout,
                   max_engine_response_bytes, yield);
     if (!response)
         return response.error();
+    services_.fleet.apply_notice(
+        engine, services_.targets.read_notice(response.value().status,
+                                              response.value().headers));
     return services_.targets.read_status(response.value().body);
 }
 
--- a/modules/gateway/stages/stage_controller.hpp
+++ b/modules/gateway/stages/stage_controller.hpp
@@ -40,7 +40,7 @@
     void send_order(const service_properties& service,
                     const std::shared_ptr<target_view>& target,
                     target_role stage, boost::asio::yield_context yield);
-    result<engine_status> query_status(const target_record& engine,
+    result<engine_status> query_status(target_view& engine,
                                        boost::asio::yield_context yield);
 
     gateway_services services_;
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -133,6 +133,22 @@
             {{"target", target.record.id}, {"request", request_id}});
 }
 
+void fleet_state::apply_notice(target_view& target, const target_notice& notice)
+{
+    if (notice.is_leaving)
+        apply(
+            catalogue_.mark_leaving(target.record.id, target.record.started_at),
+            "response");
+    if (!notice.refuses_for)
+        return;
+    const time_point until = core_.now() + *notice.refuses_for;
+    target.refuses_until = std::max(target.refuses_until, until);
+    core_.journal().record(
+        event_number::target_refuses,
+        {{"target", target.record.id},
+         {"for_ms", std::to_string(notice.refuses_for->count())}});
+}
+
 fleet_retry_budget& fleet_state::budget(const std::string& service)
 {
     const auto entry = budgets_.find(service);
@@ -152,6 +168,30 @@
     return stop_ && now >= stop_->first && deadline > stop_->second;
 }
 
+engine_performance& fleet_state::performance(const std::string& service)
+{
+    return performance_[service];
+}
+
+service_observations fleet_state::local_observations(time_point now) const
+{
+    service_observations observations;
+    for (const auto& [service, performance] : performance_)
+        observations[key_of_service(service)] = performance.local(now);
+    return observations;
+}
+
+void fleet_state::set_remote_observations(
+    const service_observations& observations, time_point now)
+{
+    for (auto& [service, performance] : performance_)
+    {
+        const auto entry = observations.find(key_of_service(service));
+        if (entry != observations.end())
+            performance.set_remote(entry->second, now);
+    }
+}
+
 service_delays& fleet_state::delays(const std::string& service)
 {
     return delays_[service];
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_GATEWAY_STATE_FLEET_STATE_HPP
 
 #include "gateway/protocol/host_settings.hpp"
+#include "gateway/protocol/target_protocol.hpp"
 #include "process/process.hpp"
 #include "serving/serving.hpp"
 #include <map>
@@ -56,6 +57,9 @@
     void record_outcome(target_view& target, exchange_outcome outcome,
                         const std::string& request_id);
 
+    /** Applies what a target states about itself in a response. */
+    void apply_notice(target_view& target, const target_notice& notice);
+
     // =================================================================
     // Budgets
 
@@ -76,6 +80,16 @@
      */
     service_delays& delays(const std::string& service);
 
+    /** What is known of the speed of a service's engines. */
+    engine_performance& performance(const std::string& service);
+
+    /** The observations of this host for all services with engines. */
+    service_observations local_observations(time_point now) const;
+
+    /** Sets the observations of all other hosts. */
+    void set_remote_observations(const service_observations& observations,
+                                 time_point now);
+
     std::size_t live_hosts() const;
     void set_live_hosts(std::size_t hosts);
 
@@ -88,6 +102,7 @@
     bool has_target_list_ = false;
     std::map<std::string, fleet_retry_budget> budgets_;
     std::map<std::string, service_delays> delays_;
+    std::map<std::string, engine_performance> performance_;
     std::optional<std::pair<time_point, time_point>> stop_;
     std::size_t live_hosts_;
 };
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -40,9 +40,27 @@
 
 const std::string host_table = "hosts";
 const std::string updates_path = "/news";
-constexpr std::array<const char*, fleet_table_count> version_parameters{
+constexpr std::array<const char*, fleet_table_count> position_parameters{
     "configuration", "targets", "hosts"};
 
+/** Encodes a position as "ERA.VERSION". */
+std::string encode_position(const store_position& position)
+{
+    return std::to_string(position.era) + "." +
+           std::to_string(position.version);
+}
+
+/** Decodes the form that encode_position() produces. Any other text yields
+    version 0, which requests the whole table. */
+store_position decode_position(const std::string& text)
+{
+    const std::size_t separator = text.find('.');
+    if (separator == std::string::npos)
+        return {};
+    return {std::strtoull(text.c_str(), nullptr, 10),
+            std::strtoull(text.c_str() + separator + 1, nullptr, 10)};
+}
+
 std::string table_of(const std::string& key)
 {
     return key.substr(0, key.find('/'));
@@ -197,13 +215,13 @@
         std::chrono::milliseconds(0), host_table_wait};
     const std::chrono::milliseconds wait =
         waits[static_cast<std::size_t>(table)];
-    const row_version known_version = replicas_.replica(table).as_of();
-    bool is_snapshot = known_version == 0;
+    const store_position known_position = replicas_.replica(table).as_of();
+    bool is_snapshot = known_position.version == 0;
     result<table_changes> changes =
         is_snapshot
             ? sources_.feed.snapshot(store_table(table), store_call_timeout,
                                      yield)
-            : sources_.feed.changes(store_table(table), known_version, wait,
+            : sources_.feed.changes(store_table(table), known_position, wait,
                                     wait + store_response_margin, yield);
     if (!changes && changes.error() == platform_error::history_expired)
     {
@@ -213,6 +231,9 @@
     }
     if (!changes)
         return changes.error();
+    // A response that was delayed beyond the start of a new era.
+    if (changes.value().era < replicas_.replica(table).as_of().era)
+        return make_error_code(platform_error::history_expired);
     apply_update({table, is_snapshot, std::move(changes.value())}, "store");
     const bool is_config_missing =
         table == fleet_table::configuration && !fleet_.routes();
@@ -234,14 +255,24 @@
         &state_follower::apply_hosts};
     table_replica& replica = replicas_.replica(update.table);
     // A snapshot from a relay that is behind would undo later changes.
-    if (update.is_snapshot && update.changes.version < replica.as_of())
+    if (update.is_snapshot && update.changes.position() < replica.as_of())
         return;
+    if (update.is_snapshot && replica.as_of().version > 0 &&
+        update.changes.era > replica.as_of().era)
+        core_.journal().record(
+            event_number::store_restored,
+            {{"table", std::string(to_text(update.table))},
+             {"era", std::to_string(update.changes.era)},
+             {"version", std::to_string(update.changes.version)},
+             {"version_before", std::to_string(replica.as_of().version)},
+             {"source", source}});
     if (update.is_snapshot)
         core_.journal().record(
             event_number::snapshot_taken,
             {{"table", std::string(to_text(update.table))},
              {"rows", std::to_string(update.changes.rows.size())},
              {"version", std::to_string(update.changes.version)},
+             {"era", std::to_string(update.changes.era)},
              {"age_ms", std::to_string(update.age.count())},
              {"source", source}});
     const table_changes applied_changes = update.is_snapshot
@@ -323,7 +354,7 @@
         const replica_position& position =
             positions[static_cast<std::size_t>(table)];
         min_age = std::min(min_age, position.age);
-        if (position.as_of == 0 || position.age > max_age(table))
+        if (position.as_of.version == 0 || position.age > max_age(table))
         {
             is_fresh = false;
             continue;
@@ -332,7 +363,9 @@
         const bool is_replica_ahead = position.as_of < replica.as_of();
         if (is_replica_ahead)
             continue;
-        if (position.digest != replica.digest())
+        const bool is_equal = position.digest == replica.digest() &&
+                              position.as_of.era == replica.as_of().era;
+        if (!is_equal)
         {
             is_behind = true;
             continue;
@@ -354,10 +387,11 @@
     for (const fleet_table table : all_fleet_tables)
     {
         const std::size_t index = static_cast<std::size_t>(table);
-        const row_version known_version =
-            needs_snapshot_[index] ? 0 : replicas_.replica(table).as_of();
-        request.target += std::string(version_parameters[index]) + "=" +
-                          std::to_string(known_version) + "&";
+        const store_position known_position =
+            needs_snapshot_[index] ? store_position{}
+                                   : replicas_.replica(table).as_of();
+        request.target += std::string(position_parameters[index]) + "=" +
+                          encode_position(known_position) + "&";
     }
     const std::string source = "relay " + relay.host;
     http_call(core_.context(), core_.connections(), {relay.address, relay.port},
@@ -396,14 +430,13 @@
         static_cast<void>(ignored);
         return;
     }
-    std::array<row_version, fleet_table_count> known_versions{};
-    for (std::size_t index = 0; index < known_versions.size(); ++index)
-        known_versions[index] = std::strtoull(
-            exchange.request().query(version_parameters[index]).c_str(),
-            nullptr, 10);
+    std::array<store_position, fleet_table_count> known_positions{};
+    for (std::size_t index = 0; index < known_positions.size(); ++index)
+        known_positions[index] = decode_position(
+            exchange.request().query(position_parameters[index]));
     response.headers.set("Content-Type", "application/cbor");
     response.body =
-        encode_updates(replicas_.changes_since(known_versions, core_.now()));
+        encode_updates(replicas_.changes_since(known_positions, core_.now()));
     const result<void> ignored = exchange.respond(response, yield);
     static_cast<void>(ignored);
 }
@@ -440,7 +473,7 @@
         !own_row_written_at_ ||
         core_.now() - *own_row_written_at_ > own_row_retry_interval;
     const bool has_host_table =
-        replicas_.replica(fleet_table::hosts).as_of() > 0;
+        replicas_.replica(fleet_table::hosts).as_of().version > 0;
     if (!is_up_to_date && may_write && has_host_table && !is_stopping_)
         write_own_row();
 }
--- a/modules/serving/catalogue/target_catalogue.cpp
+++ b/modules/serving/catalogue/target_catalogue.cpp
@@ -3,6 +3,14 @@
 namespace hibiscusferry
 {
 
+namespace
+{
+
+/** Departed targets that are remembered, several times those of a fleet. */
+constexpr std::size_t max_departed_targets = 4096;
+
+} // namespace
+
 target_catalogue::target_catalogue(
     std::chrono::milliseconds outage_grace_period)
     : outage_grace_period_(outage_grace_period)
@@ -15,11 +23,16 @@
     const auto target = targets_.find(record.id);
     if (target == targets_.end())
     {
-        targets_.emplace(record.id, record);
-        const target_change::kind type = record.is_draining
+        target_record joined = record;
+        const auto departed = departed_.find(record.id);
+        if (departed != departed_.end() &&
+            departed->second == record.started_at)
+            joined.is_draining = true;
+        targets_.emplace(record.id, joined);
+        const target_change::kind type = joined.is_draining
                                              ? target_change::kind::draining
                                              : target_change::kind::joined;
-        return {{type, record}};
+        return {{type, joined}};
     }
 
     const target_record previous = target->second;
@@ -40,6 +53,20 @@
     return {{target_change::kind::updated, target->second}};
 }
 
+std::vector<target_change>
+target_catalogue::mark_leaving(const std::string& id,
+                               std::chrono::milliseconds started_at)
+{
+    const auto target = targets_.find(id);
+    const bool is_new = target != targets_.end() &&
+                        target->second.started_at == started_at &&
+                        !target->second.is_draining;
+    if (!is_new)
+        return {};
+    target->second.is_draining = true;
+    return {{target_change::kind::draining, target->second}};
+}
+
 std::vector<target_change> target_catalogue::remove(const std::string& id,
                                                     time_point now)
 {
@@ -141,6 +168,16 @@
     if (target == targets_.end())
         return;
     changes.push_back({target_change::kind::removed, target->second});
+    if (target->second.is_draining)
+    {
+        if (departed_.insert_or_assign(id, target->second.started_at).second)
+            departed_ids_.push_back(id);
+        if (departed_ids_.size() > max_departed_targets)
+        {
+            departed_.erase(departed_ids_.front());
+            departed_ids_.pop_front();
+        }
+    }
     targets_.erase(target);
 }
 
--- a/modules/serving/catalogue/target_catalogue.hpp
+++ b/modules/serving/catalogue/target_catalogue.hpp
@@ -4,6 +4,7 @@
 #include "foundation/foundation.hpp"
 #include "serving/model/target_record.hpp"
 #include <chrono>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,7 +35,8 @@
     target whose row is missing after a store outage is therefore kept for a
     grace period, within which every running target registers again. A target
     that has started draining stays so for the rest of its incarnation, even if
-    a later row says otherwise.
+    a later row says otherwise, or its row disappears and returns, as happens
+    when the store is restored from an older copy.
 */
 class target_catalogue
 {
@@ -48,6 +50,11 @@
         @returns the resulting changes, empty if the row changes nothing */
     std::vector<target_change> put(const target_record& record);
 
+    /** Records that a target has announced in a response that it is leaving.
+        @param started_at  the incarnation that responded */
+    std::vector<target_change>
+    mark_leaving(const std::string& id, std::chrono::milliseconds started_at);
+
     /** Applies the removal of a row. */
     std::vector<target_change> remove(const std::string& id, time_point now);
 
@@ -79,6 +86,10 @@
 
     std::chrono::milliseconds outage_grace_period_;
     std::map<std::string, target_record> targets_;
+    /** The incarnations of removed targets that were draining, and their ids in
+        the order of removal. */
+    std::map<std::string, std::chrono::milliseconds> departed_;
+    std::deque<std::string> departed_ids_;
     /** The time at which each target whose row expired during a store outage
         is removed. */
     std::map<std::string, time_point> removal_times_;
--- a/modules/serving/catalogue/target_catalogue_test.cpp
+++ b/modules/serving/catalogue/target_catalogue_test.cpp
@@ -81,4 +81,45 @@
     BOOST_TEST(catalogue.targets().count("old") == 0U);
 }
 
+// After a store was restored from an older copy, the row of a target that has
+// left appears again and says that the target is ready.
+BOOST_AUTO_TEST_CASE(a_target_that_has_left_is_not_used_if_its_row_returns)
+{
+    target_catalogue catalogue{std::chrono::milliseconds(2000)};
+    const time_point now{std::chrono::seconds(1)};
+    target_record record;
+    record.id = "t1";
+    record.started_at = std::chrono::milliseconds(1000);
+    catalogue.put(record);
+    const std::vector<target_change> leaving =
+        catalogue.mark_leaving("t1", std::chrono::milliseconds(1000));
+    BOOST_REQUIRE(leaving.size() == 1U);
+    BOOST_TEST((leaving.front().type == target_change::kind::draining));
+    BOOST_TEST(
+        catalogue.mark_leaving("t1", std::chrono::milliseconds(1000)).empty());
+    BOOST_TEST(catalogue.put(record).empty());
+    catalogue.remove("t1", now);
+    const std::vector<target_change> returned = catalogue.put(record);
+    BOOST_REQUIRE(returned.size() == 1U);
+    BOOST_TEST((returned.front().type == target_change::kind::draining));
+    record.started_at = std::chrono::milliseconds(9000);
+    const std::vector<target_change> restarted = catalogue.put(record);
+    BOOST_REQUIRE(restarted.size() == 1U);
+    BOOST_TEST((restarted.front().type == target_change::kind::restarted));
+    BOOST_TEST(!restarted.front().record.is_draining);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_announcement_does_not_affect_the_next_incarnation)
+{
+    target_catalogue catalogue{std::chrono::milliseconds(2000)};
+    target_record record;
+    record.id = "t1";
+    record.started_at = std::chrono::milliseconds(9000);
+    catalogue.put(record);
+    BOOST_TEST(
+        catalogue.mark_leaving("t1", std::chrono::milliseconds(1000)).empty());
+    BOOST_TEST(
+        catalogue.mark_leaving("t2", std::chrono::milliseconds(1000)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/serving/limits/retry_delay.hpp
+++ b/modules/serving/limits/retry_delay.hpp
@@ -9,8 +9,8 @@
 {
 
 /** Returns the time after which a refused caller may retry: the time needed to
-    process the current backlog plus a random part of the same length, so that
-    callers refused together do not retry together.
+    process the current backlog plus a random part of up to the same length, so
+    that callers refused together do not retry together.
 
     @param backlog       expected time until capacity is available
     @param random_value  selects the random part
@@ -19,12 +19,12 @@
                                              std::uint64_t random_value)
 {
     constexpr std::chrono::milliseconds min_delay{50};
-    constexpr std::chrono::milliseconds max_delay{2000};
-    const std::chrono::milliseconds base =
-        std::min(std::max(backlog, min_delay), max_delay);
+    constexpr std::chrono::milliseconds max_spread{2000};
+    const std::chrono::milliseconds base = std::max(backlog, min_delay);
+    const std::chrono::milliseconds spread = std::min(base, max_spread);
     return base +
            std::chrono::milliseconds(
-               random_value % static_cast<std::uint64_t>(base.count() + 1));
+               random_value % static_cast<std::uint64_t>(spread.count() + 1));
 }
 
 } // namespace hibiscusferry
--- a/modules/serving/scheduling/decode_engine_selector.cpp
+++ b/modules/serving/scheduling/decode_engine_selector.cpp
@@ -11,9 +11,9 @@
 /** Fraction of an engine's KV cache that running requests may use. */
 constexpr double usable_memory_fraction = 0.85;
 
-/** Completions that occupy a slot at least this long are packed. This is many
-    times the 0.1 s that a short completion may take in total. */
-constexpr double min_long_completion_ms = 1000;
+/** Completions that occupy a slot at least this many latency objectives are
+    packed. */
+constexpr double min_long_completion_objectives = 8;
 
 /** Fraction of an engine's slots that is filled before long completions are
     assigned to the next engine. */
@@ -21,8 +21,8 @@
 
 /** Penalty for an engine with no free slots compared with an idle one. Its
     load reports are delayed, and requests of other hosts may be in flight to
-    it. */
-constexpr double full_engine_penalty_ms = 30;
+    it. In latency objectives. */
+constexpr double full_engine_penalty = 0.2;
 
 /** Number of engines sampled for a short completion: from the preferred zone,
     and from all zones. */
@@ -45,9 +45,9 @@
 
 } // namespace
 
-decode_engine_selector::decode_engine_selector(const engine_speeds& speeds,
-                                               const engine_properties& engine)
-    : speeds_(speeds)
+decode_engine_selector::decode_engine_selector(
+    const engine_estimates& estimates, const engine_properties& engine)
+    : estimates_(estimates)
     , engine_(engine)
 {
 }
@@ -65,6 +65,18 @@
            usable_memory_fraction * engine_.kv_capacity_tokens;
 }
 
+double decode_engine_selector::fetch_ms(const prompt_info& prompt,
+                                        bool is_same_zone) const
+{
+    const double tokens = prompt.prompt_tokens * (is_same_zone ? 1 : 2);
+    if (estimates_.transfer.is_known)
+        return estimates_.transfer.milliseconds(tokens);
+    return engine_.link_megabits_per_second > 0
+               ? tokens * engine_.kv_bytes_per_token * 8 /
+                     engine_.link_megabits_per_second / 1000
+               : 0;
+}
+
 engine_candidate
 decode_engine_selector::evaluate(const std::shared_ptr<target_view>& target,
                                  const generation_request& request,
@@ -74,8 +86,6 @@
     const prompt_info& prompt = *request.prompt;
     const in_flight_load load =
         expected_load(*target, request.constraints.live_hosts, now);
-    const double prefill_speed =
-        speeds_.prefill_tokens_per_ms * speeds_.decode_prefill_fraction;
     engine_candidate candidate;
     candidate.target = target;
     if (prefill_engine == nullptr)
@@ -83,40 +93,36 @@
             std::max(prompt.prompt_tokens -
                          target->cached_prefixes.cached_tokens(prompt),
                      0.0);
+    candidate.queued_prefill_tokens = load.pending_prefill_tokens;
     // A transferred KV cache waits only for steps already running.
     const double prefill_ms =
-        (prefill_engine == nullptr
-             ? load.pending_prefill_tokens + candidate.pending_prefill_tokens
-             : load.pending_prefill_tokens / 4) /
-        prefill_speed;
+        prefill_engine == nullptr
+            ? estimates_.direct_prefill_ms(candidate.queued_prefill_tokens +
+                                           candidate.pending_prefill_tokens)
+            : estimates_.prefill.ms_per_token * load.pending_prefill_tokens /
+                  engine_estimates::decode_prefill_fraction / 4;
     const double slots = std::max(target->record.slots, 1U);
     const double slot_ms =
-        std::min(prompt.output_tokens * speeds_.slot_ms_per_output_token,
-                 min_long_completion_ms);
+        std::min(estimates_.completion.milliseconds(prompt.output_tokens),
+                 objective_ms(request, min_long_completion_objectives));
     const double queue_ms =
         std::max(load.requests + 1 - slots, 0.0) * slot_ms / slots;
     const bool is_same_zone =
         prefill_engine == nullptr || prefill_engine->record.availability_zone ==
                                          target->record.availability_zone;
     const double transfer_ms =
-        prefill_engine != nullptr && engine_.link_megabits_per_second > 0
-            ? prompt.prompt_tokens * engine_.kv_bytes_per_token * 8 /
-                  engine_.link_megabits_per_second / 1000 *
-                  (is_same_zone ? 1 : 2)
-            : 0;
-    candidate.baseline_ms =
-        prefill_ms + queue_ms + transfer_ms +
-        std::min(load.requests, slots) * speeds_.step_ms_per_stream +
-        (prefill_engine == nullptr ? 0 : speeds_.kv_transfer_setup_ms);
+        prefill_engine != nullptr ? fetch_ms(prompt, is_same_zone) : 0;
+    candidate.baseline_ms = prefill_ms + queue_ms + transfer_ms;
     candidate.expected_ms = std::max(
         candidate.baseline_ms +
             target->expected_delay_ms(request.delays.decode_engines, now),
         0.0);
     const bool is_local_zone = target->record.availability_zone ==
                                request.constraints.availability_zone;
-    candidate.cost_ms = candidate.expected_ms +
-                        (is_local_zone ? 0 : speeds_.cross_zone_penalty_ms) +
-                        full_engine_penalty_ms * load.requests / slots;
+    candidate.cost_ms =
+        candidate.expected_ms +
+        objective_ms(request, is_local_zone ? 0 : cross_zone_penalty) +
+        objective_ms(request, full_engine_penalty) * load.requests / slots;
     return candidate;
 }
 
@@ -187,8 +193,8 @@
             candidates.push_back(target);
     }
     const bool is_long_completion =
-        request.prompt->output_tokens * speeds_.slot_ms_per_output_token >=
-        min_long_completion_ms;
+        estimates_.completion.milliseconds(request.prompt->output_tokens) >=
+        objective_ms(request, min_long_completion_objectives);
     sort_by_weight(candidates,
                    is_long_completion ? packing_key : request.random_value);
     // Prefer the local zone: the many events of a long completion would be
--- a/modules/serving/scheduling/decode_engine_selector.hpp
+++ b/modules/serving/scheduling/decode_engine_selector.hpp
@@ -1,8 +1,8 @@
 #ifndef HIBISCUSFERRY_SERVING_SCHEDULING_DECODE_ENGINE_SELECTOR_HPP
 #define HIBISCUSFERRY_SERVING_SCHEDULING_DECODE_ENGINE_SELECTOR_HPP
 
+#include "serving/estimation/engine_performance.hpp"
 #include "serving/model/fleet_configuration.hpp"
-#include "serving/scheduling/engine_speeds.hpp"
 #include "serving/scheduling/generation_request.hpp"
 
 namespace hibiscusferry
@@ -26,7 +26,7 @@
 class decode_engine_selector
 {
 public:
-    decode_engine_selector(const engine_speeds& speeds,
+    decode_engine_selector(const engine_estimates& estimates,
                            const engine_properties& engine);
 
     /** @param prefill_engine  the engine that has prefilled the prompt and
@@ -40,6 +40,9 @@
                             time_point now) const;
 
 private:
+    /** Time from an attempt that fetches the KV cache of the prompt to the
+        first event. */
+    double fetch_ms(const prompt_info& prompt, bool is_same_zone) const;
     bool has_memory(const target_view& target,
                     const generation_request& request, time_point now) const;
     engine_candidate evaluate(const std::shared_ptr<target_view>& target,
@@ -54,7 +57,7 @@
         const target_list& candidates, const generation_request& request,
         const target_view* prefill_engine, time_point now) const;
 
-    engine_speeds speeds_;
+    engine_estimates estimates_;
     engine_properties engine_;
 };
 
--- a/modules/serving/scheduling/engine_scheduler.cpp
+++ b/modules/serving/scheduling/engine_scheduler.cpp
@@ -14,15 +14,24 @@
     is started would narrowly miss its objective. */
 constexpr double usable_objective_fraction = 0.7;
 
-/** Maximum number of tokens that a decode engine prefills itself if a prefill
-    engine is available. A decode engine prefills in chunks of 512 tokens, a
-    quarter of the chunk size of a prefill engine, and all its streams wait for
-    each chunk. */
-constexpr double max_direct_prefill_tokens = 600;
+/** Longest prefill, in latency objectives, by a decode engine if a prefill
+    engine is available. All streams of a decode engine wait for each chunk that
+    it prefills. */
+constexpr double max_direct_prefill_objectives = 0.025;
+
+/** A generation whose own processing takes most of the objective is started if
+    it waits at most this fraction of that time for others. It would otherwise
+   be refused for its size, however idle the engines are. */
+constexpr double max_relative_wait = 0.4;
+
+/** Callers leave before their deadline if they receive no event. */
+constexpr double max_deadline_fraction = 0.5;
 
 /** Maximum expected time to the first event for which a generation is
-    started. */
-double max_wait_ms(const generation_request& request)
+    started.
+    @param processing_ms  the part of the expected time that is due to the
+                          generation itself */
+double max_expected_ms(const generation_request& request, double processing_ms)
 {
     const double time_to_objective =
         static_cast<double>(request.time_to_objective.count());
@@ -31,8 +40,9 @@
     // The objective has been missed, but a late response is still useful.
     if (time_to_objective <= 0)
         return time_to_deadline / 2;
-    return std::min(usable_objective_fraction * time_to_objective,
-                    time_to_deadline);
+    return std::min(std::max(usable_objective_fraction * time_to_objective,
+                             (1 + max_relative_wait) * processing_ms),
+                    max_deadline_fraction * time_to_deadline);
 }
 
 bool has_decode_engine(const target_list& targets, time_point now)
@@ -47,16 +57,33 @@
 
 } // namespace
 
-engine_scheduler::engine_scheduler(const engine_speeds& speeds)
-    : speeds_(speeds)
+engine_scheduler::engine_scheduler(const engine_estimates& estimates)
+    : estimates_(estimates)
+{
+}
+
+double
+engine_scheduler::direct_compute_ms(const engine_candidate& candidate) const
+{
+    return estimates_.prefill.ms_per_token * candidate.pending_prefill_tokens /
+           engine_estimates::decode_prefill_fraction;
+}
+
+double engine_scheduler::processing_ms(const engine_assignment& assignment,
+                                       const generation_request& request) const
 {
+    if (!assignment.prefill_engine)
+        return estimates_.direct_prefill_ms(assignment.pending_prefill_tokens);
+    return assignment.prefix_fetch_ms +
+           estimates_.prefill.milliseconds(assignment.pending_prefill_tokens) +
+           estimates_.transfer.milliseconds(request.prompt->prompt_tokens);
 }
 
 engine_assignment engine_scheduler::find_cheapest(
     const target_list& targets, const generation_request& request,
     const engine_properties& engine, time_point now) const
 {
-    const decode_engine_selector decode_engines(speeds_, engine);
+    const decode_engine_selector decode_engines(estimates_, engine);
     engine_assignment assignment;
     if (request.prefilled_by)
     {
@@ -74,14 +101,19 @@
     assignment.decode_baseline_ms = direct.baseline_ms;
     assignment.expected_ms = direct.expected_ms;
     assignment.pending_prefill_tokens = direct.pending_prefill_tokens;
+    assignment.queued_prefill_tokens = direct.queued_prefill_tokens;
     const bool is_short_prefill =
         direct.target &&
-        direct.pending_prefill_tokens <= max_direct_prefill_tokens;
+        (direct.pending_prefill_tokens <= 0 ||
+         (estimates_.prefill.is_known &&
+          direct_compute_ms(direct) <=
+              objective_ms(request, max_direct_prefill_objectives)));
     if (!request.may_transfer_kv)
         return assignment;
 
     const engine_candidate prefill_engine =
-        prefill_engine_selector(speeds_, engine).select(targets, request, now);
+        prefill_engine_selector(estimates_, engine)
+            .select(targets, request, now);
     if (!prefill_engine.target)
         return assignment;
     const engine_candidate decode_engine = decode_engines.select(
@@ -99,6 +131,8 @@
     assignment.decode_baseline_ms = decode_engine.baseline_ms;
     assignment.prefix_source = prefill_engine.prefix_source;
     assignment.pending_prefill_tokens = prefill_engine.pending_prefill_tokens;
+    assignment.queued_prefill_tokens = prefill_engine.queued_prefill_tokens;
+    assignment.prefix_fetch_ms = prefill_engine.prefix_fetch_ms;
     return assignment;
 }
 
@@ -116,7 +150,8 @@
                      : scheduling_failure::no_target;
         return assignment;
     }
-    if (assignment.expected_ms > max_wait_ms(request))
+    if (assignment.expected_ms >
+        max_expected_ms(request, processing_ms(assignment, request)))
     {
         reason = scheduling_failure::busy;
         assignment.prefill_engine = nullptr;
--- a/modules/serving/scheduling/engine_scheduler.hpp
+++ b/modules/serving/scheduling/engine_scheduler.hpp
@@ -1,9 +1,9 @@
 #ifndef HIBISCUSFERRY_SERVING_SCHEDULING_ENGINE_SCHEDULER_HPP
 #define HIBISCUSFERRY_SERVING_SCHEDULING_ENGINE_SCHEDULER_HPP
 
+#include "serving/estimation/engine_performance.hpp"
 #include "serving/model/fleet_configuration.hpp"
 #include "serving/scheduling/decode_engine_selector.hpp"
-#include "serving/scheduling/engine_speeds.hpp"
 #include "serving/scheduling/generation_request.hpp"
 #include "serving/scheduling/prefill_engine_selector.hpp"
 
@@ -28,6 +28,10 @@
     std::shared_ptr<target_view> prefix_source;
     /** Tokens that remain to be prefilled. */
     double pending_prefill_tokens = 0;
+    /** Tokens of other requests that the engine prefills before them. */
+    double queued_prefill_tokens = 0;
+    /** Time to fetch prefix blocks from `prefix_source`. */
+    double prefix_fetch_ms = 0;
 };
 
 /** Assigns engines to a generation, or refuses it.
@@ -42,7 +46,7 @@
 class engine_scheduler
 {
 public:
-    explicit engine_scheduler(const engine_speeds& speeds);
+    explicit engine_scheduler(const engine_estimates& estimates);
 
     /** @param reason  receives the reason if the request is refused
         @returns the assignment; without a decode engine if the request is
@@ -58,8 +62,14 @@
                                     const generation_request& request,
                                     const engine_properties& engine,
                                     time_point now) const;
+    /** Expected time to the first event if the engines were idle. */
+    double processing_ms(const engine_assignment& assignment,
+                         const generation_request& request) const;
+    /** Time for which a decode engine computes the prompt itself, and its
+        streams wait. */
+    double direct_compute_ms(const engine_candidate& candidate) const;
 
-    engine_speeds speeds_;
+    engine_estimates estimates_;
 };
 
 } // namespace hibiscusferry
--- a/modules/serving/scheduling/generation_request.cpp
+++ b/modules/serving/scheduling/generation_request.cpp
@@ -5,6 +5,11 @@
 namespace hibiscusferry
 {
 
+double objective_ms(const generation_request& request, double fraction)
+{
+    return fraction * static_cast<double>(request.latency_objective.count());
+}
+
 bool is_eligible(const target_view& target, const generation_request& request,
                  time_point now)
 {
--- a/modules/serving/scheduling/generation_request.hpp
+++ b/modules/serving/scheduling/generation_request.hpp
@@ -19,6 +19,8 @@
 struct generation_request
 {
     const prompt_info* prompt = nullptr;
+    /** The latency objective of the route, the unit of all penalties. */
+    std::chrono::milliseconds latency_objective{0};
     /** Time left to meet the latency objective; negative if it has been
         missed. */
     std::chrono::milliseconds time_to_objective{0};
@@ -50,6 +52,10 @@
     double expected_ms = 0;
     /** Tokens that the engine would have to prefill. */
     double pending_prefill_tokens = 0;
+    /** Tokens that the engine has to prefill before them. */
+    double queued_prefill_tokens = 0;
+    /** Time to fetch prefix blocks from `prefix_source`. */
+    double prefix_fetch_ms = 0;
     /** An engine from which this one fetches the prefix blocks that it lacks;
         null if it fetches none. */
     std::shared_ptr<target_view> prefix_source;
@@ -60,6 +66,13 @@
 bool is_eligible(const target_view& target, const generation_request& request,
                  time_point now);
 
+/** A fraction of the latency objective. */
+double objective_ms(const generation_request& request, double fraction);
+
+/** The latency to another availability zone plus the price of cross-zone
+    traffic, expressed as a fraction of the latency objective. */
+constexpr double cross_zone_penalty = 0.04;
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/serving/scheduling/observed_delay.hpp
+++ b/modules/serving/scheduling/observed_delay.hpp
@@ -23,15 +23,18 @@
 public:
     /** Records a finished exchange.
         @param expected_ms  its estimated duration
-        @param observed     its actual duration */
+        @param observed     its actual duration
+        @param objective    the latency objective of the request */
     void add(double expected_ms,
-             std::chrono::duration<double, std::milli> observed, time_point now)
+             std::chrono::duration<double, std::milli> observed,
+             std::chrono::milliseconds objective, time_point now)
     {
         constexpr double newest_exchange_weight = 0.12;
         // Limits the influence of a single exchange that hangs.
-        constexpr double max_difference_ms = 500;
-        const double difference =
-            std::min(observed.count() - expected_ms, max_difference_ms);
+        constexpr double max_difference_objectives = 3;
+        const double difference = std::min(
+            observed.count() - expected_ms,
+            max_difference_objectives * static_cast<double>(objective.count()));
         const double previous_mean_ms = mean_ms(now);
         mean_ms_ = previous_mean_ms +
                    newest_exchange_weight * (difference - previous_mean_ms);
--- a/modules/serving/scheduling/prefill_engine_selector.cpp
+++ b/modules/serving/scheduling/prefill_engine_selector.cpp
@@ -11,9 +11,6 @@
 /** Number of owners per shared prefix. */
 constexpr std::size_t owner_count = 2;
 
-/** Number of engines sampled per request in addition to the owners. */
-constexpr std::size_t sampled_engine_count = 0;
-
 double shared_tokens(const prompt_info& prompt)
 {
     double tokens = 0;
@@ -23,16 +20,15 @@
 }
 
 /** Moves the `count` engines with the highest rendezvous weight for a key to
-    the position `begin`, in descending order.
+    the front, in descending order.
     @returns the end of the sorted range */
 std::size_t move_highest_weights_to_front(target_list& prefill_engines,
-                                          std::size_t begin, std::size_t count,
-                                          std::uint64_t key)
+                                          std::size_t count, std::uint64_t key)
 {
-    const std::size_t end = std::min(prefill_engines.size(), begin + count);
-    const auto first = prefill_engines.begin();
-    std::partial_sort(first + static_cast<std::ptrdiff_t>(begin),
-                      first + static_cast<std::ptrdiff_t>(end),
+    const std::size_t end = std::min(prefill_engines.size(), count);
+    std::partial_sort(prefill_engines.begin(),
+                      prefill_engines.begin() +
+                          static_cast<std::ptrdiff_t>(end),
                       prefill_engines.end(),
                       [key](const std::shared_ptr<target_view>& left,
                             const std::shared_ptr<target_view>& right)
@@ -71,8 +67,8 @@
 } // namespace
 
 prefill_engine_selector::prefill_engine_selector(
-    const engine_speeds& speeds, const engine_properties& engine)
-    : speeds_(speeds)
+    const engine_estimates& estimates, const engine_properties& engine)
+    : estimates_(estimates)
     , engine_(engine)
 {
 }
@@ -88,7 +84,7 @@
                                        source_engine.record.availability_zone
                                    ? 1
                                    : 2;
-    return speeds_.kv_transfer_setup_ms +
+    return estimates_.transfer.offset_ms +
            zone_factor * tokens * engine_.kv_bytes_per_token * 8 /
                engine_.link_megabits_per_second / 1000;
 }
@@ -105,31 +101,32 @@
                               : target->cached_prefixes.cached_tokens(prompt);
     engine_candidate candidate;
     candidate.target = target;
-    double fetch_ms = 0;
     if (source_engine && cached < shared_prefix_tokens)
     {
         candidate.prefix_source = source_engine;
-        fetch_ms = prefix_fetch_ms(*target, *source_engine,
-                                   shared_prefix_tokens - cached);
+        candidate.prefix_fetch_ms = prefix_fetch_ms(
+            *target, *source_engine, shared_prefix_tokens - cached);
     }
     candidate.pending_prefill_tokens =
         std::max(prompt.prompt_tokens -
                      (candidate.prefix_source ? shared_prefix_tokens : cached),
                  0.0);
-    const double queued_tokens =
+    candidate.queued_prefill_tokens =
         expected_load(*target, request.constraints.live_hosts, now)
             .pending_prefill_tokens;
     candidate.baseline_ms =
-        fetch_ms + (queued_tokens + candidate.pending_prefill_tokens) /
-                       speeds_.prefill_tokens_per_ms;
+        candidate.prefix_fetch_ms +
+        estimates_.prefill.milliseconds(candidate.queued_prefill_tokens +
+                                        candidate.pending_prefill_tokens);
     candidate.expected_ms = std::max(
         candidate.baseline_ms +
             target->expected_delay_ms(request.delays.prefill_engines, now),
         0.0);
     const bool is_local_zone = target->record.availability_zone ==
                                request.constraints.availability_zone;
-    candidate.cost_ms = candidate.expected_ms +
-                        (is_local_zone ? 0 : speeds_.cross_zone_penalty_ms);
+    candidate.cost_ms =
+        candidate.expected_ms +
+        objective_ms(request, is_local_zone ? 0 : cross_zone_penalty);
     return candidate;
 }
 
@@ -148,15 +145,12 @@
             is_eligible(*target, request, now))
             prefill_engines.push_back(target);
     }
-    const std::size_t owners_end = move_highest_weights_to_front(
-        prefill_engines, 0, owner_count, prefix_key);
-    const std::size_t end = move_highest_weights_to_front(
-        prefill_engines, owners_end, sampled_engine_count,
-        request.random_value);
+    const std::size_t owners_end =
+        move_highest_weights_to_front(prefill_engines, owner_count, prefix_key);
     const std::shared_ptr<target_view> source_engine =
         find_source_engine(targets, prefix_key, now);
     engine_candidate cheapest;
-    for (std::size_t index = 0; index < end; ++index)
+    for (std::size_t index = 0; index < owners_end; ++index)
     {
         const engine_candidate candidate =
             evaluate(prefill_engines[index], source_engine, request, now);
--- a/modules/serving/scheduling/prefill_engine_selector.hpp
+++ b/modules/serving/scheduling/prefill_engine_selector.hpp
@@ -1,8 +1,8 @@
 #ifndef HIBISCUSFERRY_SERVING_SCHEDULING_PREFILL_ENGINE_SELECTOR_HPP
 #define HIBISCUSFERRY_SERVING_SCHEDULING_PREFILL_ENGINE_SELECTOR_HPP
 
+#include "serving/estimation/engine_performance.hpp"
 #include "serving/model/fleet_configuration.hpp"
-#include "serving/scheduling/engine_speeds.hpp"
 #include "serving/scheduling/generation_request.hpp"
 
 namespace hibiscusferry
@@ -27,7 +27,7 @@
 class prefill_engine_selector
 {
 public:
-    prefill_engine_selector(const engine_speeds& speeds,
+    prefill_engine_selector(const engine_estimates& estimates,
                             const engine_properties& engine);
 
     /** @returns a candidate without a target if no prefill engine is
@@ -47,7 +47,7 @@
                            const target_view& source_engine,
                            double tokens) const;
 
-    engine_speeds speeds_;
+    engine_estimates estimates_;
     engine_properties engine_;
 };
 
--- a/modules/serving/scheduling/prefix_cache_estimate.cpp
+++ b/modules/serving/scheduling/prefix_cache_estimate.cpp
@@ -3,12 +3,17 @@
 namespace hibiscusferry
 {
 
-prefix_cache_estimate::prefix_cache_estimate(double capacity_tokens)
-    : capacity_tokens_(capacity_tokens)
+namespace
 {
-}
 
-void prefix_cache_estimate::add(const prompt_info& prompt)
+/** Fraction of an engine's memory that holds prefix blocks; running requests
+    use the rest. */
+constexpr double prefix_memory_fraction = 0.73;
+
+} // namespace
+
+void prefix_cache_estimate::add(const prompt_info& prompt,
+                                double kv_capacity_tokens)
 {
     for (std::size_t block_count = 1;
          block_count <= prompt.shared_block_count(); ++block_count)
@@ -26,7 +31,8 @@
         blocks_[key] = {tokens, lru_keys_.begin()};
         total_tokens_ += tokens;
     }
-    while (total_tokens_ > capacity_tokens_ && !lru_keys_.empty())
+    const double capacity_tokens = prefix_memory_fraction * kv_capacity_tokens;
+    while (total_tokens_ > capacity_tokens && !lru_keys_.empty())
     {
         const auto oldest = blocks_.find(lru_keys_.back());
         total_tokens_ -= oldest->second.tokens;
--- a/modules/serving/scheduling/prefix_cache_estimate.hpp
+++ b/modules/serving/scheduling/prefix_cache_estimate.hpp
@@ -17,12 +17,9 @@
 class prefix_cache_estimate
 {
 public:
-    /** @param capacity_tokens  the part of the engine's memory that holds
-                                prefix blocks */
-    explicit prefix_cache_estimate(double capacity_tokens);
-
-    /** Records that the engine has prefilled or fetched a prompt. */
-    void add(const prompt_info& prompt);
+    /** Records that the engine has prefilled or fetched a prompt.
+        @param kv_capacity_tokens  the memory of the engine */
+    void add(const prompt_info& prompt, double kv_capacity_tokens);
 
     /** Returns the number of leading tokens of the prompt that the engine is
         expected to have cached. */
@@ -38,7 +35,6 @@
         std::list<std::uint64_t>::iterator position;
     };
 
-    double capacity_tokens_;
     double total_tokens_ = 0;
     /** Keys of the cached blocks, the most recently used first. */
     std::list<std::uint64_t> lru_keys_;
--- a/modules/serving/scheduling/serving_fakes.hpp
+++ b/modules/serving/scheduling/serving_fakes.hpp
@@ -39,6 +39,21 @@
     return properties;
 }
 
+/** The speeds of an engine that prefills 350 tokens a millisecond and starts a
+    stream 3 ms after it has fetched a KV cache. */
+inline engine_estimates make_engine_estimates()
+{
+    engine_estimates estimates;
+    estimates.prefill = {0, 1.0 / 350, true};
+    const engine_properties engine = make_engine_properties();
+    estimates.transfer = {3,
+                          engine.kv_bytes_per_token * 8 /
+                              engine.link_megabits_per_second / 1000,
+                          true};
+    estimates.completion = {0, 40, true};
+    return estimates;
+}
+
 /** Returns a prompt of 9,190 tokens with a shared prefix of 6,300 tokens. */
 inline prompt_info make_long_prompt(const std::string& document,
                                     const std::string& session)
@@ -65,6 +80,7 @@
 {
     generation_request request;
     request.prompt = &prompt;
+    request.latency_objective = std::chrono::milliseconds(150);
     request.time_to_objective = std::chrono::milliseconds(150);
     request.time_to_deadline = std::chrono::milliseconds(2000);
     request.constraints.availability_zone = "a";
--- a/modules/serving/scheduling/target_registry.cpp
+++ b/modules/serving/scheduling/target_registry.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-/** Capacity of the prefix cache estimate of an engine; slightly less than the
-    smallest engine caches besides its running requests. */
-constexpr double prefix_cache_capacity_tokens = 500000;
-
 /** Time within which most documents in use are requested again. */
 constexpr std::chrono::seconds cache_warm_up_time{8};
 
@@ -28,7 +24,6 @@
 target_view::target_view(const target_record& initial_record)
     : record(initial_record)
     , key(key_of_target(initial_record.id))
-    , cached_prefixes(prefix_cache_capacity_tokens)
     , is_withdrawn(initial_record.is_draining)
 {
 }
@@ -93,6 +88,23 @@
     return load;
 }
 
+std::optional<time_point>
+earliest_refusal_end(const std::vector<std::shared_ptr<target_view>>& targets,
+                     time_point now)
+{
+    std::optional<time_point> earliest;
+    for (const std::shared_ptr<target_view>& target : targets)
+    {
+        if (target->is_available(now))
+            return std::nullopt;
+        const bool is_refusing =
+            !target->is_withdrawn && now < target->refuses_until;
+        if (is_refusing && (!earliest || target->refuses_until < *earliest))
+            earliest = target->refuses_until;
+    }
+    return earliest;
+}
+
 target_load_guard::target_load_guard(std::shared_ptr<target_view> target,
                                      double pending_prefill_tokens,
                                      double kv_tokens, const clock& time)
--- a/modules/serving/scheduling/target_registry.hpp
+++ b/modules/serving/scheduling/target_registry.hpp
@@ -84,6 +84,13 @@
 in_flight_load expected_load(const target_view& target, std::size_t live_hosts,
                              time_point now);
 
+/** Returns when the first of the targets that currently want no requests
+   accepts them again; none if no target refuses, or another one is available.
+ */
+std::optional<time_point>
+earliest_refusal_end(const std::vector<std::shared_ptr<target_view>>& targets,
+                     time_point now);
+
 /** RAII guard that counts a request in the target's load until it is
     destroyed. */
 class target_load_guard
--- a/modules/serving/scheduling/target_registry_test.cpp
+++ b/modules/serving/scheduling/target_registry_test.cpp
@@ -96,4 +96,24 @@
     BOOST_TEST((registry.find("e")->stage_change_until <= start));
 }
 
+BOOST_AUTO_TEST_CASE(the_end_of_refusals_is_known_only_if_all_targets_refuse)
+{
+    const time_point now{std::chrono::seconds(10)};
+    std::vector<std::shared_ptr<target_view>> targets;
+    for (int number = 0; number < 3; ++number)
+    {
+        target_record record;
+        record.id = "t" + std::to_string(number);
+        targets.push_back(std::make_shared<target_view>(record));
+    }
+    BOOST_TEST(!earliest_refusal_end(targets, now).has_value());
+    targets[0]->refuses_until = now + std::chrono::seconds(5);
+    targets[1]->refuses_until = now + std::chrono::seconds(3);
+    BOOST_TEST(!targets[0]->is_available(now));
+    BOOST_TEST(!earliest_refusal_end(targets, now).has_value());
+    targets[2]->is_withdrawn = true;
+    BOOST_TEST((earliest_refusal_end(targets, now).value() ==
+                now + std::chrono::seconds(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -1,6 +1,8 @@
 #include "serving/serving.hpp"
 
 #include "serving/catalogue/target_catalogue.cpp"
+#include "serving/estimation/duration_model.cpp"
+#include "serving/estimation/engine_performance.cpp"
 #include "serving/health/observed_health.cpp"
 #include "serving/limits/fleet_retry_budget.cpp"
 #include "serving/model/fleet_configuration.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -14,6 +14,8 @@
 #include "foundation/foundation.hpp"
 
 #include "serving/catalogue/target_catalogue.hpp"
+#include "serving/estimation/duration_model.hpp"
+#include "serving/estimation/engine_performance.hpp"
 #include "serving/health/observed_health.hpp"
 #include "serving/limits/connection_allowance.hpp"
 #include "serving/limits/fleet_retry_budget.hpp"
@@ -24,7 +26,6 @@
 #include "serving/model/target_record.hpp"
 #include "serving/scheduling/decode_engine_selector.hpp"
 #include "serving/scheduling/engine_scheduler.hpp"
-#include "serving/scheduling/engine_speeds.hpp"
 #include "serving/scheduling/generation_request.hpp"
 #include "serving/scheduling/observed_delay.hpp"
 #include "serving/scheduling/prefill_engine_selector.hpp"
--- a/modules/serving/stages/stage_planner.cpp
+++ b/modules/serving/stages/stage_planner.cpp
@@ -83,50 +83,89 @@
 } // namespace
 
 double planned_prefill_fraction(const engine_properties& engine,
-                                const engine_speeds& speeds,
-                                const reference_prompt& prompt)
+                                const stage_demand& demand, std::size_t zones)
 {
-    // Two out of three fetches cross zones, which takes twice as long.
-    constexpr double zone_factor = 5.0 / 3;
     // Decode engines also run the streams, and their load is uneven.
     constexpr double decode_reserve = 1.3;
+    // Completions of prompts that decode engines prefill themselves come in
+    // bursts, and are not part of the demand.
     constexpr double min_fraction = 0.5;
     constexpr double max_fraction = 0.8;
-    if (engine.link_megabits_per_second <= 0)
+    const double cross_zone_fraction =
+        1 - 1 / static_cast<double>(std::max<std::size_t>(zones, 1));
+    const double fetch_ms = engine.link_megabits_per_second > 0
+                                ? (1 + cross_zone_fraction) *
+                                      demand.fetched_tokens *
+                                      engine.kv_bytes_per_token * 8 /
+                                      engine.link_megabits_per_second / 1000
+                                : 0;
+    const double slot_ms = demand.slot_ms / std::max(engine.slots, 1U);
+    const double decode_ms = std::max(decode_reserve * fetch_ms, slot_ms);
+    const double total_ms = demand.prefill_ms + decode_ms;
+    if (total_ms <= 0)
         return min_fraction;
-    const double prefill_ms =
-        prompt.pending_prefill_tokens / speeds.prefill_tokens_per_ms;
-    const double fetch_ms = prompt.tokens * engine.kv_bytes_per_token * 8 /
-                            engine.link_megabits_per_second / 1000;
-    const double slot_ms = prompt.output_tokens *
-                           speeds.slot_ms_per_output_token /
-                           std::max(engine.slots, 1U);
-    const double decode_ms =
-        std::max(decode_reserve * zone_factor * fetch_ms, slot_ms);
-    const double fraction = prefill_ms / (prefill_ms + decode_ms);
-    return std::clamp(fraction, min_fraction, max_fraction);
+    return std::clamp(demand.prefill_ms / total_ms, min_fraction, max_fraction);
 }
 
 stage_planner::stage_planner(const stage_planner_settings& settings)
     : settings_(settings)
+    , is_observed_plan_applied_(settings.is_already_divided)
+    , is_initial_plan_complete_(settings.is_already_divided)
 {
 }
 
-std::size_t stage_planner::desired_prefill_engines(std::size_t engines) const
+void stage_planner::set_prefill_fraction(double fraction, time_point now)
 {
-    const double desired =
-        settings_.prefill_fraction * static_cast<double>(engines);
+    observed_fraction_ = fraction;
+    if (!observed_since_)
+        observed_since_ = now;
+    if (is_observed_plan_applied_)
+        return;
+    // A small difference may still be due to caches that are not warm yet.
+    const bool is_clear =
+        std::abs(fraction - settings_.initial_prefill_fraction) >=
+        settings_.min_clear_difference;
+    const std::chrono::milliseconds delay =
+        is_clear ? settings_.observation_time : settings_.correction_delay;
+    if (now - *observed_since_ < delay)
+        return;
+    is_observed_plan_applied_ = true;
+    is_initial_plan_complete_ = false;
+    matching_since_.reset();
+}
+
+std::size_t stage_planner::min_difference(std::size_t engines) const
+{
+    const double fraction_of_engines =
+        settings_.min_difference_fraction * static_cast<double>(engines);
+    return std::max(settings_.min_difference,
+                    static_cast<std::size_t>(std::lround(fraction_of_engines)));
+}
+
+std::size_t
+stage_planner::desired_prefill_engines(std::size_t engines,
+                                       std::size_t prefill_engines) const
+{
+    const bool is_unobserved = !observed_fraction_;
+    const bool is_stage_missing =
+        prefill_engines == 0 || prefill_engines == engines;
+    if (is_unobserved && settings_.is_already_divided && !is_stage_missing)
+        return prefill_engines;
+    // Until the observed plan is due, corrections follow the initial one.
+    const double fraction = is_observed_plan_applied_ && observed_fraction_
+                                ? *observed_fraction_
+                                : settings_.initial_prefill_fraction;
+    const double desired = fraction * static_cast<double>(engines);
     return std::clamp<std::size_t>(
         static_cast<std::size_t>(std::lround(desired)), 1, engines - 1);
 }
 
-bool stage_planner::is_change_due(std::size_t difference, bool is_stage_missing,
-                                  time_point now)
+bool stage_planner::is_change_due(std::size_t difference,
+                                  std::size_t min_difference,
+                                  bool is_stage_missing, time_point now)
 {
     const std::size_t required_difference =
-        is_initial_plan_complete_ && !is_stage_missing
-            ? settings_.min_difference
-            : 1;
+        is_initial_plan_complete_ && !is_stage_missing ? min_difference : 1;
     if (difference < required_difference)
     {
         differing_since_.reset();
@@ -155,7 +194,8 @@
         return {};
     const std::size_t prefill_engines =
         count_stage(engines, target_role::prefill, now);
-    const std::size_t desired = desired_prefill_engines(engines.size());
+    const std::size_t desired =
+        desired_prefill_engines(engines.size(), prefill_engines);
     const std::size_t difference = desired > prefill_engines
                                        ? desired - prefill_engines
                                        : prefill_engines - desired;
@@ -165,8 +205,9 @@
         desired > prefill_engines ? target_role::decode : target_role::prefill;
     const target_role new_stage =
         desired > prefill_engines ? target_role::prefill : target_role::decode;
-    const bool is_large = difference >= settings_.min_difference;
-    if (!is_change_due(difference, is_stage_missing, now))
+    const std::size_t large_difference = min_difference(engines.size());
+    const bool is_large = difference >= large_difference;
+    if (!is_change_due(difference, large_difference, is_stage_missing, now))
         engines = is_large ? recently_joined(engines, current_stage, now)
                            : target_list{};
     std::vector<stage_change> changes;
--- a/modules/serving/stages/stage_planner.hpp
+++ b/modules/serving/stages/stage_planner.hpp
@@ -14,39 +14,37 @@
 /** Settings for dividing the engines of a service between the stages. */
 struct stage_planner_settings
 {
-    /** Fraction of the engines that serve as prefill engines. */
-    double prefill_fraction = 0.64;
+    /** Fraction of the engines that serve as prefill engines before any demand
+        has been observed. */
+    double initial_prefill_fraction = 0.62;
+    /** Whether the engines have already been divided, by another host. The
+        existing division is then kept until demand has been observed. */
+    bool is_already_divided = false;
+    /** The demand is observed for this long before a plan that is based on it
+        replaces the initial one, if they differ clearly. */
+    std::chrono::milliseconds observation_time{2000};
+    double min_clear_difference = 0.15;
     /** A difference from the plan is corrected only after it has lasted this
         long. The initial plan of a service is applied immediately. */
     std::chrono::milliseconds correction_delay{6000};
     /** The initial plan is complete when the division has matched it for this
         long; until then, engines are still joining. */
     std::chrono::milliseconds stabilization_time{4000};
-    /** Smaller differences, in engines, are ignored once the initial plan is
-        complete. */
+    /** Smaller differences are ignored once the initial plan is complete: in
+        engines, and as a fraction of them. */
     std::size_t min_difference = 2;
-};
-
-/** The prompt for which the division of engines is planned before any traffic
-    has been observed. */
-struct reference_prompt
-{
-    /** Length of a typical long prompt. */
-    double tokens = 9200;
-    /** The request-specific block and a tenth of the shared prefix. */
-    double pending_prefill_tokens = 3500;
-    double output_tokens = 2;
+    double min_difference_fraction = 0.08;
 };
 
 /** Returns the fraction of a service's engines that should be prefill engines,
-    so that both stages can process the same number of prompts per second. A
-    prefill engine is occupied by the uncached tokens of a prompt. A decode
-    engine is occupied by fetching the KV cache of the whole prompt, in two out
-    of three cases from another zone at half the speed, or by the slots that
-    completions hold. */
+    so that both stages can process the same number of generations per second.
+    A prefill engine is occupied by the tokens of a prompt that are not cached.
+    A decode engine is occupied by fetching the KV cache of the whole prompt,
+    which takes twice as long from another zone, or by the slots that
+    generations hold.
+    @param zones  number of availability zones with engines */
 double planned_prefill_fraction(const engine_properties& engine,
-                                const engine_speeds& speeds,
-                                const reference_prompt& prompt);
+                                const stage_demand& demand, std::size_t zones);
 
 /** A stage change that an engine should be ordered to make. */
 struct stage_change
@@ -73,6 +71,11 @@
 public:
     explicit stage_planner(const stage_planner_settings& settings);
 
+    /** Sets the fraction of the engines that should be prefill engines,
+        according to the observed demand. The first one that has lasted is
+        applied exactly, later ones only if they differ enough. */
+    void set_prefill_fraction(double fraction, time_point now);
+
     /** Returns the stage changes to order now. Changes in progress count as
         complete. */
     std::vector<stage_change>
@@ -80,11 +83,17 @@
          time_point now);
 
 private:
-    std::size_t desired_prefill_engines(std::size_t engines) const;
-    bool is_change_due(std::size_t difference, bool is_stage_missing,
-                       time_point now);
+    std::size_t desired_prefill_engines(std::size_t engines,
+                                        std::size_t prefill_engines) const;
+    std::size_t min_difference(std::size_t engines) const;
+    bool is_change_due(std::size_t difference, std::size_t min_difference,
+                       bool is_stage_missing, time_point now);
 
     stage_planner_settings settings_;
+    /** None before any demand has been observed. */
+    std::optional<double> observed_fraction_;
+    std::optional<time_point> observed_since_;
+    bool is_observed_plan_applied_ = false;
     bool is_initial_plan_complete_ = false;
     std::optional<time_point> matching_since_;
     std::optional<time_point> differing_since_;
--- a/modules/sharing/load/in_flight_load.hpp
+++ b/modules/sharing/load/in_flight_load.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_SHARING_LOAD_IN_FLIGHT_LOAD_HPP
 #define HIBISCUSFERRY_SHARING_LOAD_IN_FLIGHT_LOAD_HPP
 
+#include "sharing/load/engine_observations.hpp"
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -48,6 +49,8 @@
 {
     std::size_t hosts = 0;
     in_flight_loads loads;
+    /** The sums of their observations of engines. */
+    service_observations observations;
 };
 
 } // namespace hibiscusferry
--- a/modules/sharing/load/load_aggregator.cpp
+++ b/modules/sharing/load/load_aggregator.cpp
@@ -25,6 +25,8 @@
 {
     entry.received_at = now;
     entry.hosts = part.hosts;
+    if (!part.observations.empty())
+        entry.observations = part.observations;
     for (auto load = entry.loads.begin(); load != entry.loads.end();)
     {
         if (load->first % part.count == part.index)
@@ -59,6 +61,7 @@
             continue;
         sum.hosts += entry.hosts;
         add_loads(sum.loads, entry.loads);
+        add_observations(sum.observations, entry.observations);
     }
     return sum;
 }
@@ -71,6 +74,7 @@
     {
         sum.hosts += entry.hosts;
         add_loads(sum.loads, entry.loads);
+        add_observations(sum.observations, entry.observations);
     }
     return sum;
 }
--- a/modules/sharing/load/load_aggregator.hpp
+++ b/modules/sharing/load/load_aggregator.hpp
@@ -22,6 +22,9 @@
     /** Number of hosts whose loads are included. */
     std::size_t hosts = 1;
     in_flight_loads loads;
+    /** Observations of engines; empty in most reports, because they change
+        slowly. */
+    service_observations observations;
 };
 
 /** Aggregates the loads that a relay receives from the hosts that report to it
@@ -59,6 +62,7 @@
         time_point received_at;
         std::size_t hosts = 0;
         in_flight_loads loads;
+        service_observations observations;
     };
     using entry_map = std::map<std::string, reported_loads>;
 
--- a/modules/sharing/message/sharing_message.cpp
+++ b/modules/sharing/message/sharing_message.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::uint64_t message_version = 1;
+constexpr std::uint64_t message_version = 2;
 constexpr double requests_unit = 0.1;
 constexpr double tokens_unit = 16;
 constexpr double exchanges_unit = 0.1;
@@ -20,7 +20,7 @@
 /** The key of a target and the members of its load. */
 constexpr std::size_t numbers_per_target = 8;
 /** The members of a replica_position. */
-constexpr std::size_t numbers_per_table = 3;
+constexpr std::size_t numbers_per_table = 4;
 
 std::uint64_t to_units(double value, double unit)
 {
@@ -55,12 +55,54 @@
     return numbers;
 }
 
+/** Encodes the sums of each service and step. Single precision suffices for an
+    estimate, and halves the size. */
+nlohmann::json encode_observations(const service_observations& observations)
+{
+    nlohmann::json services = nlohmann::json::array();
+    for (const auto& [service, steps] : observations)
+    {
+        nlohmann::json numbers = nlohmann::json::array({service});
+        for (const step_observations& step : steps)
+        {
+            for (const double sum : to_array(step))
+                numbers.push_back(static_cast<float>(sum));
+        }
+        services.push_back(std::move(numbers));
+    }
+    return services;
+}
+
+service_observations decode_observations(const nlohmann::json& services)
+{
+    service_observations observations;
+    for (const nlohmann::json& numbers : services)
+    {
+        engine_observations& steps =
+            observations[static_cast<service_key>(number_at(numbers, 0))];
+        std::size_t index = 1;
+        for (step_observations& step : steps)
+        {
+            step_observation_array sums{};
+            for (double& sum : sums)
+            {
+                sum = numbers.at(index++).get<double>();
+                if (!std::isfinite(sum) || sum < 0)
+                    throw std::invalid_argument("not a sum of observations");
+            }
+            step = from_array(sums);
+        }
+    }
+    return observations;
+}
+
 nlohmann::json encode_positions(const replica_positions& positions)
 {
     nlohmann::json numbers = nlohmann::json::array();
     for (const replica_position& position : positions)
     {
-        numbers.push_back(position.as_of);
+        numbers.push_back(position.as_of.era);
+        numbers.push_back(position.as_of.version);
         numbers.push_back(position.digest);
         numbers.push_back(position.age.count());
     }
@@ -103,10 +145,11 @@
     for (std::size_t table = 0; table < positions.size(); ++table)
     {
         const std::size_t first = table * numbers_per_table;
-        positions[table].as_of = number_at(numbers, first);
-        positions[table].digest = number_at(numbers, first + 1);
+        positions[table].as_of = {number_at(numbers, first),
+                                  number_at(numbers, first + 1)};
+        positions[table].digest = number_at(numbers, first + 2);
         positions[table].age =
-            std::chrono::milliseconds(number_at(numbers, first + 2));
+            std::chrono::milliseconds(number_at(numbers, first + 3));
     }
     return positions;
 }
@@ -129,6 +172,7 @@
         parts[index].count = count;
         parts[index].hosts = loads.hosts;
     }
+    parts.front().observations = loads.observations;
     for (const auto& [key, load] : loads.loads)
         parts[key % count].loads[key] = load;
     return parts;
@@ -146,7 +190,8 @@
         nlohmann::json::array(
             {message.load.index, message.load.count, message.load.hosts}),
         encode_loads(message.load),
-        encode_positions(message.positions)};
+        encode_positions(message.positions),
+        encode_observations(message.load.observations)};
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(fields);
     return {bytes.begin(), bytes.end()};
 }
@@ -170,6 +215,7 @@
         message.is_relay = fields.at(5).get<bool>();
         message.load = decode_loads(fields.at(6), fields.at(7));
         message.positions = decode_positions(fields.at(8));
+        message.load.observations = decode_observations(fields.at(9));
         return message;
     }
     catch (const std::exception&)
--- a/modules/sharing/relay/relay_selector.cpp
+++ b/modules/sharing/relay/relay_selector.cpp
@@ -35,6 +35,11 @@
     return !self_.empty() && !relay(now);
 }
 
+void relay_selector::record_report(time_point now)
+{
+    last_report_at_ = now;
+}
+
 void relay_selector::record_response(const std::string& host, bool is_eligible,
                                      time_point now)
 {
@@ -76,8 +81,12 @@
     const auto first = std::find_if(candidates_.begin(), candidates_.end(),
                                     [this, now](const std::string& host)
                                     { return !is_excluded(host, now); });
-    const std::string candidate =
+    const bool is_requested =
+        is_self_eligible_ && last_report_at_ &&
+        now - *last_report_at_ <= settings_.report_lifetime;
+    const std::string preferred =
         first == candidates_.end() ? std::string() : *first;
+    const std::string& candidate = is_requested ? self_ : preferred;
     if (candidate == selected_)
         return;
     selected_ = candidate;
--- a/modules/sharing/relay/relay_selector.hpp
+++ b/modules/sharing/relay/relay_selector.hpp
@@ -21,6 +21,9 @@
     std::chrono::milliseconds retry_delay{1000};
     /** Upper bound of the doubled retry delay. */
     std::chrono::milliseconds max_retry_delay{8000};
+    /** A host remains a relay for this long after the last report of another
+        host. */
+    std::chrono::milliseconds report_lifetime{1000};
 };
 
 /** Selects the relay that a host reports to: the first eligible host in an
@@ -28,7 +31,10 @@
 
     A relay that does not respond, or whose state is too old to be useful, is
     excluded for a while. The host that finds itself to be the first eligible
-    candidate acts as the relay of its zone. Hosts with different local views
+    candidate acts as the relay of its zone. So does a host that others have
+    selected, if it is eligible itself. A host that is not a relay does not read
+    the store, so that hosts that followed it could follow each other in a
+    circle; it is therefore excluded as well. Hosts with different local views
     may follow different relays for a time; no decision relies on there being
     exactly one.
 */
@@ -49,9 +55,12 @@
     /** Whether this host is the relay of its zone. */
     bool is_relay(time_point now);
 
+    /** Records that another host has selected this one as its relay. */
+    void record_report(time_point now);
+
     /** Records a response of a host.
-        @param is_eligible  whether the state of the host is recent enough
-                            to act as a relay */
+        @param is_eligible  whether the host is a relay and its state is recent
+                            enough */
     void record_response(const std::string& host, bool is_eligible,
                          time_point now);
 
@@ -75,6 +84,8 @@
     relay_selector_settings settings_;
     std::vector<std::string> candidates_;
     bool is_self_eligible_ = true;
+    /** When another host last reported to this one. */
+    std::optional<time_point> last_report_at_;
     /** The selected relay; empty for none. */
     std::string selected_;
     /** When the relay last responded, or was selected if that is later. */
--- a/modules/sharing/relay/relay_selector_test.cpp
+++ b/modules/sharing/relay/relay_selector_test.cpp
@@ -97,4 +97,62 @@
     BOOST_TEST(!selector.is_relay(at(1301)));
 }
 
+// The store is silent for the first candidate. It follows the second one, from
+// which its state is fresh, but it does not read the store itself. If hosts
+// returned to it, the two would follow each other, and nobody would read the
+// store.
+BOOST_AUTO_TEST_CASE(two_hosts_never_follow_each_other)
+{
+    relay_selector first("h1", {});
+    relay_selector second("h2", {});
+    relay_selector third("h3", {});
+    for (relay_selector* selector : {&first, &second, &third})
+        selector->set_candidates(three_hosts, at(1000));
+    first.set_self_eligible(false);
+    unsigned changes = 0;
+    std::string followed = "h1";
+    for (int now_ms = 1000; now_ms < 61000; now_ms += 50)
+    {
+        const time_point now = at(now_ms);
+        std::map<std::string, relay_selector*> selectors{
+            {"h1", &first}, {"h2", &second}, {"h3", &third}};
+        for (const auto& [name, selector] : selectors)
+        {
+            const std::optional<std::string> relay = selector->relay(now);
+            if (!relay)
+                continue;
+            selectors.at(*relay)->record_report(now);
+            selector->record_response(*relay,
+                                      selectors.at(*relay)->is_relay(now), now);
+            if (name == "h3" && *relay != followed)
+            {
+                ++changes;
+                followed = *relay;
+            }
+        }
+        if (now_ms < 1200)
+            continue;
+        BOOST_TEST(first.relay(now).value_or("none") != "none");
+        BOOST_TEST(second.is_relay(now));
+        BOOST_TEST(!first.is_relay(now));
+    }
+    // The excluded candidate is tried again at most every eight seconds.
+    BOOST_TEST(changes < 30U);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_others_select_becomes_a_relay_for_a_time)
+{
+    relay_selector selector("h3", {});
+    selector.set_candidates(three_hosts, at(1000));
+    selector.record_response("h1", true, at(1000));
+    BOOST_TEST(!selector.is_relay(at(1010)));
+    selector.record_report(at(1020));
+    BOOST_TEST(selector.is_relay(at(1030)));
+    selector.record_response("h1", true, at(2000));
+    BOOST_TEST(selector.relay(at(2100)).value() == "h1");
+    selector.record_report(at(2200));
+    selector.set_self_eligible(false);
+    BOOST_TEST(!selector.is_relay(at(2210)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/sharing/replication/fleet_replicas.cpp
+++ b/modules/sharing/replication/fleet_replicas.cpp
@@ -1,5 +1,6 @@
 #include "sharing/replication/fleet_replicas.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace hibiscusferry
@@ -42,6 +43,7 @@
             rows.push_back({row.key, row.value, row.version});
         tables.push_back({{"table", index_of(update.table)},
                           {"whole", update.is_snapshot},
+                          {"era", update.changes.era},
                           {"version", update.changes.version},
                           {"digest", update.digest},
                           {"age_ms", update.age.count()},
@@ -60,6 +62,7 @@
     table_update update;
     update.table = all_fleet_tables.at(object.at("table").get<std::size_t>());
     update.is_snapshot = object.at("whole").get<bool>();
+    update.changes.era = object.at("era").get<std::uint64_t>();
     update.changes.version = object.at("version").get<row_version>();
     update.digest = object.at("digest").get<std::uint64_t>();
     update.age =
@@ -130,6 +133,14 @@
                                                                  *current_at);
 }
 
+std::uint64_t fleet_replicas::era() const
+{
+    std::uint64_t latest = 0;
+    for (const replicated_table& table : tables_)
+        latest = std::max(latest, table.replica.as_of().era);
+    return latest;
+}
+
 replica_positions fleet_replicas::positions(time_point now) const
 {
     replica_positions positions;
@@ -140,15 +151,17 @@
 }
 
 std::vector<table_update> fleet_replicas::changes_since(
-    const std::array<row_version, fleet_table_count>& versions,
+    const std::array<store_position, fleet_table_count>& known_positions,
     time_point now) const
 {
     std::vector<table_update> updates;
     for (const fleet_table table : all_fleet_tables)
     {
         const table_replica& local_replica = replica(table);
-        const row_version after = versions[index_of(table)];
-        if (local_replica.as_of() == 0 || local_replica.as_of() <= after)
+        const store_position& after = known_positions[index_of(table)];
+        const bool has_changes =
+            local_replica.as_of().version > 0 && after < local_replica.as_of();
+        if (!has_changes)
             continue;
         const std::optional<table_changes> changes =
             local_replica.changes_since(after);
--- a/modules/sharing/replication/fleet_replicas.hpp
+++ b/modules/sharing/replication/fleet_replicas.hpp
@@ -30,9 +30,9 @@
 /** The state of a host's replica of a table. */
 struct replica_position
 {
-    /** The replica includes all changes up to this version; 0 if the table was
-        never read. */
-    row_version as_of = 0;
+    /** The replica includes all changes up to this position; version 0 if the
+        table was never read. */
+    store_position as_of;
     /** table_replica::digest() of the replica. */
     std::uint64_t digest = 0;
     /** Time since the replica was last known to be current. */
@@ -78,13 +78,16 @@
         limit if it never was. */
     std::chrono::milliseconds age(fleet_table table, time_point now) const;
 
+    /** The latest era of the store to which any of the replicas belongs. */
+    std::uint64_t era() const;
+
     replica_positions positions(time_point now) const;
 
     /** The updates for a host whose replicas include all changes up to the
-        given versions. */
-    std::vector<table_update>
-    changes_since(const std::array<row_version, fleet_table_count>& versions,
-                  time_point now) const;
+        given positions. */
+    std::vector<table_update> changes_since(
+        const std::array<store_position, fleet_table_count>& known_positions,
+        time_point now) const;
 
 private:
     struct replicated_table
--- a/modules/sharing/replication/table_replica.cpp
+++ b/modules/sharing/replication/table_replica.cpp
@@ -26,6 +26,15 @@
 }
 
 bool table_replica::put(const table_row& row)
+{
+    const auto entry = rows_.find(row.key);
+    // An update from a relay that lags behind may arrive after a newer one.
+    if (entry != rows_.end() && row.version <= entry->second.version)
+        return false;
+    return set(row);
+}
+
+bool table_replica::set(const table_row& row)
 {
     const auto entry = rows_.find(row.key);
     if (entry == rows_.end())
@@ -34,9 +43,6 @@
         rows_.emplace(row.key, row);
         return true;
     }
-    // An update from a relay that lags behind may arrive after a newer one.
-    if (row.version <= entry->second.version)
-        return false;
     const std::uint64_t old_hash = hash_of(entry->second);
     const std::uint64_t new_hash = hash_of(row);
     if (old_hash == new_hash)
@@ -64,15 +70,36 @@
     return true;
 }
 
+void table_replica::begin_era(const store_position& position)
+{
+    // Versions of the previous era say nothing about the new one. Rows without
+    // a version are replaced by any row, and removed by any deletion.
+    for (auto& [key, row] : rows_)
+        row.version = 0;
+    deletions_.clear();
+    deletions_retained_after_ = position.version;
+    as_of_ = position;
+}
+
 table_changes table_replica::replace(const table_changes& all)
 {
     table_changes changed;
     changed.version = all.version;
+    changed.era = all.era;
+    if (all.era < as_of_.era)
+        return changed;
+    if (all.era > as_of_.era)
+        begin_era(all.position());
     std::set<std::string> present;
     for (const table_row& row : all.rows)
     {
         present.insert(row.key);
-        if (put(row))
+        // A change and its reversal may have been read together as no change,
+        // so the older version of a row can be the one in force.
+        const auto existing = rows_.find(row.key);
+        const bool is_newer =
+            existing != rows_.end() && existing->second.version > all.version;
+        if (!is_newer && set(row))
             changed.rows.push_back(row);
     }
     for (const auto& [key, row] : rows_)
@@ -85,9 +112,9 @@
                                          [this, &all](const std::string& key)
                                          { return !remove(key, all.version); }),
                           changed.deleted.end());
-    if (as_of_ == 0)
+    if (as_of_.version == 0)
         deletions_retained_after_ = all.version;
-    as_of_ = std::max(as_of_, all.version);
+    advance(all.position());
     return changed;
 }
 
@@ -95,6 +122,9 @@
 {
     table_changes changed;
     changed.version = changes.version;
+    changed.era = changes.era;
+    if (changes.era != as_of_.era)
+        return changed;
     for (const table_row& row : changes.rows)
     {
         if (put(row))
@@ -105,16 +135,16 @@
         if (remove(key, changes.version))
             changed.deleted.push_back(key);
     }
-    advance(changes.version);
+    advance(changes.position());
     return changed;
 }
 
-void table_replica::advance(row_version as_of)
+void table_replica::advance(const store_position& as_of)
 {
     as_of_ = std::max(as_of_, as_of);
 }
 
-row_version table_replica::as_of() const
+const store_position& table_replica::as_of() const
 {
     return as_of_;
 }
@@ -125,18 +155,19 @@
 }
 
 std::optional<table_changes>
-table_replica::changes_since(row_version after) const
+table_replica::changes_since(const store_position& after) const
 {
-    if (after < deletions_retained_after_)
+    if (after.era != as_of_.era || after.version < deletions_retained_after_)
         return std::nullopt;
     table_changes changes;
-    changes.version = as_of_;
+    changes.version = as_of_.version;
+    changes.era = as_of_.era;
     for (const auto& [key, row] : rows_)
     {
-        if (row.version > after)
+        if (row.version > after.version)
             changes.rows.push_back(row);
     }
-    for (auto deletion = deletions_.upper_bound(after);
+    for (auto deletion = deletions_.upper_bound(after.version);
          deletion != deletions_.end(); ++deletion)
     {
         if (rows_.count(deletion->second) == 0)
@@ -148,7 +179,8 @@
 table_changes table_replica::snapshot() const
 {
     table_changes changes;
-    changes.version = as_of_;
+    changes.version = as_of_.version;
+    changes.era = as_of_.era;
     for (const auto& [key, row] : rows_)
         changes.rows.push_back(row);
     return changes;
--- a/modules/sharing/replication/table_replica.hpp
+++ b/modules/sharing/replication/table_replica.hpp
@@ -27,20 +27,23 @@
 
     explicit table_replica(content_hash hash_function);
 
-    /** Replaces the content by all rows as of `all.version`.
+    /** Replaces the content by all rows as of `all.position()`. Rows that are
+        newer than this position are kept, unless they are of an older era. A
+        position of an older era has no effect.
         @returns the rows whose content changed, and the deleted rows */
     table_changes replace(const table_changes& all);
 
-    /** Applies the changes that follow as_of().
+    /** Applies the changes that follow as_of(). Has no effect if they are of
+        another era.
         @returns the rows whose content changed, and the deleted rows */
     table_changes apply(const table_changes& changes);
 
-    /** Records that there were no changes up to a later version. */
-    void advance(row_version as_of);
+    /** Records that there were no changes up to a later position. */
+    void advance(const store_position& as_of);
 
-    /** The version of the store that the rows correspond to; 0 if the table was
-        never read. */
-    row_version as_of() const;
+    /** The position of the store that the rows correspond to; version 0 if the
+        table was never read. */
+    const store_position& as_of() const;
 
     /** A hash of the keys and contents of all rows. If a row changes and then
         reverts, hosts that read the store at different times may have seen
@@ -48,9 +51,11 @@
         agree. */
     std::uint64_t digest() const;
 
-    /** The changes after a version; none if they are no longer retained, in
-        which case the whole table has to be sent. */
-    std::optional<table_changes> changes_since(row_version after) const;
+    /** The changes after a position; none if they are no longer retained or the
+        position is of another era, in which case the whole table has to be
+        sent. */
+    std::optional<table_changes>
+    changes_since(const store_position& after) const;
 
     /** The whole table. */
     table_changes snapshot() const;
@@ -59,7 +64,9 @@
 
 private:
     bool put(const table_row& row);
+    bool set(const table_row& row);
     bool remove(const std::string& key, row_version version);
+    void begin_era(const store_position& position);
     std::uint64_t hash_of(const table_row& row) const;
 
     content_hash content_hash_;
@@ -69,7 +76,7 @@
     std::multimap<row_version, std::string> deletions_;
     /** Deletions at or before this version are no longer retained. */
     row_version deletions_retained_after_ = 0;
-    row_version as_of_ = 0;
+    store_position as_of_;
     /** The sum of the hashes of all rows. */
     std::uint64_t digest_ = 0;
 };
--- a/modules/sharing/sharing.cpp
+++ b/modules/sharing/sharing.cpp
@@ -1,5 +1,6 @@
 #include "sharing/sharing.hpp"
 
+#include "sharing/load/engine_observations.cpp"
 #include "sharing/load/in_flight_load.cpp"
 #include "sharing/load/load_aggregator.cpp"
 #include "sharing/message/sharing_message.cpp"
--- a/modules/sharing/sharing.hpp
+++ b/modules/sharing/sharing.hpp
@@ -17,6 +17,7 @@
 
 #include "foundation/foundation.hpp"
 
+#include "sharing/load/engine_observations.hpp"
 #include "sharing/load/in_flight_load.hpp"
 #include "sharing/load/load_aggregator.hpp"
 #include "sharing/message/sharing_message.hpp"
--- a/modules/storage/table_store/memory_table.cpp
+++ b/modules/storage/table_store/memory_table.cpp
@@ -6,6 +6,7 @@
 commit_receipt memory_table::commit(const table_transaction& transaction)
 {
     commit_receipt receipt;
+    receipt.era = era_;
     for (const row_condition& condition : transaction.conditions)
     {
         const result<table_row> current = read(condition.key);
@@ -15,7 +16,8 @@
         if (!holds)
         {
             receipt.conflicts.push_back(
-                current ? current.value() : table_row{condition.key, "", 0});
+                current ? current.value()
+                        : table_row{condition.key, "", 0, era_});
         }
     }
     if (!receipt.conflicts.empty())
@@ -39,7 +41,21 @@
     const auto row = rows_.find(key);
     if (row == rows_.end())
         return make_error_code(platform_error::not_found);
-    return row->second;
+    table_row current = row->second;
+    current.era = era_;
+    return current;
+}
+
+void memory_table::restore(const memory_table& copy)
+{
+    rows_ = copy.rows_;
+    last_version_ = copy.last_version_;
+    ++era_;
+}
+
+std::uint64_t memory_table::era() const
+{
+    return era_;
 }
 
 std::vector<table_row> memory_table::scan(const std::string& prefix,
--- a/modules/storage/table_store/memory_table.hpp
+++ b/modules/storage/table_store/memory_table.hpp
@@ -33,7 +33,14 @@
                                 const std::string& after,
                                 std::size_t limit) const;
 
+    /** Returns to the content of an older copy and enters a new era, in which
+        the versions after the copy are assigned again. */
+    void restore(const memory_table& copy);
+
+    std::uint64_t era() const;
+
 private:
+    std::uint64_t era_ = 0;
     std::map<std::string, table_row> rows_;
     row_version last_version_ = 0;
 };
--- a/modules/storage/table_store/table_feed.hpp
+++ b/modules/storage/table_store/table_feed.hpp
@@ -20,6 +20,13 @@
     std::vector<std::string> deleted;
     /** The version up to which all changes are included. */
     row_version version = 0;
+    /** The era to which all versions belong. */
+    std::uint64_t era = 0;
+
+    store_position position() const
+    {
+        return {era, version};
+    }
 };
 
 /** The change feed of the table service.
@@ -37,12 +44,13 @@
     snapshot(const std::string& table, std::chrono::milliseconds timeout,
              boost::asio::yield_context yield) = 0;
 
-    /** Reads the changes of a table after a version.
+    /** Reads the changes of a table after a position.
         @param max_wait  how long to wait for the first change
         @returns platform_error::history_expired if the store no longer retains
-                 the changes, in which case a new snapshot has to be read */
+                 the changes or has entered another era, in which case a new
+                 snapshot has to be read */
     virtual result<table_changes> changes(const std::string& table,
-                                          row_version after,
+                                          const store_position& after,
                                           std::chrono::milliseconds max_wait,
                                           std::chrono::milliseconds timeout,
                                           boost::asio::yield_context yield) = 0;
