Bound queues before the speed of the engines is known

Change: before the speed is known, a prompt with a cached prefix is assumed to take 0.15 of its latency objective. The test queues_are_bounded_before_the_speed_of_engines_is_known plays the first second.

--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -182,8 +182,9 @@
     generation.random_value =
         stable_hash(context_.request.id) + context_.attempts;
     generation.constraints = constraints();
-    const engine_scheduler scheduler(
-        services_.fleet.performance(context_.service).estimates(now));
+    const engine_scheduler scheduler(with_assumed_speed(
+        services_.fleet.performance(context_.service).estimates(now),
+        generation));
     return scheduler.schedule(targets, generation, *context_.properties->engine,
                               now, reason);
 }
--- a/modules/serving/scheduling/engine_scheduler.cpp
+++ b/modules/serving/scheduling/engine_scheduler.cpp
@@ -24,6 +24,11 @@
    be refused for its size, however idle the engines are. */
 constexpr double max_relative_wait = 0.4;
 
+/** Fraction of the latency objective that the prefill of a prompt with a cached
+    prefix is assumed to take before the speed of the engines is known. Without
+    an assumption, queues would grow without bound in the first second. */
+constexpr double assumed_prefill_objectives = 0.15;
+
 /** Callers leave before their deadline if they receive no event. */
 constexpr double max_deadline_fraction = 0.5;
 
@@ -57,6 +62,26 @@
 
 } // namespace
 
+engine_estimates with_assumed_speed(const engine_estimates& estimates,
+                                    const generation_request& request)
+{
+    if (estimates.prefill.is_known)
+        return estimates;
+    const prompt_info& prompt = *request.prompt;
+    double cached_tokens = 0;
+    for (std::size_t index = 0; index < prompt.shared_block_count(); ++index)
+        cached_tokens += prompt.blocks[index].tokens;
+    // The whole prompt may be shared.
+    constexpr double min_uncached_fraction = 0.1;
+    const double tokens =
+        std::max({prompt.prompt_tokens - cached_tokens,
+                  min_uncached_fraction * prompt.prompt_tokens, 1.0});
+    engine_estimates assumed = estimates;
+    assumed.prefill.ms_per_token =
+        objective_ms(request, assumed_prefill_objectives) / tokens;
+    return assumed;
+}
+
 engine_scheduler::engine_scheduler(const engine_estimates& estimates)
     : estimates_(estimates)
 {
--- a/modules/serving/scheduling/engine_scheduler.hpp
+++ b/modules/serving/scheduling/engine_scheduler.hpp
@@ -34,6 +34,12 @@
     double prefix_fetch_ms = 0;
 };
 
+/** Adds an assumption about the speed of the engines if it is not known: the
+    latency objective was set for these engines, so a prompt of the route whose
+    prefix is cached takes a fraction of it. */
+engine_estimates with_assumed_speed(const engine_estimates& estimates,
+                                    const generation_request& request);
+
 /** Assigns engines to a generation, or refuses it.
 
     Designed for long prompts with short completions and short prompts with long
--- a/modules/serving/scheduling/engine_scheduler_test.cpp
+++ b/modules/serving/scheduling/engine_scheduler_test.cpp
@@ -354,4 +354,39 @@
                nullptr);
 }
 
+// After all hosts were restarted, none of them knows the speed of the engines.
+// Requests of the first second queued at their engines for 850 ms.
+BOOST_AUTO_TEST_CASE(queues_are_bounded_before_the_speed_of_engines_is_known)
+{
+    const engine_list engines = make_fleet();
+    manual_clock clock;
+    clock.advance(std::chrono::seconds(1));
+    const prompt_info prompt = make_long_prompt("doc-1", "s1");
+    generation_request request = make_generation_request(prompt);
+    request.constraints.live_hosts = 1;
+    const engine_scheduler scheduler(with_assumed_speed({}, request));
+    std::map<std::string, int> accepted;
+    std::vector<std::unique_ptr<target_load_guard>> guards;
+    for (int count = 0; count < 20; ++count)
+    {
+        scheduling_failure reason = scheduling_failure::no_target;
+        const engine_assignment assignment = scheduler.schedule(
+            engines, request, make_engine_properties(), clock.now(), reason);
+        if (!assignment.decode_engine)
+            continue;
+        BOOST_REQUIRE(assignment.prefill_engine);
+        ++accepted[assignment.prefill_engine->record.id];
+        guards.push_back(std::make_unique<target_load_guard>(
+            assignment.prefill_engine, assignment.pending_prefill_tokens, 9190,
+            clock));
+    }
+    // Both owners of the prefix share the load.
+    BOOST_REQUIRE(accepted.size() == 2U);
+    for (const auto& [id, count] : accepted)
+    {
+        BOOST_TEST(count >= 2);
+        BOOST_TEST(count <= 6);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
