Count only prefills that are not less urgent as a queue before a prompt

Change: the pending prefill tokens of the two most urgent ranks are kept apart, also between hosts. The speed assumed at first takes the mean size of the prompts in flight into account: a short prompt alone made queues of long ones seem endless.

--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -170,6 +170,7 @@
     generation.prompt = &*context_.request.prompt;
     generation.prefilled_by =
         context_.kv_cache ? context_.kv_cache_engine : nullptr;
+    generation.rank = context_.matched_route->rank;
     generation.latency_objective = context_.matched_route->latency_objective;
     // After a first attempt, a request that misses its latency objective is
     // served rather than refused.
@@ -184,7 +185,7 @@
     generation.constraints = constraints();
     const engine_scheduler scheduler(with_assumed_speed(
         services_.fleet.performance(context_.service).estimates(now),
-        generation));
+        generation, targets));
     return scheduler.schedule(targets, generation, *context_.properties->engine,
                               now, reason);
 }
@@ -222,7 +223,8 @@
         context_.request.prompt ? context_.request.prompt->output_tokens : 0;
     target_load_guard work(
         target, context_.kv_cache ? 0 : assignment.pending_prefill_tokens,
-        prompt_tokens + output_tokens, services_.core.time());
+        prompt_tokens + output_tokens, services_.core.time(),
+        context_.matched_route->rank);
     target_exchange upstream(services_, context_, target);
     attempt_options options{context_.request, target->record};
     options.rank = context_.matched_route->rank;
@@ -274,9 +276,9 @@
     const std::shared_ptr<target_view> prefill_engine =
         assignment.prefill_engine;
     const double tokens = context_.request.prompt->prompt_tokens;
-    const target_load_guard work(prefill_engine,
-                                 assignment.pending_prefill_tokens, tokens,
-                                 services_.core.time());
+    const target_load_guard work(
+        prefill_engine, assignment.pending_prefill_tokens, tokens,
+        services_.core.time(), context_.matched_route->rank);
     target_exchange upstream(services_, context_, prefill_engine);
     attempt_options options{context_.request, prefill_engine->record};
     options.rank = context_.matched_route->rank;
--- a/modules/gateway/sharing/load_exchange.cpp
+++ b/modules/gateway/sharing/load_exchange.cpp
@@ -398,13 +398,16 @@
     for (const auto& [id, target] : fleet_.registry().targets())
     {
         const double exchanges = target->delay.exchanges(now);
-        const in_flight_load load{target->requests.level(),
-                                  target->pending_prefill_tokens.level(),
-                                  target->kv_tokens.level(),
-                                  target->health.is_usable(now) ? 0.0 : 1.0,
-                                  now < target->stage_change_until ? 1.0 : 0.0,
-                                  exchanges,
-                                  exchanges * target->delay.mean_ms(now)};
+        in_flight_load load{target->requests.level(),
+                            target->pending_prefill_tokens.level(),
+                            target->kv_tokens.level(),
+                            target->health.is_usable(now) ? 0.0 : 1.0,
+                            now < target->stage_change_until ? 1.0 : 0.0,
+                            exchanges,
+                            exchanges * target->delay.mean_ms(now)};
+        for (std::size_t rank = 0; rank < urgent_rank_count; ++rank)
+            load.urgent_prefill_tokens[rank] =
+                target->urgent_prefill_tokens[rank].level();
         const bool is_significant = load.requests >= min_reported_requests ||
                                     load.hosts_suspecting > 0 ||
                                     load.hosts_changing_stage > 0 ||
--- a/modules/serving/scheduling/decode_engine_selector.cpp
+++ b/modules/serving/scheduling/decode_engine_selector.cpp
@@ -93,7 +93,7 @@
             std::max(prompt.prompt_tokens -
                          target->cached_prefixes.cached_tokens(prompt),
                      0.0);
-    candidate.queued_prefill_tokens = load.pending_prefill_tokens;
+    candidate.queued_prefill_tokens = load.prefill_tokens_ahead(request.rank);
     // A transferred KV cache waits only for steps already running.
     const double prefill_ms =
         prefill_engine == nullptr
--- a/modules/serving/scheduling/engine_scheduler.cpp
+++ b/modules/serving/scheduling/engine_scheduler.cpp
@@ -63,10 +63,18 @@
 } // namespace
 
 engine_estimates with_assumed_speed(const engine_estimates& estimates,
-                                    const generation_request& request)
+                                    const generation_request& request,
+                                    const target_list& targets)
 {
     if (estimates.prefill.is_known)
         return estimates;
+    double pending_tokens = 0;
+    double requests = 1;
+    for (const std::shared_ptr<target_view>& target : targets)
+    {
+        pending_tokens += target->pending_prefill_tokens.level();
+        requests += target->requests.level();
+    }
     const prompt_info& prompt = *request.prompt;
     double cached_tokens = 0;
     for (std::size_t index = 0; index < prompt.shared_block_count(); ++index)
@@ -75,7 +83,8 @@
     constexpr double min_uncached_fraction = 0.1;
     const double tokens =
         std::max({prompt.prompt_tokens - cached_tokens,
-                  min_uncached_fraction * prompt.prompt_tokens, 1.0});
+                  min_uncached_fraction * prompt.prompt_tokens,
+                  pending_tokens / requests, 1.0});
     engine_estimates assumed = estimates;
     assumed.prefill.ms_per_token =
         objective_ms(request, assumed_prefill_objectives) / tokens;
--- a/modules/serving/scheduling/engine_scheduler.hpp
+++ b/modules/serving/scheduling/engine_scheduler.hpp
@@ -36,9 +36,11 @@
 
 /** Adds an assumption about the speed of the engines if it is not known: the
     latency objective was set for these engines, so a prompt of the route whose
-    prefix is cached takes a fraction of it. */
+    prefix is cached takes a fraction of it. So does a prompt of the mean size
+   of those in flight, if that is larger. */
 engine_estimates with_assumed_speed(const engine_estimates& estimates,
-                                    const generation_request& request);
+                                    const generation_request& request,
+                                    const target_list& targets);
 
 /** Assigns engines to a generation, or refuses it.
 
--- a/modules/serving/scheduling/engine_scheduler_test.cpp
+++ b/modules/serving/scheduling/engine_scheduler_test.cpp
@@ -364,7 +364,7 @@
     const prompt_info prompt = make_long_prompt("doc-1", "s1");
     generation_request request = make_generation_request(prompt);
     request.constraints.live_hosts = 1;
-    const engine_scheduler scheduler(with_assumed_speed({}, request));
+    const engine_scheduler scheduler(with_assumed_speed({}, request, engines));
     std::map<std::string, int> accepted;
     std::vector<std::unique_ptr<target_load_guard>> guards;
     for (int count = 0; count < 20; ++count)
@@ -389,4 +389,27 @@
     }
 }
 
+// Engines prefill urgent prompts first. If the long prompts of the least urgent
+// kind counted as a queue before them, urgent requests were refused.
+BOOST_AUTO_TEST_CASE(urgent_requests_are_not_refused_for_less_urgent_prefills)
+{
+    const engine_list engines = make_fleet();
+    manual_clock clock;
+    clock.advance(std::chrono::seconds(1));
+    const prompt_info prompt = make_long_prompt("doc-1", "s1");
+    generation_request request = make_generation_request(prompt);
+    request.constraints.live_hosts = 1;
+    std::vector<std::unique_ptr<target_load_guard>> guards;
+    for (const std::shared_ptr<target_view>& target : engines)
+        guards.push_back(std::make_unique<target_load_guard>(target, 60000,
+                                                             9190, clock, 2U));
+    for (const unsigned rank : {0U, 1U, 2U, 7U})
+    {
+        request.rank = rank;
+        const engine_assignment assignment =
+            schedule(engines, request, clock.now());
+        BOOST_TEST((assignment.decode_engine != nullptr) == (rank < 2U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/serving/scheduling/generation_request.hpp
+++ b/modules/serving/scheduling/generation_request.hpp
@@ -19,6 +19,8 @@
 struct generation_request
 {
     const prompt_info* prompt = nullptr;
+    /** The rank of the route; 0 is the most urgent. */
+    unsigned rank = 0;
     /** The latency objective of the route, the unit of all penalties. */
     std::chrono::milliseconds latency_objective{0};
     /** Time left to meet the latency objective; negative if it has been
--- a/modules/serving/scheduling/prefill_engine_selector.cpp
+++ b/modules/serving/scheduling/prefill_engine_selector.cpp
@@ -113,7 +113,7 @@
                  0.0);
     candidate.queued_prefill_tokens =
         expected_load(*target, request.constraints.live_hosts, now)
-            .pending_prefill_tokens;
+            .prefill_tokens_ahead(request.rank);
     candidate.baseline_ms =
         candidate.prefix_fetch_ms +
         estimates_.prefill.milliseconds(candidate.queued_prefill_tokens +
--- a/modules/serving/scheduling/target_registry.cpp
+++ b/modules/serving/scheduling/target_registry.cpp
@@ -69,6 +69,9 @@
                         0,
                         0,
                         0};
+    for (std::size_t rank = 0; rank < urgent_rank_count; ++rank)
+        load.urgent_prefill_tokens[rank] =
+            target.urgent_prefill_tokens[rank].level();
     const bool has_remote_load =
         target.remote_load_received_at &&
         now - *target.remote_load_received_at <= max_remote_load_age;
@@ -85,6 +88,9 @@
              0,
              0,
              0};
+    for (std::size_t rank = 0; rank < urgent_rank_count; ++rank)
+        load.urgent_prefill_tokens[rank] +=
+            other_hosts * target.urgent_prefill_tokens[rank].mean(now);
     return load;
 }
 
@@ -107,15 +113,17 @@
 
 target_load_guard::target_load_guard(std::shared_ptr<target_view> target,
                                      double pending_prefill_tokens,
-                                     double kv_tokens, const clock& time)
+                                     double kv_tokens, const clock& time,
+                                     unsigned rank)
     : target_(std::move(target))
     , pending_prefill_tokens_(pending_prefill_tokens)
+    , rank_(rank)
     , kv_tokens_(kv_tokens)
     , time_(time)
 {
     const time_point now = time_.now();
     target_->requests.add(1, now);
-    target_->pending_prefill_tokens.add(pending_prefill_tokens_, now);
+    add_pending_tokens(pending_prefill_tokens_, now);
     target_->kv_tokens.add(kv_tokens_, now);
 }
 
@@ -129,10 +137,17 @@
 
 void target_load_guard::prefill_finished()
 {
-    target_->pending_prefill_tokens.add(-pending_prefill_tokens_, time_.now());
+    add_pending_tokens(-pending_prefill_tokens_, time_.now());
     pending_prefill_tokens_ = 0;
 }
 
+void target_load_guard::add_pending_tokens(double tokens, time_point now)
+{
+    target_->pending_prefill_tokens.add(tokens, now);
+    for (std::size_t rank = rank_; rank < urgent_rank_count; ++rank)
+        target_->urgent_prefill_tokens[rank].add(tokens, now);
+}
+
 void target_registry::apply(const target_change& change,
                             bool is_initial_snapshot, time_point now)
 {
--- a/modules/serving/scheduling/target_registry.hpp
+++ b/modules/serving/scheduling/target_registry.hpp
@@ -8,6 +8,7 @@
 #include "serving/scheduling/prefix_cache_estimate.hpp"
 #include "serving/scheduling/smoothed_level.hpp"
 #include "sharing/sharing.hpp"
+#include <array>
 #include <map>
 #include <memory>
 #include <vector>
@@ -38,6 +39,8 @@
     smoothed_level requests;
     /** Prompt tokens sent by this host that the target has not prefilled. */
     smoothed_level pending_prefill_tokens;
+    /** Of these, the tokens of requests with at most this rank. */
+    std::array<smoothed_level, urgent_rank_count> urgent_prefill_tokens;
     /** KV cache tokens used by this host's requests in flight. */
     smoothed_level kv_tokens;
     /** Load from the other hosts, as they reported it. */
@@ -96,9 +99,10 @@
 class target_load_guard
 {
 public:
+    /** @param rank  the rank of the request; see route::rank */
     target_load_guard(std::shared_ptr<target_view> target,
                       double pending_prefill_tokens, double kv_tokens,
-                      const clock& time);
+                      const clock& time, unsigned rank = 0);
     ~target_load_guard();
     target_load_guard(const target_load_guard&) = delete;
     target_load_guard& operator=(const target_load_guard&) = delete;
@@ -107,8 +111,11 @@
     void prefill_finished();
 
 private:
+    void add_pending_tokens(double tokens, time_point now);
+
     std::shared_ptr<target_view> target_;
     double pending_prefill_tokens_;
+    unsigned rank_;
     double kv_tokens_;
     const clock& time_;
 };
--- a/modules/sharing/load/in_flight_load.cpp
+++ b/modules/sharing/load/in_flight_load.cpp
@@ -14,9 +14,17 @@
     hosts_changing_stage += other.hosts_changing_stage;
     exchanges += other.exchanges;
     delays_ms += other.delays_ms;
+    for (std::size_t rank = 0; rank < urgent_rank_count; ++rank)
+        urgent_prefill_tokens[rank] += other.urgent_prefill_tokens[rank];
     return *this;
 }
 
+double in_flight_load::prefill_tokens_ahead(unsigned rank) const
+{
+    return rank < urgent_rank_count ? urgent_prefill_tokens[rank]
+                                    : pending_prefill_tokens;
+}
+
 target_key key_of_target(const std::string& target_id)
 {
     return static_cast<target_key>(stable_hash(target_id));
--- a/modules/sharing/load/in_flight_load.hpp
+++ b/modules/sharing/load/in_flight_load.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_SHARING_LOAD_IN_FLIGHT_LOAD_HPP
 
 #include "sharing/load/engine_observations.hpp"
+#include <array>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -9,6 +10,9 @@
 namespace hibiscusferry
 {
 
+/** Number of the most urgent ranks whose prefills are counted apart. */
+constexpr std::size_t urgent_rank_count = 2;
+
 /** The in-flight work of one or more hosts at a target, with their recent
     observations of it. */
 struct in_flight_load
@@ -30,6 +34,12 @@
     /** Sum over these exchanges of the actual minus the expected duration, in
         milliseconds. */
     double delays_ms = 0;
+    /** Of the pending prefill tokens, those of requests with at most this rank.
+        An engine prefills them before the others. */
+    std::array<double, urgent_rank_count> urgent_prefill_tokens{};
+
+    /** Pending prefill tokens that are ahead of a new request. */
+    double prefill_tokens_ahead(unsigned rank) const;
 
     in_flight_load& operator+=(const in_flight_load& other);
 };
--- a/modules/sharing/message/sharing_message.cpp
+++ b/modules/sharing/message/sharing_message.cpp
@@ -18,7 +18,7 @@
 /** Bound on the magnitude of the sum of delays at a target. */
 constexpr double max_delays_ms = 1e9;
 /** The key of a target and the members of its load. */
-constexpr std::size_t numbers_per_target = 8;
+constexpr std::size_t numbers_per_target = 8 + urgent_rank_count;
 /** The members of a replica_position. */
 constexpr std::size_t numbers_per_table = 4;
 
@@ -51,6 +51,8 @@
         numbers.push_back(to_units(load.exchanges, exchanges_unit));
         numbers.push_back(std::llround(
             std::clamp(load.delays_ms, -max_delays_ms, max_delays_ms)));
+        for (const double tokens : load.urgent_prefill_tokens)
+            numbers.push_back(to_units(tokens, tokens_unit));
     }
     return numbers;
 }
@@ -135,6 +137,10 @@
                          exchanges_unit;
         load.delays_ms = std::clamp(numbers.at(offset + 7).get<double>(),
                                     -max_delays_ms, max_delays_ms);
+        for (std::size_t rank = 0; rank < urgent_rank_count; ++rank)
+            load.urgent_prefill_tokens[rank] =
+                static_cast<double>(number_at(numbers, offset + 8 + rank)) *
+                tokens_unit;
     }
     return loads;
 }
