Let a new lease holder replace a clearly wrong division at once

Change: a successor compares the demand with the division that it finds, and replaces it at once if they differ clearly.

--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -36,6 +36,21 @@
     return zones.size();
 }
 
+/** The fraction of the engines that are prefill engines. */
+double prefill_fraction(const target_list& targets)
+{
+    double prefill_engines = 0;
+    double engines = 0;
+    for (const std::shared_ptr<target_view>& target : targets)
+    {
+        if (target->is_withdrawn || target->record.stage == target_role::mixed)
+            continue;
+        ++engines;
+        prefill_engines += target->record.stage == target_role::prefill ? 1 : 0;
+    }
+    return engines > 0 ? prefill_engines / engines : 0;
+}
+
 process_identity identity_of(process_core& core)
 {
     return {core.settings().host, core.id()};
@@ -146,12 +161,14 @@
     {
         if (!service.engine)
             continue;
+        const target_list& targets =
+            services_.fleet.registry().targets_for_service(service.name);
         stage_planner_settings settings;
         settings.is_already_divided = !lease_.is_first_holder();
+        if (settings.is_already_divided)
+            settings.initial_prefill_fraction = prefill_fraction(targets);
         stage_planner& planner =
             planners_.try_emplace(service.name, settings).first->second;
-        const target_list& targets =
-            services_.fleet.registry().targets_for_service(service.name);
         const time_point now = services_.core.now();
         const std::optional<stage_demand> demand =
             services_.fleet.performance(service.name).demand(now);
--- a/modules/serving/stages/stage_planner.cpp
+++ b/modules/serving/stages/stage_planner.cpp
@@ -109,7 +109,6 @@
 
 stage_planner::stage_planner(const stage_planner_settings& settings)
     : settings_(settings)
-    , is_observed_plan_applied_(settings.is_already_divided)
     , is_initial_plan_complete_(settings.is_already_divided)
 {
 }
@@ -127,9 +126,11 @@
         settings_.min_clear_difference;
     const std::chrono::milliseconds delay =
         is_clear ? settings_.observation_time : settings_.correction_delay;
-    if (now - *observed_since_ < delay)
+    if (!settings_.is_already_divided && now - *observed_since_ < delay)
         return;
     is_observed_plan_applied_ = true;
+    if (settings_.is_already_divided && !is_clear)
+        return;
     is_initial_plan_complete_ = false;
     matching_since_.reset();
 }
--- a/modules/serving/stages/stage_planner.hpp
+++ b/modules/serving/stages/stage_planner.hpp
@@ -15,10 +15,13 @@
 struct stage_planner_settings
 {
     /** Fraction of the engines that serve as prefill engines before any demand
-        has been observed. */
+        has been observed. The existing one if the engines are already
+        divided. */
     double initial_prefill_fraction = 0.62;
     /** Whether the engines have already been divided, by another host. The
-        existing division is then kept until demand has been observed. */
+        existing division is then kept until demand has been observed, and
+        replaced at once if the demand differs clearly from it: the former
+        holder may have been lost before it could do so. */
     bool is_already_divided = false;
     /** The demand is observed for this long before a plan that is based on it
         replaces the initial one, if they differ clearly. */
@@ -73,7 +76,8 @@
 
     /** Sets the fraction of the engines that should be prefill engines,
         according to the observed demand. The first one that has lasted is
-        applied exactly, later ones only if they differ enough. */
+        applied exactly, unless the engines were already divided, and later ones
+        only if they differ enough. */
     void set_prefill_fraction(double fraction, time_point now);
 
     /** Returns the stage changes to order now. Changes in progress count as
--- a/modules/serving/stages/stage_planner_test.cpp
+++ b/modules/serving/stages/stage_planner_test.cpp
@@ -123,6 +123,22 @@
         BOOST_TEST(planner.plan(engines, at_ms(elapsed_ms)).empty());
 }
 
+// The first holder of the lease was lost before it could apply the plan that
+// follows the demand.
+BOOST_AUTO_TEST_CASE(a_successor_replaces_a_division_that_is_clearly_wrong)
+{
+    stage_planner_settings settings;
+    settings.is_already_divided = true;
+    settings.initial_prefill_fraction = 9.0 / 14;
+    const engine_list engines = make_fourteen_engines(9);
+    stage_planner similar(settings);
+    similar.set_prefill_fraction(0.7, at_ms(0));
+    BOOST_TEST(similar.plan(engines, at_ms(0)).empty());
+    stage_planner different(settings);
+    different.set_prefill_fraction(0.8, at_ms(0));
+    BOOST_TEST(different.plan(engines, at_ms(0)).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(fewer_slots_need_more_decode_engines)
 {
     engine_properties few_slots = make_engine_properties();
