Keep the initial division unless the demand differs clearly from it

Change: the demand is observed for four seconds; a plan that differs little from the initial one changes nothing at once. Test: a_plan_that_differs_little_from_the_initial_one_stays failed first.

--- a/modules/serving/stages/stage_planner.cpp
+++ b/modules/serving/stages/stage_planner.cpp
@@ -120,18 +120,15 @@
         observed_since_ = now;
     if (is_observed_plan_applied_)
         return;
-    // A small difference may still be due to caches that are not warm yet.
     const bool is_clear =
         std::abs(fraction - settings_.initial_prefill_fraction) >=
         settings_.min_clear_difference;
-    const std::chrono::milliseconds delay =
-        is_clear ? settings_.observation_time : settings_.correction_delay;
-    if (!settings_.is_already_divided && now - *observed_since_ < delay)
+    // At first, caches are cold and prompts take longer than later.
+    if (!settings_.is_already_divided &&
+        now - *observed_since_ < settings_.observation_time)
         return;
     is_observed_plan_applied_ = true;
-    if (settings_.is_already_divided && !is_clear)
-        return;
-    is_initial_plan_complete_ = false;
+    is_initial_plan_complete_ = !is_clear;
     matching_since_.reset();
 }
 
--- a/modules/serving/stages/stage_planner.hpp
+++ b/modules/serving/stages/stage_planner.hpp
@@ -25,7 +25,9 @@
     bool is_already_divided = false;
     /** The demand is observed for this long before a plan that is based on it
         replaces the initial one, if they differ clearly. */
-    std::chrono::milliseconds observation_time{2000};
+    std::chrono::milliseconds observation_time{4000};
+    /** The difference between the two that is clear, as a fraction of the
+        engines. */
     double min_clear_difference = 0.15;
     /** A difference from the plan is corrected only after it has lasted this
         long. The initial plan of a service is applied immediately. */
@@ -75,9 +77,9 @@
     explicit stage_planner(const stage_planner_settings& settings);
 
     /** Sets the fraction of the engines that should be prefill engines,
-        according to the observed demand. The first one that has lasted is
-        applied exactly, unless the engines were already divided, and later ones
-        only if they differ enough. */
+        according to the observed demand. If the first one that has lasted
+        differs clearly from the division, it is applied exactly and at once;
+        otherwise corrections follow the usual hysteresis. */
     void set_prefill_fraction(double fraction, time_point now);
 
     /** Returns the stage changes to order now. Changes in progress count as
