--- a/modules/serving/stages/stage_planner_test.cpp
+++ b/modules/serving/stages/stage_planner_test.cpp
@@ -81,6 +81,10 @@
         planned_prefill_fraction(fast, long_prompt_demand, 3);
     BOOST_TEST(std::lround(14 * slow_fraction) == 9);
     BOOST_TEST(std::lround(9 * fast_fraction) == 7);
+    // Without a known link, only the slots occupy the decode engines.
+    slow.link_megabits_per_second = 0;
+    BOOST_TEST(planned_prefill_fraction(slow, long_prompt_demand, 3) == 2.0 / 3,
+               boost::test_tools::tolerance(1e-9));
 }
 
 // Before the first requests, the speed of the engines is unknown. A division
