Keep waiting at a silent target while no other target can take the request

Callers saw requests end without an answer (LOST): a target that is sound falls silent for about a second, and this host ended the stream, or answered a repeatable request with a 502, after four objectives without an event or a byte.

Cause: the decision to leave a silent target came before the question whether anything better exists. The timeout closed the connection to the target (a timeout of Beast's stream closes its socket), and only then did the request look for another target. With none left (excluded, max-attempts reached, retry budget spent, all of them busy) the stream broke, although the first one would have gone on. Class of fault: an irreversible step taken on a suspicion, before its alternative is secured.

Ruled out as the cause of the reproduced cases: an exception (none is logged), a change of configuration in flight (a request owns its routes), the deadline (510 ms of 1,500 ms).

Change: reads of http_connection time out without closing the connection, and can be continued. A silent target is left only if the route, the retry budget and the scheduler offer a target that is not suspected; otherwise the request waits until its deadline and asks again after each further timeout. If the other targets then refuse, it returns to the silent one, for which the budget must suffice from the start. The silence is logged once (1112 target_silent), also when the request later succeeds, and still counts against the target's health.

Conclusion: fixed for silence before the first byte and between events.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -82,6 +82,12 @@
                     "are left, or the request may have run.",
                     "")
 
+HIBISCUSFERRY_EVENT(1112, warning, target_silent,
+                    "A target sends nothing although its response is not "
+                    "complete. The request is sent to another target if one "
+                    "can take it; otherwise it keeps waiting.",
+                    "")
+
 // 1200-1299 claims (at most once)
 HIBISCUSFERRY_EVENT(1200, warning, claim_not_written,
                     "A call that may run at most once was refused without "
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -14,6 +14,10 @@
     objectives without a byte of the response. */
 constexpr int first_byte_timeout_objectives = 4;
 
+/** A silent target is left only if the retry budget also suffices to return to
+    it, should the other target refuse the request. */
+constexpr double min_retries_to_leave = 2;
+
 /** The caller may retry immediately: another host accepts its next
     connection. */
 constexpr std::chrono::milliseconds stopping_backlog{1};
@@ -97,7 +101,7 @@
         }
         scheduling_failure reason = scheduling_failure::no_target;
         assignment_ = schedule(reason);
-        if (!assignment_.decode_engine)
+        if (!assignment_.decode_engine && !return_to_silent_target())
         {
             const std::chrono::milliseconds backlog =
                 reason == scheduling_failure::busy
@@ -231,9 +235,8 @@
     options.kv_cache = context_.kv_cache;
     options.resume_after = context_.last_event_id;
     const time_point attempt_start = services_.core.now();
-    const attempt_result attempt_outcome = upstream.send(
-        options, first_byte_timeout(context_.matched_route->is_safe_to_retry()),
-        yield);
+    const attempt_result attempt_outcome =
+        send_and_wait(upstream, options, target, yield);
     const bool is_accepted =
         attempt_outcome == attempt_result::response_received ||
         attempt_outcome == attempt_result::unknown;
@@ -251,7 +254,7 @@
                                context_.properties != nullptr &&
                                context_.properties->engine.has_value();
     if (!is_generation)
-        return relay_response(upstream, *target, work, yield);
+        return relay_response(upstream, target, work, yield);
     const time_point response_start = services_.core.now();
     record_step(target, assignment.decode_baseline_ms,
                 response_start - attempt_start,
@@ -262,7 +265,7 @@
     target->cached_prefixes.add(
         *context_.request.prompt,
         context_.properties->engine->kv_capacity_tokens);
-    const next_step step = relay_response(upstream, *target, work, yield);
+    const next_step step = relay_response(upstream, target, work, yield);
     if (step == next_step::completed && !context_.is_caller_disconnected)
         observe_completion(options.kv_cache.has_value(), attempt_start,
                            response_start);
@@ -334,6 +337,76 @@
     return next_step::retry;
 }
 
+attempt_result
+request_forwarder::send_and_wait(target_exchange& upstream,
+                                 const attempt_options& options,
+                                 const std::shared_ptr<target_view>& target,
+                                 boost::asio::yield_context yield)
+{
+    const std::chrono::milliseconds timeout =
+        first_byte_timeout(context_.matched_route->is_safe_to_retry());
+    attempt_result attempt_outcome = upstream.send(options, timeout, yield);
+    if (attempt_outcome == attempt_result::silent)
+        log_silence(*target);
+    while (attempt_outcome == attempt_result::silent)
+    {
+        if (has_alternative_to(*target))
+        {
+            context_.silent_target = target;
+            return attempt_result::unknown;
+        }
+        attempt_outcome = upstream.wait(timeout, yield);
+    }
+    return attempt_outcome;
+}
+
+bool request_forwarder::has_alternative_to(const target_view& silent_target)
+{
+    const time_point now = services_.core.now();
+    std::set<std::string> run_targets = context_.possible_run_targets;
+    run_targets.insert(silent_target.record.id);
+    const bool may_retry =
+        context_.matched_route->is_safe_to_retry() &&
+        run_targets.size() < context_.matched_route->max_targets &&
+        context_.time_left(now) >= min_time_to_attempt &&
+        services_.fleet.budget(context_.service)
+                .remaining(now, services_.fleet.live_hosts()) >=
+            min_retries_to_leave;
+    if (!may_retry)
+        return false;
+    context_.excluded.push_back(silent_target.record.id);
+    scheduling_failure ignored = scheduling_failure::no_target;
+    const engine_assignment alternative = schedule(ignored);
+    context_.excluded.pop_back();
+    return alternative.decode_engine &&
+           alternative.decode_engine->health.is_usable(now);
+}
+
+void request_forwarder::log_silence(const target_view& target)
+{
+    services_.core.journal().record(
+        event_number::target_silent,
+        {{"request", context_.request.id},
+         {"target", target.record.id},
+         {"last_event", context_.last_event_id},
+         {"elapsed_ms",
+          std::to_string(context_.elapsed(services_.core.now()).count())},
+         {"time_left_ms",
+          std::to_string(context_.time_left(services_.core.now()).count())}});
+}
+
+bool request_forwarder::return_to_silent_target()
+{
+    const std::shared_ptr<target_view> target =
+        std::move(context_.silent_target);
+    context_.silent_target = nullptr;
+    if (!target || target->is_withdrawn)
+        return false;
+    assignment_ = engine_assignment();
+    assignment_.decode_engine = target;
+    return true;
+}
+
 bool request_forwarder::can_reuse_kv_cache(
     const target_view& decode_engine) const
 {
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -75,17 +75,33 @@
         `decode_engine` refused the request. */
     bool can_reuse_kv_cache(const target_view& decode_engine) const;
     void release_kv_cache();
+    /** Returns whether the request may be sent to another target now, and one
+        that is not suspected can take it. A silent target is left only if so:
+        it may still go on. */
+    bool has_alternative_to(const target_view& silent_target);
+    /** Sends the request and waits for the head of the response, also at a
+        silent target as long as there is no alternative to it. */
+    attempt_result send_and_wait(target_exchange& upstream,
+                                 const attempt_options& options,
+                                 const std::shared_ptr<target_view>& target,
+                                 boost::asio::yield_context yield);
+    void log_silence(const target_view& target);
+    /** Assigns the silent target that was left last, if it is still there. */
+    bool return_to_silent_target();
     next_step handle_failed_attempt(attempt_result attempt_outcome,
                                     target_view& target);
-    next_step relay_response(target_exchange& upstream, target_view& target,
+    next_step relay_response(target_exchange& upstream,
+                             const std::shared_ptr<target_view>& target,
                              target_load_guard& work,
                              boost::asio::yield_context yield);
     next_step relay_buffered(target_exchange& upstream, target_view& target,
                              boost::asio::yield_context yield);
-    next_step relay_stream(target_exchange& upstream, target_view& target,
+    next_step relay_stream(target_exchange& upstream,
+                           const std::shared_ptr<target_view>& target,
                            target_load_guard& work,
                            boost::asio::yield_context yield);
-    next_step handle_stream_failure(target_view& target, std::error_code error);
+    next_step handle_stream_failure(target_exchange& upstream,
+                                    target_view& target, std::error_code error);
     bool forward_event(const server_sent_event& event,
                        target_exchange& upstream,
                        boost::asio::yield_context yield);
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -3,6 +3,7 @@
 #include "gateway/request/request_limits.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // The part of request_forwarder that relays the response of a target.
 
@@ -23,16 +24,15 @@
 
 } // namespace
 
-request_forwarder::next_step
-request_forwarder::relay_response(target_exchange& upstream,
-                                  target_view& target, target_load_guard& work,
-                                  boost::asio::yield_context yield)
+request_forwarder::next_step request_forwarder::relay_response(
+    target_exchange& upstream, const std::shared_ptr<target_view>& target,
+    target_load_guard& work, boost::asio::yield_context yield)
 {
     const bool is_stream = upstream.parsed_response().is_event_stream &&
                            upstream.head().status == 200;
     if (is_stream)
         return relay_stream(upstream, target, work, yield);
-    return relay_buffered(upstream, target, yield);
+    return relay_buffered(upstream, *target, yield);
 }
 
 request_forwarder::next_step
@@ -86,10 +86,9 @@
     return next_step::completed;
 }
 
-request_forwarder::next_step
-request_forwarder::relay_stream(target_exchange& upstream, target_view& target,
-                                target_load_guard& work,
-                                boost::asio::yield_context yield)
+request_forwarder::next_step request_forwarder::relay_stream(
+    target_exchange& upstream, const std::shared_ptr<target_view>& target,
+    target_load_guard& work, boost::asio::yield_context yield)
 {
     const bool may_resume = context_.matched_route->is_safe_to_retry();
     const std::chrono::milliseconds read_timeout =
@@ -103,23 +102,40 @@
     // A stalled target may still send a byte now and then, so the timeout ends
     // with the next complete event.
     time_point event_due = services_.core.now() + read_timeout;
+    bool is_silence_logged = false;
     for (;;)
     {
-        const std::chrono::milliseconds time_left =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                event_due - services_.core.now());
-        if (time_left <= std::chrono::milliseconds(0))
+        const time_point now = services_.core.now();
+        if (context_.time_left(now) <= std::chrono::milliseconds(0))
             return handle_stream_failure(
-                target, make_error_code(http_error::timed_out));
-        const result<std::string> chunk = upstream.read_some(time_left, yield);
+                upstream, *target, make_error_code(http_error::timed_out));
+        if (now >= event_due)
+        {
+            upstream.record_silence();
+            if (!std::exchange(is_silence_logged, true))
+                log_silence(*target);
+            if (has_alternative_to(*target))
+            {
+                context_.silent_target = target;
+                return handle_stream_failure(
+                    upstream, *target, make_error_code(http_error::timed_out));
+            }
+            event_due = now + read_timeout;
+        }
+        const result<std::string> chunk = upstream.read_some(
+            std::chrono::ceil<std::chrono::milliseconds>(event_due - now),
+            yield);
+        if (!chunk && chunk.error() == http_error::timed_out &&
+            !context_.is_caller_disconnected)
+            continue;
         if (!chunk)
-            return handle_stream_failure(target, chunk.error());
+            return handle_stream_failure(upstream, *target, chunk.error());
         work.prefill_finished();
         if (chunk.value().empty())
             break;
         if (!parser.add(chunk.value()))
             return handle_stream_failure(
-                target, make_error_code(http_error::too_large));
+                upstream, *target, make_error_code(http_error::too_large));
         received += chunk.value();
         for (std::optional<server_sent_event> event = parser.next(); event;
              event = parser.next())
@@ -128,15 +144,15 @@
             event_due = services_.core.now() + read_timeout;
             if (!forward_event(*event, upstream, yield))
                 return handle_stream_failure(
-                    target, make_error_code(http_error::broken));
+                    upstream, *target, make_error_code(http_error::broken));
         }
     }
     // The response ended in the middle of an event, or without any event.
     if (!received.empty() || !context_.has_stream_started)
-        return handle_stream_failure(target,
+        return handle_stream_failure(upstream, *target,
                                      make_error_code(http_error::broken));
     upstream.finish();
-    services_.fleet.record_outcome(target, exchange_outcome::responded,
+    services_.fleet.record_outcome(*target, exchange_outcome::responded,
                                    context_.request.id);
     const result<void> end_result = exchange_.end_stream(yield);
     if (!end_result)
@@ -173,16 +189,14 @@
     return true;
 }
 
-request_forwarder::next_step
-request_forwarder::handle_stream_failure(target_view& target,
-                                         std::error_code error)
+request_forwarder::next_step request_forwarder::handle_stream_failure(
+    target_exchange& upstream, target_view& target, std::error_code error)
 {
     context_.last_error = "stream interrupted: " + error.message();
-    if (!context_.is_caller_disconnected)
-        services_.fleet.record_outcome(target,
-                                       error == http_error::timed_out
-                                           ? exchange_outcome::timed_out
-                                           : exchange_outcome::broken,
+    if (!context_.is_caller_disconnected && error == http_error::timed_out)
+        upstream.record_silence();
+    else if (!context_.is_caller_disconnected)
+        services_.fleet.record_outcome(target, exchange_outcome::broken,
                                        context_.request.id);
     return handle_failed_attempt(attempt_result::unknown, target);
 }
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -27,7 +27,7 @@
 
 /** Maximum number of late responses to other requests that are discarded while
     waiting for the response to this one. */
-constexpr int max_stale_responses = 2;
+constexpr unsigned max_stale_responses = 2;
 
 } // namespace
 
@@ -117,11 +117,19 @@
 target_exchange::read_head(std::chrono::milliseconds first_byte_timeout,
                            boost::asio::yield_context yield)
 {
-    for (int stale_responses = 0; stale_responses <= max_stale_responses;
-         ++stale_responses)
+    for (; stale_responses_ <= max_stale_responses; ++stale_responses_)
     {
         const result<http_response_head> head = connection_->read_head(
             clamp_to_deadline(first_byte_timeout), yield);
+        const bool is_silent = !head && head.error() == http_error::timed_out &&
+                               !context_.is_caller_disconnected &&
+                               !is_deadline_exceeded();
+        if (is_silent)
+        {
+            context_.last_error = head.error().message();
+            record_silence();
+            return attempt_result::silent;
+        }
         if (!head)
             return handle_failure(head.error(), true);
         head_ = head.value();
@@ -164,6 +172,29 @@
     return attempt_result::not_run;
 }
 
+attempt_result
+target_exchange::wait(std::chrono::milliseconds first_byte_timeout,
+                      boost::asio::yield_context yield)
+{
+    return read_head(first_byte_timeout, yield);
+}
+
+void target_exchange::record_silence()
+{
+    if (is_silence_recorded_)
+        return;
+    is_silence_recorded_ = true;
+    services_.fleet.record_outcome(*target_, exchange_outcome::timed_out,
+                                   context_.request.id);
+    services_.core.connections().forget(target_->record.endpoint);
+}
+
+bool target_exchange::is_deadline_exceeded() const
+{
+    return context_.time_left(services_.core.now()) <=
+           std::chrono::milliseconds(1);
+}
+
 attempt_result target_exchange::handle_failure(std::error_code error,
                                                bool may_have_run)
 {
@@ -171,24 +202,19 @@
         return attempt_result::caller_disconnected;
     context_.last_error = error.message();
     const bool is_timeout = error == http_error::timed_out;
-    const bool is_deadline_exceeded =
-        context_.time_left(services_.core.now()) <=
-        std::chrono::milliseconds(1);
     // The target may close an idle connection at any time, so the failure of a
     // reused connection without a byte received is no sign of its health.
     const bool is_stale =
         is_reused_connection_ && !is_timeout && !connection_->has_received();
-    if (!is_stale)
-        services_.fleet.record_outcome(*target_,
-                                       is_timeout ? exchange_outcome::timed_out
-                                                  : exchange_outcome::broken,
-                                       context_.request.id);
     if (is_timeout)
-        services_.core.connections().forget(target_->record.endpoint);
+        record_silence();
+    else if (!is_stale)
+        services_.fleet.record_outcome(*target_, exchange_outcome::broken,
+                                       context_.request.id);
     if (!may_have_run)
         return attempt_result::not_sent;
-    return is_deadline_exceeded ? attempt_result::deadline_exceeded
-                                : attempt_result::unknown;
+    return is_deadline_exceeded() ? attempt_result::deadline_exceeded
+                                  : attempt_result::unknown;
 }
 
 const http_response_head& target_exchange::head() const
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -13,6 +13,7 @@
     response_received,   ///< the head of the response has arrived
     not_sent,            ///< no byte of the request was sent
     not_run,             ///< the target reports that it has not run the request
+    silent,              ///< sent, but no response yet; see wait()
     unknown,             ///< the request was sent, and may have run
     caller_disconnected, ///< so the connection to the target was closed
     deadline_exceeded    ///< the caller's time limit passed; it may have run
@@ -39,6 +40,16 @@
                         std::chrono::milliseconds first_byte_timeout,
                         boost::asio::yield_context yield);
 
+    /** Continues to wait for the head of the response after send() or wait()
+        has returned attempt_result::silent. */
+    attempt_result wait(std::chrono::milliseconds first_byte_timeout,
+                        boost::asio::yield_context yield);
+
+    /** Records that the target is silent: it has been sent the request, and
+        has not completed its response or the next event of it in time. Only
+        the first call has an effect. */
+    void record_silence();
+
     /** The head of the response. Valid after send() has returned
         attempt_result::response_received or attempt_result::not_run. */
     const http_response_head& head() const;
@@ -62,6 +73,7 @@
     attempt_result connect(boost::asio::yield_context yield);
     attempt_result read_head(std::chrono::milliseconds first_byte_timeout,
                              boost::asio::yield_context yield);
+    bool is_deadline_exceeded() const;
     attempt_result handle_failure(std::error_code error, bool may_have_run);
     std::chrono::milliseconds
     clamp_to_deadline(std::chrono::milliseconds timeout) const;
@@ -71,6 +83,8 @@
     std::shared_ptr<target_view> target_;
     std::unique_ptr<http_connection> connection_;
     bool is_reused_connection_ = false;
+    bool is_silence_recorded_ = false;
+    unsigned stale_responses_ = 0;
     http_response_head head_;
     target_response parsed_response_;
 };
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/client/http_connection.hpp"
 
 #include "http/server/beast_support.hpp"
+#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <limits>
 #include <sys/socket.h>
@@ -31,6 +32,75 @@
     return std::chrono::seconds(seconds);
 }
 
+/** Cancels the reads of a socket from the end of a timeout until it is
+    destroyed. Unlike a timeout of the stream, it leaves the connection open. */
+class read_timeout
+{
+public:
+    read_timeout(boost::asio::ip::tcp::socket& socket,
+                 std::chrono::milliseconds duration)
+        : state_(std::make_shared<state>(socket))
+    {
+        start(state_, duration);
+    }
+
+    ~read_timeout()
+    {
+        state_->is_active = false;
+        state_->timer.cancel();
+    }
+
+    read_timeout(const read_timeout&) = delete;
+    read_timeout& operator=(const read_timeout&) = delete;
+
+    /** Converts the error of a read, which may have been cancelled. */
+    std::error_code to_error(const boost::system::error_code& error) const
+    {
+        const bool is_timeout =
+            error == boost::asio::error::operation_aborted &&
+            state_->has_expired && state_->socket.is_open();
+        return is_timeout ? make_error_code(http_error::timed_out)
+                          : to_http_error(error);
+    }
+
+private:
+    struct state
+    {
+        explicit state(boost::asio::ip::tcp::socket& the_socket)
+            : socket(the_socket)
+            , timer(the_socket.get_executor())
+        {
+        }
+
+        boost::asio::ip::tcp::socket& socket;
+        boost::asio::steady_timer timer;
+        bool is_active = true;
+        bool has_expired = false;
+    };
+
+    static void start(const std::shared_ptr<state>& timeout,
+                      std::chrono::milliseconds duration)
+    {
+        timeout->timer.expires_after(duration);
+        timeout->timer.async_wait(
+            [timeout](const boost::system::error_code& error)
+            {
+                if (error || !timeout->is_active)
+                    return;
+                timeout->has_expired = true;
+                boost::system::error_code ignored;
+                timeout->socket.cancel(ignored);
+                // Between two reads of a composed operation there is nothing
+                // to cancel, and the next read must not wait forever.
+                start(timeout, cancel_interval);
+            });
+    }
+
+    static constexpr std::chrono::milliseconds cancel_interval{5};
+
+    std::shared_ptr<state> state_;
+};
+
 } // namespace
 
 struct http_connection::implementation
@@ -126,12 +196,13 @@
     if (!implementation_->parser)
         return make_error_code(http_error::not_open);
     boost::system::error_code error;
-    implementation_->stream.expires_after(timeout);
+    implementation_->stream.expires_never();
+    const read_timeout limit(implementation_->stream.socket(), timeout);
     beast_http::async_read_header(implementation_->stream,
                                   implementation_->buffer,
                                   *implementation_->parser, yield[error]);
     if (error)
-        return to_http_error(error);
+        return limit.to_error(error);
 
     const implementation::response_parser::value_type& message =
         implementation_->parser->get();
@@ -155,19 +226,20 @@
 
     implementation::response_parser& parser = *implementation_->parser;
     std::string chunk;
+    implementation_->stream.expires_never();
+    const read_timeout limit(implementation_->stream.socket(), timeout);
     while (chunk.empty() && !parser.is_done())
     {
         chunk.resize(read_buffer_bytes);
         parser.get().body().data = chunk.data();
         parser.get().body().size = chunk.size();
         boost::system::error_code error;
-        implementation_->stream.expires_after(timeout);
         beast_http::async_read_some(implementation_->stream,
                                     implementation_->buffer, parser,
                                     yield[error]);
         const bool is_buffer_full = error == beast_http::error::need_buffer;
         if (error && !is_buffer_full)
-            return to_http_error(error);
+            return limit.to_error(error);
         chunk.resize(chunk.size() - parser.get().body().size);
     }
     if (parser.is_done())
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -44,7 +44,11 @@
                       std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield);
 
-    /** Reads the status and the header fields of the response. */
+    /** Reads the status and the header fields of the response.
+
+        After http_error::timed_out the connection is still open, and the read
+        can be continued with another call; this also holds for read_some().
+    */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
 
