Keep the longer idle timeout for connections already idle

Cause: a configuration with a shorter idle-timeout-ms applied at once to connections that were idle already. A client that was told the longer limit reused such a connection and found it closed. Change: a connection keeps the longest idle timeout in force since it became idle; a shorter one applies from its next idle time on. Ruled out: a longer timeout comes too late. Also ruled out: limits that change while a request arrives. Conclusion: real, but the request is not read by the server; a client that sees the close before it sends loses nothing.

--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/server/server_connection.hpp"
 #include "http/server/task.hpp"
+#include <algorithm>
 #include <set>
 
 namespace hibiscusferry
@@ -195,6 +196,7 @@
     connection.buffer.shrink_to_fit();
     boost::system::error_code error;
     connection.idle_since = boot_clock::now();
+    connection.idle_timeout = limits.idle_timeout;
     connection.stream.expires_never();
     connection.stream.socket().async_wait(
         boost::asio::ip::tcp::socket::wait_read, yield[error]);
@@ -215,7 +217,7 @@
                 continue;
             const std::chrono::milliseconds limit =
                 connection->has_announced_close ? linger_timeout
-                                                : limits.idle_timeout;
+                                                : connection->idle_timeout;
             if (now - *connection->idle_since > limit)
                 close_if_idle(*connection);
         }
@@ -377,6 +379,10 @@
 void http_server::set_limits(const http_server_limits& limits)
 {
     implementation_->limits = limits;
+    for (const std::shared_ptr<server_connection>& connection :
+         implementation_->connections)
+        connection->idle_timeout =
+            std::max(connection->idle_timeout, limits.idle_timeout);
 }
 
 void http_server::close_idle()
--- a/modules/http/server/http_server.hpp
+++ b/modules/http/server/http_server.hpp
@@ -64,7 +64,9 @@
 
     /** Changes the limits.
 
-        The idle timeout applies immediately, the size limits and the request
+        A longer idle timeout applies immediately. A shorter one applies to
+        connections that become idle from now on, because the clients of the
+        others may still rely on the longer one. The size limits and the request
         timeout apply to requests that have not begun to arrive, and the write
         timeout and the number of connections apply to connections that are
         accepted from now on.
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -247,6 +247,50 @@
                      });
 }
 
+BOOST_AUTO_TEST_CASE(shorter_idle_timeout_spares_connections_already_idle)
+{
+    http_server_limits limits;
+    limits.idle_timeout = std::chrono::seconds(4);
+    boost::asio::io_context context;
+    run_with_handler(
+        context, limits, respond_with_body,
+        [&context](http_server& server, yield_context yield)
+        {
+            raw_client client(context, server, yield);
+            client.send(post_request);
+            BOOST_TEST(has_status(client.receive(), "200"));
+            http_server_limits shorter;
+            shorter.idle_timeout = std::chrono::milliseconds(200);
+            server.set_limits(shorter);
+            sleep_for(context, std::chrono::milliseconds(1200), yield);
+            client.send(post_request);
+            BOOST_TEST(has_status(client.receive(), "200"));
+            // The connection has become idle again under the shorter timeout.
+            sleep_for(context, std::chrono::milliseconds(1200), yield);
+            BOOST_TEST(server.open_connections() == 0U);
+            BOOST_TEST(client.receive().empty());
+        });
+}
+
+BOOST_AUTO_TEST_CASE(longer_idle_timeout_applies_to_connections_already_idle)
+{
+    http_server_limits limits;
+    limits.idle_timeout = std::chrono::milliseconds(200);
+    boost::asio::io_context context;
+    run_with_handler(context, limits, respond_with_body,
+                     [&context](http_server& server, yield_context yield)
+                     {
+                         raw_client client(context, server, yield);
+                         client.send(post_request);
+                         BOOST_TEST(has_status(client.receive(), "200"));
+                         server.set_limits({});
+                         sleep_for(context, std::chrono::milliseconds(1200),
+                                   yield);
+                         client.send(post_request);
+                         BOOST_TEST(has_status(client.receive(), "200"));
+                     });
+}
+
 BOOST_AUTO_TEST_CASE(query_values_are_decoded)
 {
     const std::string text = "a b/c?&=%ü";
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -31,6 +31,8 @@
     /** When the connection became idle, or std::nullopt while a request is in
         progress. */
     std::optional<time_point> idle_since;
+    /** The longest idle timeout in force since the connection became idle. */
+    std::chrono::milliseconds idle_timeout{0};
 };
 
 /** The exchange that is passed to a server's request handler. */
