Bound the buffer of a response connection

Cause: the buffer of a client connection had no limit. Beast limits the head and the body of a response, but not the size line of a chunk, its extension and the trailers, so a target that sends one of them without end filled the memory with whatever arrived until the deadline. Ruled out: the deadline alone. It ended the request, but after 1500 ms, and nothing was left of the time for another attempt. Conclusion: each connection buffers at most 32 KB of unparsed bytes.

--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr std::size_t max_response_header_bytes = 32U << 10;
+/** Also bounds what Beast does not: chunk sizes, chunk extensions and
+    trailers. */
+constexpr std::size_t max_buffered_bytes = max_response_header_bytes;
 constexpr std::size_t read_buffer_bytes = 16U << 10;
 
 /** Parses the "timeout=N" parameter of a Keep-Alive header field. */
@@ -47,7 +50,7 @@
 
     boost::beast::tcp_stream stream;
     http_endpoint endpoint;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_buffered_bytes};
     std::unique_ptr<response_parser> parser;
     bool is_reusable = true;
     bool is_head_request = false;
