Skip interim responses of a target

Cause: a client connection returned a response with status 1xx like any other. With the id of the request in it, it went to the caller as the final response, and the connection to the pool, where the final response met the next request. Ruled out: the check of the id, which only dropped interim responses without one, and at most two of them. Change: read_head() skips up to 8 interim responses within its timeout; more are http_error::bad_message. This covers http_call() as well, whose responses carry no id. A 102 before the response: the caller gets the 200, and the connection is used again. Conclusion: an interim response is never an answer, and does not extend the timeout.

--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t max_buffered_bytes = max_response_header_bytes;
 constexpr std::size_t read_buffer_bytes = 16U << 10;
 
+/** Requests expect no interim response, so a server that sends more than a few
+    does not respond at all. */
+constexpr int max_interim_responses = 8;
+
 /** Parses the "timeout=N" parameter of a Keep-Alive header field. */
 std::optional<std::chrono::seconds>
 parse_keep_alive_timeout(std::string_view text)
@@ -57,6 +61,7 @@
     std::optional<std::chrono::seconds> keep_alive_timeout;
 
     void begin_response();
+    bool is_interim_response() const;
 };
 
 void http_connection::implementation::begin_response()
@@ -68,6 +73,12 @@
     parser->skip(is_head_request);
 }
 
+bool http_connection::implementation::is_interim_response() const
+{
+    return beast_http::to_status_class(parser->get().result_int()) ==
+           beast_http::status_class::informational;
+}
+
 http_connection::http_connection(std::unique_ptr<implementation> state)
     : implementation_(std::move(state))
 {
@@ -130,11 +141,20 @@
         return make_error_code(http_error::not_open);
     boost::system::error_code error;
     implementation_->stream.expires_after(timeout);
-    beast_http::async_read_header(implementation_->stream,
-                                  implementation_->buffer,
-                                  *implementation_->parser, yield[error]);
-    if (error)
-        return to_http_error(error);
+    int interim_responses = 0;
+    for (;;)
+    {
+        beast_http::async_read_header(implementation_->stream,
+                                      implementation_->buffer,
+                                      *implementation_->parser, yield[error]);
+        if (error)
+            return to_http_error(error);
+        if (!implementation_->is_interim_response())
+            break;
+        if (++interim_responses > max_interim_responses)
+            return make_error_code(http_error::bad_message);
+        implementation_->begin_response();
+    }
 
     const implementation::response_parser::value_type& message =
         implementation_->parser->get();
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -44,7 +44,12 @@
                       std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield);
 
-    /** Reads the status and the header fields of the response. */
+    /** Reads the status and the header fields of the response. Interim
+        responses (status 1xx) are skipped.
+
+        @param timeout  maximum time until the head is complete
+        @returns http_error::bad_message if interim responses do not end
+    */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
 
