Read the body of a refusal briefly

Cause: after a response that the target has not run the request, the gateway read its body like any other: up to 8 MB, until the time limit of the route. A body without end held the refused request until its deadline, although another target could serve it, and the target did not count as failing. Ruled out: not reading the body at all. A full target refuses many requests, and each would cost a new connection. Change: the body is read for at most 64 KB and 250 ms, the time allowed for a new connection. If that fails the connection is closed and the target also counts as broken; the request is still known not to have run. Conclusion: a refusal delays the next attempt by 250 ms at most.

--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -21,6 +21,11 @@
 /** Maximum size of the body of a response that is not a stream. */
 constexpr std::size_t max_body_bytes = 8U << 20;
 
+/** Maximum size of the body of a refusal and time to read it. It is read only
+   in order to reuse the connection, so it may cost no more than a new one. */
+constexpr std::size_t max_refusal_body_bytes = 64U << 10;
+constexpr std::chrono::milliseconds refusal_body_timeout = connect_timeout;
+
 /** Time during which a target gets no requests after it refused one although it
     had free slots. It is probably changing its stage, which takes seconds. */
 constexpr std::chrono::milliseconds refusal_backoff{300};
@@ -148,11 +153,15 @@
 
     context_.last_error =
         "refused without running: " + std::to_string(head_.status);
-    const result<std::string> body = read_body(yield);
+    const result<std::string> body = connection_->read_remaining(
+        max_refusal_body_bytes, clamp_to_deadline(refusal_body_timeout), yield);
     if (body)
         finish();
     services_.fleet.record_outcome(*target_, exchange_outcome::shed,
                                    context_.request.id);
+    if (!body && !context_.is_caller_disconnected)
+        services_.fleet.record_outcome(*target_, exchange_outcome::broken,
+                                       context_.request.id);
     if (parsed_response_.is_misdirected)
         target_->is_withdrawn = true;
     const bool had_free_slots =
