--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -13,8 +13,15 @@
 {
 
 constexpr std::size_t max_response_header_bytes = 32U << 10;
+/** Also bounds what Beast does not: chunk sizes, chunk extensions and
+    trailers. */
+constexpr std::size_t max_buffered_bytes = max_response_header_bytes;
 constexpr std::size_t read_buffer_bytes = 16U << 10;
 
+/** Requests expect no interim response, so a server that sends more than a few
+    does not respond at all. */
+constexpr int max_interim_responses = 8;
+
 /** Parses the "timeout=N" parameter of a Keep-Alive header field. */
 std::optional<std::chrono::seconds>
 parse_keep_alive_timeout(std::string_view text)
@@ -117,13 +124,15 @@
 
     boost::beast::tcp_stream stream;
     http_endpoint endpoint;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_buffered_bytes};
     std::unique_ptr<response_parser> parser;
     bool is_reusable = true;
     bool is_head_request = false;
+    int interim_responses = 0;
     std::optional<std::chrono::seconds> keep_alive_timeout;
 
     void begin_response();
+    bool is_interim_response() const;
 };
 
 void http_connection::implementation::begin_response()
@@ -135,6 +144,12 @@
     parser->skip(is_head_request);
 }
 
+bool http_connection::implementation::is_interim_response() const
+{
+    return beast_http::to_status_class(parser->get().result_int()) ==
+           beast_http::status_class::informational;
+}
+
 http_connection::http_connection(std::unique_ptr<implementation> state)
     : implementation_(std::move(state))
 {
@@ -179,6 +194,7 @@
     message.prepare_payload();
 
     implementation_->is_head_request = request.method == "HEAD";
+    implementation_->interim_responses = 0;
     implementation_->begin_response();
 
     boost::system::error_code error;
@@ -198,11 +214,19 @@
     boost::system::error_code error;
     implementation_->stream.expires_never();
     const read_timeout limit(implementation_->stream.socket(), timeout);
-    beast_http::async_read_header(implementation_->stream,
-                                  implementation_->buffer,
-                                  *implementation_->parser, yield[error]);
-    if (error)
-        return limit.to_error(error);
+    for (;;)
+    {
+        beast_http::async_read_header(implementation_->stream,
+                                      implementation_->buffer,
+                                      *implementation_->parser, yield[error]);
+        if (error)
+            return limit.to_error(error);
+        if (!implementation_->is_interim_response())
+            break;
+        if (++implementation_->interim_responses > max_interim_responses)
+            return make_error_code(http_error::bad_message);
+        implementation_->begin_response();
+    }
 
     const implementation::response_parser::value_type& message =
         implementation_->parser->get();
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -44,10 +44,14 @@
                       std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield);
 
-    /** Reads the status and the header fields of the response.
+    /** Reads the status and the header fields of the response. Interim
+        responses (status 1xx) are skipped.
 
         After http_error::timed_out the connection is still open, and the read
         can be continued with another call; this also holds for read_some().
+
+        @param timeout  maximum time until the head is complete
+        @returns http_error::bad_message if interim responses do not end
     */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
