Leave a silent target only when another one has responded

Callers would see a stream end when the others refuse and the way back is barred (budget spent by several streams that fell silent together, target leaving), or lose work that was nearly done.

The same cause acted in the prefill stage (the only prefill engine was given up after one timeout), while a request is sent (Beast's timeout closes the socket), and in what is taken for a silence: a pause of this process, and a caller that reads slowly. A silence that was waited out also entered the learned speeds.

Change: the attempt at a silent target is suspended with its connection and what was read of its response (target_attempt). It is closed when another target responds without an error, and resumed when the others refuse, break, or cannot be scheduled; no retry is needed for that. At most one attempt is suspended; if the other target is silent too, the one that sends first goes on. Sending can be continued after a timeout. A timeout with unread bytes in the socket reads them first. The time for the next event starts when the last one has been written to the caller. Steps with a silence are not recorded as speeds.

Conclusion: open are the native router (stream_relay ends a stream after 2 s without a byte and three resumptions) and a frozen target, which may notice only after its pause that it was left.

--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -58,9 +58,6 @@
     std::vector<std::string> excluded;
     /** Targets at which the request may have run. */
     std::set<std::string> possible_run_targets;
-    /** The last target that was left because it was silent; tried once more if
-        no other target takes the request. */
-    std::shared_ptr<target_view> silent_target;
     /** Number of attempts so far, including those that only prefill. */
     unsigned attempts = 0;
     /** The first prefill attempt is not counted against the retry budget. */
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -3,6 +3,7 @@
 #include "gateway/request/request_limits.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscusferry
 {
@@ -14,10 +15,6 @@
     objectives without a byte of the response. */
 constexpr int first_byte_timeout_objectives = 4;
 
-/** A silent target is left only if the retry budget also suffices to return to
-    it, should the other target refuse the request. */
-constexpr double min_retries_to_leave = 2;
-
 /** The caller may retry immediately: another host accepts its next
     connection. */
 constexpr std::chrono::milliseconds stopping_backlog{1};
@@ -45,8 +42,11 @@
             context_.is_caller_disconnected = true;
             if (context_.active_connection != nullptr)
                 context_.active_connection->close();
+            if (suspended_)
+                suspended_->upstream.close();
         });
     run(yield);
+    suspended_ = nullptr;
     release_kv_cache();
 }
 
@@ -94,30 +94,30 @@
             log_completion(event_number::request_abandoned, "caller_gone");
             return;
         }
-        if (context_.time_left(services_.core.now()) < min_time_to_attempt)
-        {
-            fail_request(refusal_cause::expired_before_attempt, yield);
-            return;
-        }
+        next_step step = next_step::retry;
+        const bool has_time =
+            context_.time_left(services_.core.now()) >= min_time_to_attempt;
         scheduling_failure reason = scheduling_failure::no_target;
-        assignment_ = schedule(reason);
-        if (!assignment_.decode_engine && !return_to_silent_target())
+        if (has_time)
+            assignment_ = schedule(reason);
+        if (has_time && assignment_.decode_engine)
+            step = attempt(assignment_, yield);
+        else if (!suspended_)
         {
-            const std::chrono::milliseconds backlog =
-                reason == scheduling_failure::busy
-                    ? std::chrono::milliseconds(
-                          static_cast<int>(assignment_.expected_ms))
-                    : std::max(no_target_backlog, refusal_time_left());
-            refuse(reason == scheduling_failure::busy
-                       ? refusal_cause::overloaded
-                       : refusal_cause::no_target,
-                   backlog, yield);
+            refuse_unscheduled(has_time, reason, yield);
             return;
         }
-        const next_step step = attempt(assignment_, yield);
+        // A silent target may still go on where the others cannot.
+        while (suspended_ &&
+               (step == next_step::retry || step == next_step::may_have_run ||
+                (step == next_step::suspended &&
+                 !try_retry(next_step::may_have_run))))
+            step = resume_suspended(yield);
         if (step == next_step::completed)
             return;
-        if (step == next_step::prefilled || try_retry(step))
+        const bool may_continue =
+            step == next_step::prefilled || step == next_step::suspended;
+        if (may_continue || try_retry(step))
             continue;
         fail_request(context_.possible_run_targets.empty()
                          ? refusal_cause::target_refused
@@ -127,6 +127,24 @@
     }
 }
 
+void request_forwarder::refuse_unscheduled(bool has_time,
+                                           scheduling_failure reason,
+                                           boost::asio::yield_context yield)
+{
+    if (!has_time)
+    {
+        fail_request(refusal_cause::expired_before_attempt, yield);
+        return;
+    }
+    const bool is_busy = reason == scheduling_failure::busy;
+    const std::chrono::milliseconds backlog =
+        is_busy ? std::chrono::milliseconds(
+                      static_cast<int>(assignment_.expected_ms))
+                : std::max(no_target_backlog, refusal_time_left());
+    refuse(is_busy ? refusal_cause::overloaded : refusal_cause::no_target,
+           backlog, yield);
+}
+
 std::chrono::milliseconds request_forwarder::refusal_time_left() const
 {
     const time_point now = services_.core.now();
@@ -159,10 +177,7 @@
     const time_point now = services_.core.now();
     const std::vector<std::shared_ptr<target_view>>& targets =
         services_.fleet.registry().targets_for_service(context_.service);
-    const bool is_generation = context_.request.prompt.has_value() &&
-                               context_.properties != nullptr &&
-                               context_.properties->engine.has_value();
-    if (!is_generation)
+    if (!is_generation())
     {
         engine_assignment assignment;
         assignment.decode_engine =
@@ -194,6 +209,13 @@
                               now, reason);
 }
 
+bool request_forwarder::is_generation() const
+{
+    return context_.request.prompt.has_value() &&
+           context_.properties != nullptr &&
+           context_.properties->engine.has_value();
+}
+
 std::chrono::milliseconds
 request_forwarder::first_byte_timeout(bool is_repeatable) const
 {
@@ -220,56 +242,72 @@
 request_forwarder::attempt_decode(const engine_assignment& assignment,
                                   boost::asio::yield_context yield)
 {
-    const std::shared_ptr<target_view> target = assignment.decode_engine;
-    const double prompt_tokens =
-        context_.request.prompt ? context_.request.prompt->prompt_tokens : 0;
-    const double output_tokens =
-        context_.request.prompt ? context_.request.prompt->output_tokens : 0;
-    target_load_guard work(
-        target, context_.kv_cache ? 0 : assignment.pending_prefill_tokens,
-        prompt_tokens + output_tokens, services_.core.time(),
-        context_.matched_route->rank);
-    target_exchange upstream(services_, context_, target);
-    attempt_options options{context_.request, target->record};
+    std::unique_ptr<target_attempt> current =
+        std::make_unique<target_attempt>(services_, context_, assignment);
+    attempt_options options{context_.request, current->target->record};
     options.rank = context_.matched_route->rank;
     options.kv_cache = context_.kv_cache;
     options.resume_after = context_.last_event_id;
-    const time_point attempt_start = services_.core.now();
-    const attempt_result attempt_outcome =
-        send_and_wait(upstream, options, target, yield);
-    const bool is_accepted =
-        attempt_outcome == attempt_result::response_received ||
-        attempt_outcome == attempt_result::unknown;
+    const attempt_result outcome = current->upstream.send(
+        options, first_byte_timeout(context_.matched_route->is_safe_to_retry()),
+        yield);
+    const bool is_accepted = outcome == attempt_result::response_received ||
+                             outcome == attempt_result::silent ||
+                             outcome == attempt_result::unknown;
     if (is_accepted)
         context_.kv_cache.reset();
-    if (context_.kv_cache && attempt_outcome == attempt_result::not_run &&
-        !can_reuse_kv_cache(*target))
+    if (context_.kv_cache && outcome == attempt_result::not_run &&
+        !can_reuse_kv_cache(*current->target))
     {
         context_.excluded.push_back(context_.kv_cache_engine->record.id);
         release_kv_cache();
     }
-    if (attempt_outcome != attempt_result::response_received)
-        return handle_failed_attempt(attempt_outcome, *target);
-    const bool is_generation = context_.request.prompt.has_value() &&
-                               context_.properties != nullptr &&
-                               context_.properties->engine.has_value();
-    if (!is_generation)
-        return relay_response(upstream, target, work, yield);
-    const time_point response_start = services_.core.now();
-    record_step(target, assignment.decode_baseline_ms,
-                response_start - attempt_start,
-                services_.fleet.delays(context_.service).decode_engines,
-                context_.decode_step);
-    observe_decode_start(assignment, options.kv_cache.has_value(),
-                         response_start - attempt_start);
-    target->cached_prefixes.add(
+    return complete_attempt(std::move(current), outcome, yield);
+}
+
+request_forwarder::next_step
+request_forwarder::complete_attempt(std::unique_ptr<target_attempt> current,
+                                    attempt_result outcome,
+                                    boost::asio::yield_context yield)
+{
+    const std::chrono::milliseconds timeout =
+        first_byte_timeout(context_.matched_route->is_safe_to_retry());
+    while (outcome == attempt_result::silent)
+    {
+        log_silence(*current);
+        const bool goes_on_elsewhere =
+            suspended_ && suspended_->upstream.has_unread_data();
+        if (goes_on_elsewhere)
+            return handle_failed_attempt(attempt_result::unknown,
+                                         *current->target);
+        if (has_alternative_to(*current->target))
+            return suspend(std::move(current));
+        outcome = current->upstream.wait(timeout, yield);
+    }
+    if (outcome != attempt_result::response_received)
+        return handle_failed_attempt(outcome, *current->target);
+    if (!is_server_error(current->upstream.head().status))
+        suspended_ = nullptr;
+    current->response_start = services_.core.now();
+    if (is_generation())
+        observe_response_start(*current);
+    return relay_response(std::move(current), yield);
+}
+
+void request_forwarder::observe_response_start(const target_attempt& current)
+{
+    current.target->cached_prefixes.add(
         *context_.request.prompt,
         context_.properties->engine->kv_capacity_tokens);
-    const next_step step = relay_response(upstream, target, work, yield);
-    if (step == next_step::completed && !context_.is_caller_disconnected)
-        observe_completion(options.kv_cache.has_value(), attempt_start,
-                           response_start);
-    return step;
+    // A silence says nothing about the speed of an engine.
+    if (current.upstream.was_silent())
+        return;
+    const std::chrono::nanoseconds duration =
+        *current.response_start - current.start;
+    record_step(current.target, current.assignment.decode_baseline_ms, duration,
+                services_.fleet.delays(context_.service).decode_engines,
+                context_.decode_step);
+    observe_decode_start(current.assignment, current.is_transferred, duration);
 }
 
 request_forwarder::next_step
@@ -295,8 +333,11 @@
 
     // A prefill does not run the request, so it is always repeatable.
     const time_point prefill_start = services_.core.now();
-    const attempt_result attempt_outcome =
+    attempt_result attempt_outcome =
         upstream.send(options, first_byte_timeout(true), yield);
+    while (attempt_outcome == attempt_result::silent &&
+           !can_retry_without(*prefill_engine))
+        attempt_outcome = upstream.wait(first_byte_timeout(true), yield);
     if (attempt_outcome == attempt_result::response_received &&
         upstream.head().status == 200)
     {
@@ -314,12 +355,16 @@
             prefill_engine->cached_prefixes.add(
                 *context_.request.prompt,
                 context_.properties->engine->kv_capacity_tokens);
-            observe_prefill(assignment, services_.core.now() - prefill_start);
-            record_step(
-                prefill_engine, assignment.prefill_baseline_ms,
-                services_.core.now() - prefill_start,
-                services_.fleet.delays(context_.service).prefill_engines,
-                context_.prefill_step);
+            const std::chrono::nanoseconds duration =
+                services_.core.now() - prefill_start;
+            if (!upstream.was_silent())
+            {
+                observe_prefill(assignment, duration);
+                record_step(
+                    prefill_engine, assignment.prefill_baseline_ms, duration,
+                    services_.fleet.delays(context_.service).prefill_engines,
+                    context_.prefill_step);
+            }
             services_.fleet.record_outcome(*prefill_engine,
                                            exchange_outcome::responded,
                                            context_.request.id);
@@ -337,74 +382,72 @@
     return next_step::retry;
 }
 
-attempt_result
-request_forwarder::send_and_wait(target_exchange& upstream,
-                                 const attempt_options& options,
-                                 const std::shared_ptr<target_view>& target,
-                                 boost::asio::yield_context yield)
+bool request_forwarder::may_run_at_another_target() const
 {
-    const std::chrono::milliseconds timeout =
-        first_byte_timeout(context_.matched_route->is_safe_to_retry());
-    attempt_result attempt_outcome = upstream.send(options, timeout, yield);
-    if (attempt_outcome == attempt_result::silent)
-        log_silence(*target);
-    while (attempt_outcome == attempt_result::silent)
-    {
-        if (has_alternative_to(*target))
-        {
-            context_.silent_target = target;
-            return attempt_result::unknown;
-        }
-        attempt_outcome = upstream.wait(timeout, yield);
-    }
-    return attempt_outcome;
+    return context_.possible_run_targets.size() <
+               context_.matched_route->max_targets &&
+           context_.time_left(services_.core.now()) >= min_time_to_attempt;
 }
 
 bool request_forwarder::has_alternative_to(const target_view& silent_target)
 {
-    const time_point now = services_.core.now();
-    std::set<std::string> run_targets = context_.possible_run_targets;
-    run_targets.insert(silent_target.record.id);
-    const bool may_retry =
-        context_.matched_route->is_safe_to_retry() &&
-        run_targets.size() < context_.matched_route->max_targets &&
-        context_.time_left(now) >= min_time_to_attempt &&
+    if (suspended_ || !context_.matched_route->is_safe_to_retry())
+        return false;
+    const bool is_new =
+        context_.possible_run_targets.insert(silent_target.record.id).second;
+    const bool may_run = may_run_at_another_target();
+    if (is_new)
+        context_.possible_run_targets.erase(silent_target.record.id);
+    return may_run && can_retry_without(silent_target);
+}
+
+bool request_forwarder::can_retry_without(const target_view& silent_target)
+{
+    const bool has_budget =
         services_.fleet.budget(context_.service)
-                .remaining(now, services_.fleet.live_hosts()) >=
-            min_retries_to_leave;
-    if (!may_retry)
+            .remaining(services_.core.now(), services_.fleet.live_hosts()) >= 1;
+    if (!has_budget)
         return false;
     context_.excluded.push_back(silent_target.record.id);
     scheduling_failure ignored = scheduling_failure::no_target;
     const engine_assignment alternative = schedule(ignored);
     context_.excluded.pop_back();
     return alternative.decode_engine &&
-           alternative.decode_engine->health.is_usable(now);
+           alternative.decode_engine->health.is_usable(services_.core.now());
 }
 
-void request_forwarder::log_silence(const target_view& target)
+request_forwarder::next_step
+request_forwarder::suspend(std::unique_ptr<target_attempt> current)
 {
+    context_.excluded.push_back(current->target->record.id);
+    context_.possible_run_targets.insert(current->target->record.id);
+    suspended_ = std::move(current);
+    return next_step::suspended;
+}
+
+request_forwarder::next_step
+request_forwarder::resume_suspended(boost::asio::yield_context yield)
+{
+    std::unique_ptr<target_attempt> current = std::move(suspended_);
+    if (current->response_start)
+        return relay_stream(std::move(current), yield);
+    const attempt_result outcome = current->upstream.wait(
+        first_byte_timeout(context_.matched_route->is_safe_to_retry()), yield);
+    return complete_attempt(std::move(current), outcome, yield);
+}
+
+void request_forwarder::log_silence(target_attempt& current)
+{
+    if (std::exchange(current.is_silence_logged, true))
+        return;
+    const time_point now = services_.core.now();
     services_.core.journal().record(
         event_number::target_silent,
         {{"request", context_.request.id},
-         {"target", target.record.id},
+         {"target", current.target->record.id},
          {"last_event", context_.last_event_id},
-         {"elapsed_ms",
-          std::to_string(context_.elapsed(services_.core.now()).count())},
-         {"time_left_ms",
-          std::to_string(context_.time_left(services_.core.now()).count())}});
-}
-
-bool request_forwarder::return_to_silent_target()
-{
-    const std::shared_ptr<target_view> target =
-        std::move(context_.silent_target);
-    context_.silent_target = nullptr;
-    if (!target || target->is_withdrawn)
-        return false;
-    assignment_ = engine_assignment();
-    assignment_.decode_engine = target;
-    return true;
+         {"elapsed_ms", std::to_string(context_.elapsed(now).count())},
+         {"time_left_ms", std::to_string(context_.time_left(now).count())}});
 }
 
 bool request_forwarder::can_reuse_kv_cache(
@@ -484,19 +527,20 @@
              duration, 1, services_.core.now());
 }
 
-void request_forwarder::observe_completion(bool was_transferred,
-                                           time_point attempt_start,
-                                           time_point response_start)
+void request_forwarder::observe_completion(const target_attempt& current)
 {
+    if (!is_generation() || context_.is_caller_disconnected ||
+        current.upstream.was_silent())
+        return;
     const double tokens = context_.request.prompt->output_tokens;
     const time_point now = services_.core.now();
     engine_performance& performance =
         services_.fleet.performance(context_.service);
     performance.add(engine_step::completion, tokens, tokens,
-                    now - response_start, 1, now);
-    if (was_transferred)
+                    now - *current.response_start, 1, now);
+    if (current.is_transferred)
         performance.add(engine_step::decode, tokens, tokens,
-                        now - attempt_start, 1, now);
+                        now - current.start, 1, now);
 }
 
 request_forwarder::next_step
@@ -528,13 +572,11 @@
     const time_point now = services_.core.now();
     const bool is_safe =
         step == next_step::retry || context_.matched_route->is_safe_to_retry();
-    const bool has_targets = context_.possible_run_targets.size() <
-                             context_.matched_route->max_targets;
-    const bool has_time = context_.time_left(now) >= min_time_to_attempt;
+    const bool has_targets = may_run_at_another_target();
     // A request that was never sent needs no retry budget.
     const bool is_unsent = context_.attempts == 0;
     const bool is_allowed =
-        is_safe && has_targets && has_time &&
+        is_safe && has_targets &&
         (is_unsent || services_.fleet.budget(context_.service)
                           .try_spend(now, services_.fleet.live_hosts()));
     std::vector<event_field> event_fields = fields();
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -1,7 +1,8 @@
 #ifndef HIBISCUSFERRY_GATEWAY_REQUEST_REQUEST_FORWARDER_HPP
 #define HIBISCUSFERRY_GATEWAY_REQUEST_REQUEST_FORWARDER_HPP
 
-#include "gateway/request/target_exchange.hpp"
+#include "gateway/request/target_attempt.hpp"
+#include <memory>
 #include <optional>
 #include <random>
 
@@ -30,6 +31,7 @@
     {
         completed,   ///< the caller has its response, or has disconnected
         prefilled,   ///< the prompt is prefilled; a decode engine comes next
+        suspended,   ///< the target is silent; schedule again beside it
         retry,       ///< schedule again; the request has not run there
         may_have_run ///< schedule again, but only if the request is repeatable
     };
@@ -49,6 +51,8 @@
         zero if there is none. */
     std::chrono::milliseconds refusal_time_left() const;
     scheduling_constraints constraints() const;
+    /** Whether the request generates tokens at an engine. */
+    bool is_generation() const;
     std::chrono::milliseconds first_byte_timeout(bool is_repeatable) const;
 
     next_step attempt(const engine_assignment& assignment,
@@ -69,39 +73,41 @@
     void observe_decode_start(const engine_assignment& assignment,
                               bool was_transferred,
                               std::chrono::nanoseconds duration);
-    void observe_completion(bool was_transferred, time_point attempt_start,
-                            time_point response_start);
+    void observe_completion(const target_attempt& current);
     /** Returns whether another decode engine may fetch the KV cache after
         `decode_engine` refused the request. */
     bool can_reuse_kv_cache(const target_view& decode_engine) const;
     void release_kv_cache();
-    /** Returns whether the request may be sent to another target now, and one
-        that is not suspected can take it. A silent target is left only if so:
-        it may still go on. */
+    /** Continues an attempt after the request has been sent.
+        @param outcome  the outcome of sending it */
+    next_step complete_attempt(std::unique_ptr<target_attempt> current,
+                               attempt_result outcome,
+                               boost::asio::yield_context yield);
+    void observe_response_start(const target_attempt& current);
+    /** Returns whether the request may be sent to another target while it stays
+        at a silent one, and one that is not suspected can take it. */
     bool has_alternative_to(const target_view& silent_target);
-    /** Sends the request and waits for the head of the response, also at a
-        silent target as long as there is no alternative to it. */
-    attempt_result send_and_wait(target_exchange& upstream,
-                                 const attempt_options& options,
-                                 const std::shared_ptr<target_view>& target,
-                                 boost::asio::yield_context yield);
-    void log_silence(const target_view& target);
-    /** Assigns the silent target that was left last, if it is still there. */
-    bool return_to_silent_target();
+    /** Returns whether the retry budget allows another attempt, and a target
+        that is not suspected could be scheduled without `silent_target`. */
+    bool can_retry_without(const target_view& silent_target);
+    /** Sets an attempt at a silent target aside, until another target responds
+        to the request or none takes it. */
+    next_step suspend(std::unique_ptr<target_attempt> current);
+    next_step resume_suspended(boost::asio::yield_context yield);
+    void log_silence(target_attempt& current);
+    /** Returns whether an attempt so far may have run the request at few enough
+        targets that another one may run it, and there is time for that. */
+    bool may_run_at_another_target() const;
     next_step handle_failed_attempt(attempt_result attempt_outcome,
                                     target_view& target);
-    next_step relay_response(target_exchange& upstream,
-                             const std::shared_ptr<target_view>& target,
-                             target_load_guard& work,
+    next_step relay_response(std::unique_ptr<target_attempt> current,
                              boost::asio::yield_context yield);
-    next_step relay_buffered(target_exchange& upstream, target_view& target,
+    next_step relay_buffered(target_attempt& current,
                              boost::asio::yield_context yield);
-    next_step relay_stream(target_exchange& upstream,
-                           const std::shared_ptr<target_view>& target,
-                           target_load_guard& work,
+    next_step relay_stream(std::unique_ptr<target_attempt> current,
                            boost::asio::yield_context yield);
-    next_step handle_stream_failure(target_exchange& upstream,
-                                    target_view& target, std::error_code error);
+    next_step handle_stream_failure(target_attempt& current,
+                                    std::error_code error);
     bool forward_event(const server_sent_event& event,
                        target_exchange& upstream,
                        boost::asio::yield_context yield);
@@ -109,6 +115,10 @@
     /** Returns whether a retry is allowed, and if so takes it out of the retry
         budget. */
     bool try_retry(next_step step);
+    /** Sends the final response if no target could be scheduled.
+        @param has_time  false if the reason is the caller's deadline */
+    void refuse_unscheduled(bool has_time, scheduling_failure reason,
+                            boost::asio::yield_context yield);
     void refuse(refusal_cause reason, std::chrono::milliseconds backlog,
                 boost::asio::yield_context yield);
     void fail_request(refusal_cause reason, boost::asio::yield_context yield);
@@ -121,6 +131,7 @@
     request_context context_;
     std::optional<failed_response> failed_response_;
     engine_assignment assignment_;
+    std::unique_ptr<target_attempt> suspended_;
 };
 
 } // namespace hibiscusferry
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -3,7 +3,6 @@
 #include "gateway/request/request_limits.hpp"
 
 #include <algorithm>
-#include <utility>
 
 // The part of request_forwarder that relays the response of a target.
 
@@ -17,30 +16,26 @@
     times the route's objective for the gap between events. */
 constexpr int resume_timeout_gaps = 4;
 
-bool is_server_error(unsigned status)
-{
-    return status >= 500;
-}
-
 } // namespace
 
-request_forwarder::next_step request_forwarder::relay_response(
-    target_exchange& upstream, const std::shared_ptr<target_view>& target,
-    target_load_guard& work, boost::asio::yield_context yield)
+request_forwarder::next_step
+request_forwarder::relay_response(std::unique_ptr<target_attempt> current,
+                                  boost::asio::yield_context yield)
 {
-    const bool is_stream = upstream.parsed_response().is_event_stream &&
-                           upstream.head().status == 200;
+    const bool is_stream =
+        current->upstream.parsed_response().is_event_stream &&
+        current->upstream.head().status == 200;
     if (is_stream)
-        return relay_stream(upstream, target, work, yield);
-    return relay_buffered(upstream, *target, yield);
+        return relay_stream(std::move(current), yield);
+    return relay_buffered(*current, yield);
 }
 
 request_forwarder::next_step
-request_forwarder::relay_buffered(target_exchange& upstream,
-                                  target_view& target,
+request_forwarder::relay_buffered(target_attempt& current,
                                   boost::asio::yield_context yield)
 {
-    const result<std::string> body = upstream.read_body(yield);
+    target_view& target = *current.target;
+    const result<std::string> body = current.upstream.read_body(yield);
     if (!body)
     {
         context_.last_error = "response truncated: " + body.error().message();
@@ -49,11 +44,11 @@
                                            context_.request.id);
         return handle_failed_attempt(attempt_result::unknown, target);
     }
-    upstream.finish();
+    current.upstream.finish();
     http_response response;
-    response.status = upstream.head().status;
+    response.status = current.upstream.head().status;
     response.headers =
-        services_.targets.headers_for_caller(upstream.head().headers);
+        services_.targets.headers_for_caller(current.upstream.head().headers);
     response.body = body.value();
     services_.fleet.record_outcome(target,
                                    is_server_error(response.status)
@@ -80,15 +75,16 @@
         log_completion(event_number::request_abandoned, "caller_gone");
         return next_step::completed;
     }
+    observe_completion(current);
     context_.time_to_first_event = context_.elapsed(services_.core.now());
     log_completion(event_number::request_finished,
                    std::to_string(response.status));
     return next_step::completed;
 }
 
-request_forwarder::next_step request_forwarder::relay_stream(
-    target_exchange& upstream, const std::shared_ptr<target_view>& target,
-    target_load_guard& work, boost::asio::yield_context yield)
+request_forwarder::next_step
+request_forwarder::relay_stream(std::unique_ptr<target_attempt> current,
+                                boost::asio::yield_context yield)
 {
     const bool may_resume = context_.matched_route->is_safe_to_retry();
     const std::chrono::milliseconds read_timeout =
@@ -97,63 +93,58 @@
                              context_.matched_route->event_gap_objective,
                          min_first_byte_timeout)
                    : context_.matched_route->time_limit;
-    event_stream_parser parser;
-    std::string received;
     // A stalled target may still send a byte now and then, so the timeout ends
     // with the next complete event.
     time_point event_due = services_.core.now() + read_timeout;
-    bool is_silence_logged = false;
     for (;;)
     {
         const time_point now = services_.core.now();
         if (context_.time_left(now) <= std::chrono::milliseconds(0))
             return handle_stream_failure(
-                upstream, *target, make_error_code(http_error::timed_out));
+                *current, make_error_code(http_error::timed_out));
         if (now >= event_due)
         {
-            upstream.record_silence();
-            if (!std::exchange(is_silence_logged, true))
-                log_silence(*target);
-            if (has_alternative_to(*target))
-            {
-                context_.silent_target = target;
-                return handle_stream_failure(
-                    upstream, *target, make_error_code(http_error::timed_out));
-            }
+            current->upstream.record_silence();
+            log_silence(*current);
+            if (has_alternative_to(*current->target))
+                return suspend(std::move(current));
             event_due = now + read_timeout;
         }
-        const result<std::string> chunk = upstream.read_some(
+        const result<std::string> chunk = current->upstream.read_some(
             std::chrono::ceil<std::chrono::milliseconds>(event_due - now),
             yield);
         if (!chunk && chunk.error() == http_error::timed_out &&
             !context_.is_caller_disconnected)
             continue;
         if (!chunk)
-            return handle_stream_failure(upstream, *target, chunk.error());
-        work.prefill_finished();
+            return handle_stream_failure(*current, chunk.error());
+        current->work.prefill_finished();
         if (chunk.value().empty())
             break;
-        if (!parser.add(chunk.value()))
+        if (!current->parser.add(chunk.value()))
             return handle_stream_failure(
-                upstream, *target, make_error_code(http_error::too_large));
-        received += chunk.value();
-        for (std::optional<server_sent_event> event = parser.next(); event;
-             event = parser.next())
+                *current, make_error_code(http_error::too_large));
+        std::string& incomplete_event = current->incomplete_event;
+        incomplete_event += chunk.value();
+        for (std::optional<server_sent_event> event = current->parser.next();
+             event; event = current->parser.next())
         {
-            received.erase(0, std::min(received.size(), event->raw.size()));
-            event_due = services_.core.now() + read_timeout;
-            if (!forward_event(*event, upstream, yield))
+            incomplete_event.erase(
+                0, std::min(incomplete_event.size(), event->raw.size()));
+            if (!forward_event(*event, current->upstream, yield))
                 return handle_stream_failure(
-                    upstream, *target, make_error_code(http_error::broken));
+                    *current, make_error_code(http_error::broken));
+            event_due = services_.core.now() + read_timeout;
         }
     }
     // The response ended in the middle of an event, or without any event.
-    if (!received.empty() || !context_.has_stream_started)
-        return handle_stream_failure(upstream, *target,
+    if (!current->incomplete_event.empty() || !context_.has_stream_started)
+        return handle_stream_failure(*current,
                                      make_error_code(http_error::broken));
-    upstream.finish();
-    services_.fleet.record_outcome(*target, exchange_outcome::responded,
-                                   context_.request.id);
+    current->upstream.finish();
+    services_.fleet.record_outcome(
+        *current->target, exchange_outcome::responded, context_.request.id);
+    observe_completion(*current);
     const result<void> end_result = exchange_.end_stream(yield);
     if (!end_result)
         log_completion(event_number::request_abandoned, "caller_gone");
@@ -189,16 +180,17 @@
     return true;
 }
 
-request_forwarder::next_step request_forwarder::handle_stream_failure(
-    target_exchange& upstream, target_view& target, std::error_code error)
+request_forwarder::next_step
+request_forwarder::handle_stream_failure(target_attempt& current,
+                                         std::error_code error)
 {
     context_.last_error = "stream interrupted: " + error.message();
     if (!context_.is_caller_disconnected && error == http_error::timed_out)
-        upstream.record_silence();
+        current.upstream.record_silence();
     else if (!context_.is_caller_disconnected)
-        services_.fleet.record_outcome(target, exchange_outcome::broken,
-                                       context_.request.id);
-    return handle_failed_attempt(attempt_result::unknown, target);
+        services_.fleet.record_outcome(
+            *current.target, exchange_outcome::broken, context_.request.id);
+    return handle_failed_attempt(attempt_result::unknown, *current.target);
 }
 
 } // namespace hibiscusferry
--- a/modules/gateway/request/request_limits.hpp
+++ b/modules/gateway/request/request_limits.hpp
@@ -19,6 +19,11 @@
     until the recovery of a crashed target is detected. */
 constexpr std::chrono::milliseconds no_target_backlog{300};
 
+inline bool is_server_error(unsigned status)
+{
+    return status >= 500;
+}
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -112,6 +112,16 @@
     const result<void> sent =
         connection_->send(services_.targets.write_attempt(current_options),
                           clamp_to_deadline(first_byte_timeout), yield);
+    return finish_send(sent, first_byte_timeout, yield);
+}
+
+attempt_result
+target_exchange::finish_send(const result<void>& sent,
+                             std::chrono::milliseconds first_byte_timeout,
+                             boost::asio::yield_context yield)
+{
+    if (!sent && is_silence(sent.error()))
+        return attempt_result::silent;
     // A target may respond and close before it has read the whole request.
     if (!sent && sent.error() == http_error::timed_out)
         return handle_failure(sent.error(), true);
@@ -126,15 +136,8 @@
     {
         const result<http_response_head> head = connection_->read_head(
             clamp_to_deadline(first_byte_timeout), yield);
-        const bool is_silent = !head && head.error() == http_error::timed_out &&
-                               !context_.is_caller_disconnected &&
-                               !is_deadline_exceeded();
-        if (is_silent)
-        {
-            context_.last_error = head.error().message();
-            record_silence();
+        if (!head && is_silence(head.error()))
             return attempt_result::silent;
-        }
         if (!head)
             return handle_failure(head.error(), true);
         head_ = head.value();
@@ -185,7 +188,36 @@
 target_exchange::wait(std::chrono::milliseconds first_byte_timeout,
                       boost::asio::yield_context yield)
 {
-    return read_head(first_byte_timeout, yield);
+    context_.active_connection = connection_.get();
+    return finish_send(connection_->continue_send(
+                           clamp_to_deadline(first_byte_timeout), yield),
+                       first_byte_timeout, yield);
+}
+
+bool target_exchange::is_silence(std::error_code error)
+{
+    if (error != http_error::timed_out || context_.is_caller_disconnected ||
+        is_deadline_exceeded())
+        return false;
+    context_.last_error = error.message();
+    record_silence();
+    return true;
+}
+
+bool target_exchange::was_silent() const
+{
+    return is_silence_recorded_;
+}
+
+bool target_exchange::has_unread_data() const
+{
+    return connection_ && connection_->has_unread_data();
+}
+
+void target_exchange::close()
+{
+    if (connection_)
+        connection_->close();
 }
 
 void target_exchange::record_silence()
@@ -247,6 +279,7 @@
 target_exchange::read_some(std::chrono::milliseconds read_timeout,
                            boost::asio::yield_context yield)
 {
+    context_.active_connection = connection_.get();
     return connection_->read_some(clamp_to_deadline(read_timeout), yield);
 }
 
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -13,7 +13,7 @@
     response_received,   ///< the head of the response has arrived
     not_sent,            ///< no byte of the request was sent
     not_run,             ///< the target reports that it has not run the request
-    silent,              ///< sent, but no response yet; see wait()
+    silent,              ///< no response yet, and may run; see wait()
     unknown,             ///< the request was sent, and may have run
     caller_disconnected, ///< so the connection to the target was closed
     deadline_exceeded    ///< the caller's time limit passed; it may have run
@@ -40,16 +40,24 @@
                         std::chrono::milliseconds first_byte_timeout,
                         boost::asio::yield_context yield);
 
-    /** Continues to wait for the head of the response after send() or wait()
-        has returned attempt_result::silent. */
+    /** Continues after send() or wait() has returned
+        attempt_result::silent. */
     attempt_result wait(std::chrono::milliseconds first_byte_timeout,
                         boost::asio::yield_context yield);
 
-    /** Records that the target is silent: it has been sent the request, and
-        has not completed its response or the next event of it in time. Only
-        the first call has an effect. */
+    /** Records that the target has not sent its response, or the next event of
+        it, in time. Only the first call has an effect. */
     void record_silence();
 
+    /** Whether record_silence() has been called. */
+    bool was_silent() const;
+
+    /** Whether bytes of the response have arrived that have not been read. */
+    bool has_unread_data() const;
+
+    /** Closes the connection; any operation in progress fails. */
+    void close();
+
     /** The head of the response. Valid after send() has returned
         attempt_result::response_received or attempt_result::not_run. */
     const http_response_head& head() const;
@@ -71,8 +79,15 @@
 
 private:
     attempt_result connect(boost::asio::yield_context yield);
+    /** Reads the head of the response unless the request could not be sent. */
+    attempt_result finish_send(const result<void>& sent,
+                               std::chrono::milliseconds first_byte_timeout,
+                               boost::asio::yield_context yield);
     attempt_result read_head(std::chrono::milliseconds first_byte_timeout,
                              boost::asio::yield_context yield);
+    /** Returns whether an operation failed only because the target is silent,
+        and records the silence. */
+    bool is_silence(std::error_code error);
     bool is_deadline_exceeded() const;
     attempt_result handle_failure(std::error_code error, bool may_have_run);
     std::chrono::milliseconds
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -39,28 +39,29 @@
     return std::chrono::seconds(seconds);
 }
 
-/** Cancels the reads of a socket from the end of a timeout until it is
-    destroyed. Unlike a timeout of the stream, it leaves the connection open. */
-class read_timeout
+/** Cancels the reads and writes of a socket from the end of a timeout until it
+    is destroyed. Unlike a timeout of the stream, it leaves the connection
+    open. */
+class socket_timeout
 {
 public:
-    read_timeout(boost::asio::ip::tcp::socket& socket,
-                 std::chrono::milliseconds duration)
+    socket_timeout(boost::asio::ip::tcp::socket& socket,
+                   std::chrono::milliseconds duration)
         : state_(std::make_shared<state>(socket))
     {
         start(state_, duration);
     }
 
-    ~read_timeout()
+    ~socket_timeout()
     {
         state_->is_active = false;
         state_->timer.cancel();
     }
 
-    read_timeout(const read_timeout&) = delete;
-    read_timeout& operator=(const read_timeout&) = delete;
+    socket_timeout(const socket_timeout&) = delete;
+    socket_timeout& operator=(const socket_timeout&) = delete;
 
-    /** Converts the error of a read, which may have been cancelled. */
+    /** Converts the error of an operation, which may have been cancelled. */
     std::error_code to_error(const boost::system::error_code& error) const
     {
         const bool is_timeout =
@@ -71,6 +72,9 @@
     }
 
 private:
+    static constexpr std::chrono::milliseconds cancel_interval{5};
+    static constexpr int max_grace_intervals = 10;
+
     struct state
     {
         explicit state(boost::asio::ip::tcp::socket& the_socket)
@@ -83,6 +87,7 @@
         boost::asio::steady_timer timer;
         bool is_active = true;
         bool has_expired = false;
+        int grace_intervals = max_grace_intervals;
     };
 
     static void start(const std::shared_ptr<state>& timeout,
@@ -94,17 +99,25 @@
             {
                 if (error || !timeout->is_active)
                     return;
-                timeout->has_expired = true;
+                // After a pause of this process, data that arrived in the
+                // meantime is read before the timeout takes effect.
                 boost::system::error_code ignored;
-                timeout->socket.cancel(ignored);
-                // Between two reads of a composed operation there is nothing
-                // to cancel, and the next read must not wait forever.
+                const bool is_overtaken =
+                    timeout->grace_intervals > 0 &&
+                    timeout->socket.available(ignored) > 0;
+                if (is_overtaken)
+                    --timeout->grace_intervals;
+                else
+                {
+                    timeout->has_expired = true;
+                    timeout->socket.cancel(ignored);
+                }
+                // Between two steps of a composed operation there is nothing
+                // to cancel, and the next step must not wait forever.
                 start(timeout, cancel_interval);
             });
     }
 
-    static constexpr std::chrono::milliseconds cancel_interval{5};
-
     std::shared_ptr<state> state_;
 };
 
@@ -121,11 +134,17 @@
 
     using response_parser =
         beast_http::response_parser<beast_http::buffer_body>;
+    using request_message = beast_http::request<beast_http::string_body>;
+    using request_serializer =
+        beast_http::request_serializer<beast_http::string_body>;
 
     boost::beast::tcp_stream stream;
     http_endpoint endpoint;
     boost::beast::flat_buffer buffer{max_buffered_bytes};
     std::unique_ptr<response_parser> parser;
+    request_message message;
+    /** Set while the request has not been sent completely. */
+    std::unique_ptr<request_serializer> serializer;
     bool is_reusable = true;
     bool is_head_request = false;
     int interim_responses = 0;
@@ -182,7 +201,7 @@
                                    std::chrono::milliseconds timeout,
                                    boost::asio::yield_context yield)
 {
-    beast_http::request<beast_http::string_body> message;
+    implementation::request_message message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -196,12 +215,29 @@
     implementation_->is_head_request = request.method == "HEAD";
     implementation_->interim_responses = 0;
     implementation_->begin_response();
+    implementation_->message = std::move(message);
+    implementation_->serializer =
+        std::make_unique<implementation::request_serializer>(
+            implementation_->message);
+    return continue_send(timeout, yield);
+}
 
+result<void> http_connection::continue_send(std::chrono::milliseconds timeout,
+                                            boost::asio::yield_context yield)
+{
+    if (!implementation_->serializer)
+        return outcome::success();
     boost::system::error_code error;
-    implementation_->stream.expires_after(timeout);
-    beast_http::async_write(implementation_->stream, message, yield[error]);
+    implementation_->stream.expires_never();
+    const socket_timeout limit(implementation_->stream.socket(), timeout);
+    beast_http::async_write(implementation_->stream,
+                            *implementation_->serializer, yield[error]);
+    if (error && limit.to_error(error) == http_error::timed_out)
+        return make_error_code(http_error::timed_out);
+    implementation_->serializer = nullptr;
+    implementation_->message = {};
     if (error)
-        return to_http_error(error);
+        return limit.to_error(error);
     return outcome::success();
 }
 
@@ -213,7 +249,7 @@
         return make_error_code(http_error::not_open);
     boost::system::error_code error;
     implementation_->stream.expires_never();
-    const read_timeout limit(implementation_->stream.socket(), timeout);
+    const socket_timeout limit(implementation_->stream.socket(), timeout);
     for (;;)
     {
         beast_http::async_read_header(implementation_->stream,
@@ -251,7 +287,7 @@
     implementation::response_parser& parser = *implementation_->parser;
     std::string chunk;
     implementation_->stream.expires_never();
-    const read_timeout limit(implementation_->stream.socket(), timeout);
+    const socket_timeout limit(implementation_->stream.socket(), timeout);
     while (chunk.empty() && !parser.is_done())
     {
         chunk.resize(read_buffer_bytes);
@@ -321,6 +357,12 @@
     implementation_->begin_response();
 }
 
+bool http_connection::has_unread_data() const
+{
+    boost::system::error_code ignored;
+    return implementation_->stream.socket().available(ignored) > 0;
+}
+
 bool http_connection::has_received() const
 {
     return implementation_->buffer.size() > 0 ||
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -39,11 +39,17 @@
     http_connection& operator=(const http_connection&) = delete;
 
     /** Sends a complete request. After an error, part or all of it may have
-        been sent. */
+        been sent. After http_error::timed_out the connection is still open, and
+        continue_send() sends the rest. */
     result<void> send(const http_request& request,
                       std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield);
 
+    /** Sends what is left of a request after a timeout; does nothing if it has
+        been sent completely. */
+    result<void> continue_send(std::chrono::milliseconds timeout,
+                               boost::asio::yield_context yield);
+
     /** Reads the status and the header fields of the response. Interim
         responses (status 1xx) are skipped.
 
@@ -88,6 +94,9 @@
         discarding a complete response that belonged to another request. */
     void expect_another_response();
 
+    /** Returns true if bytes have arrived that have not been read. */
+    bool has_unread_data() const;
+
     /** Returns true if any byte of a response to the current exchange has
         been received. */
     bool has_received() const;
