Read software versions of targets and resumptions of callers

Targets of several software versions may serve one service side by side, and what two versions write does not fit together in one stream. Nothing read the version of a target's row or the id of the request that a caller resumes, so neither the log nor the scheduler could distinguish a stream that continues at its own version from one that does not.

The log names the software version of the target of each request and each change of a target, and every continued stream is logged as stream_resumed (not sampled), with the version of its first event if this host knows it.

Ruled out: the versions of the weights. They are a number in responses and have no relation to the version of the software.

The behaviour of the request path is unchanged.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -196,10 +196,14 @@
                     "same target works; it was replaced.",
                     "")
 HIBISCUSFERRY_EVENT(1411, info, stream_resumed,
-                    "A broken stream was resumed on another connection.", "")
+                    "A stream was resumed on another connection, within its "
+                    "response or by a new request of the caller.",
+                    "")
 
 HIBISCUSFERRY_EVENT(1412, info, target_updated,
-                    "A target changed its stage, slots or address.", "")
+                    "A target changed its stage, slots, address or software "
+                    "version.",
+                    "")
 HIBISCUSFERRY_EVENT(1413, info, target_restarted,
                     "A target restarted under the same id.", "")
 HIBISCUSFERRY_EVENT(1414, warning, target_row_unreadable,
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -21,6 +21,12 @@
     http_request message;
     /** The caller's timeout, counted from the arrival of the request. */
     std::optional<std::chrono::milliseconds> time_left;
+    /** For a caller that resumes a stream: the id of its request that received
+        the first event. Empty if the caller does not state one. */
+    std::string resumed_request_id;
+    /** The id of the event after which the caller resumes a stream; empty for a
+        whole response. */
+    std::string resume_after;
     /** Set for generation requests. */
     std::optional<prompt_info> prompt;
 };
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -70,12 +70,17 @@
     /** Id of the last event sent to the caller. */
     std::string last_event_id;
     bool has_stream_started = false;
+    /** The software version of the target that sent the first event of the
+        stream; none if that is not known. */
+    std::optional<std::string> stream_software_version;
     std::optional<std::chrono::milliseconds> time_to_first_event;
     /** The last successful prefill, and the last successful attempt at a decode
         engine up to the head of its response. */
     std::optional<timed_step> prefill_step;
     std::optional<timed_step> decode_step;
     std::string last_target;
+    /** The software version of `last_target`. */
+    std::string last_software_version;
     std::string last_error;
 
     std::chrono::milliseconds elapsed(time_point now) const;
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -97,6 +97,9 @@
                 boost::asio::yield_context yield);
     void fail_request(refusal_cause reason, boost::asio::yield_context yield);
     void log_completion(event_number number, const std::string& outcome);
+    /** Logs that a target continues a stream, unless the response is the first
+        of its stream. */
+    void log_resumption();
     std::vector<event_field> fields() const;
 
     const gateway_services& services_;
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -130,6 +130,25 @@
     services_.core.journal().record(number, std::move(event_fields));
 }
 
+void request_forwarder::log_resumption()
+{
+    const bool is_resumed_by_caller =
+        !context_.request.resumed_request_id.empty() ||
+        !context_.request.resume_after.empty();
+    if (!is_resumed_by_caller && !context_.has_stream_started)
+        return;
+    std::vector<event_field> event_fields = fields();
+    event_fields.push_back(
+        {"after_event", context_.has_stream_started
+                            ? context_.last_event_id
+                            : context_.request.resume_after});
+    event_fields.push_back(
+        {"began_at_version",
+         context_.stream_software_version.value_or("unknown")});
+    services_.core.journal().record(event_number::stream_resumed,
+                                    std::move(event_fields));
+}
+
 std::vector<event_field> request_forwarder::fields() const
 {
     std::vector<event_field> event_fields{{"request", context_.request.id}};
@@ -145,7 +164,16 @@
     }
     event_fields.push_back({"offers", std::to_string(context_.attempts)});
     if (!context_.last_target.empty())
+    {
         event_fields.push_back({"target", context_.last_target});
+        event_fields.push_back(
+            {"software_version", context_.last_software_version});
+    }
+    if (!context_.request.resumed_request_id.empty())
+        event_fields.push_back(
+            {"resumes", context_.request.resumed_request_id});
+    if (!context_.request.resume_after.empty())
+        event_fields.push_back({"resume_after", context_.request.resume_after});
     if (assignment_.expected_ms > 0)
         event_fields.push_back({"expected_ms", std::to_string(static_cast<int>(
                                                    assignment_.expected_ms))});
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -91,6 +91,7 @@
                                 target_load_guard& work,
                                 boost::asio::yield_context yield)
 {
+    log_resumption();
     const bool may_resume = context_.matched_route->is_safe_to_retry();
     const std::chrono::milliseconds read_timeout =
         may_resume ? std::max<std::chrono::milliseconds>(
@@ -161,6 +162,8 @@
             return false;
         }
         context_.has_stream_started = true;
+        if (context_.request.resume_after.empty())
+            context_.stream_software_version = context_.last_software_version;
         context_.time_to_first_event = context_.elapsed(services_.core.now());
     }
     if (!exchange_.write_chunk(event.raw, yield))
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -104,6 +104,7 @@
     }
     ++context_.attempts;
     context_.last_target = target_->record.id;
+    context_.last_software_version = target_->record.software_version;
     const result<void> sent =
         connection_->send(services_.targets.write_attempt(current_options),
                           clamp_to_deadline(first_byte_timeout), yield);
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -107,6 +107,7 @@
              {"service", change.record.service},
              {"address", change.record.endpoint.text()},
              {"zone", change.record.availability_zone},
+             {"software_version", change.record.software_version},
              {"stage", std::string(stage_name(change.record.stage))},
              {"source", source}});
     }
--- a/modules/serving/catalogue/target_catalogue.cpp
+++ b/modules/serving/catalogue/target_catalogue.cpp
@@ -44,10 +44,11 @@
         target->second.is_draining = true;
     if (target->second.is_draining && !previous.is_draining)
         return {{target_change::kind::draining, target->second}};
-    const bool is_changed = previous.stage != record.stage ||
-                            previous.slots != record.slots ||
-                            previous.service != record.service ||
-                            previous.endpoint.text() != record.endpoint.text();
+    const bool is_changed =
+        previous.stage != record.stage ||
+        previous.software_version != record.software_version ||
+        previous.slots != record.slots || previous.service != record.service ||
+        previous.endpoint.text() != record.endpoint.text();
     if (!is_changed)
         return {};
     return {{target_change::kind::updated, target->second}};
--- a/modules/serving/catalogue/target_catalogue_test.cpp
+++ b/modules/serving/catalogue/target_catalogue_test.cpp
@@ -52,6 +52,30 @@
     BOOST_TEST(catalogue.targets().count("back") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_software_version_is_reported)
+{
+    target_catalogue catalogue(grace_period);
+    target_record record = make_record("i-1");
+    record.software_version = "v1";
+    catalogue.put(record);
+    BOOST_TEST(catalogue.put(record).empty());
+    const std::uint64_t first_hash = hash_of(record);
+
+    record.software_version = "v2";
+    BOOST_TEST(hash_of(record) != first_hash);
+    const std::vector<target_change> updated = catalogue.put(record);
+    BOOST_REQUIRE(updated.size() == 1U);
+    BOOST_TEST((updated[0].type == target_change::kind::updated));
+    BOOST_TEST(updated[0].record.software_version == "v2");
+
+    record.software_version = "v3";
+    record.started_at = std::chrono::milliseconds(1);
+    const std::vector<target_change> restarted = catalogue.put(record);
+    BOOST_REQUIRE(restarted.size() == 1U);
+    BOOST_TEST((restarted[0].type == target_change::kind::restarted));
+    BOOST_TEST(restarted[0].record.software_version == "v3");
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_target_keeps_draining_within_its_incarnation)
 {
     target_catalogue catalogue(grace_period);
--- a/modules/serving/model/target_record.hpp
+++ b/modules/serving/model/target_record.hpp
@@ -17,6 +17,10 @@
     std::string id;
     std::string service;
     std::string availability_zone;
+    /** The version of the target's software, not of its model weights; empty if
+        the registration does not state one. Responses of different versions
+        cannot be combined into one stream. */
+    std::string software_version;
     http_endpoint endpoint;
     unsigned slots = 1;
     /** target_role::mixed for application servers. */
