Restrict scheduling to a software version

A stream that has begun may continue only at targets of the version that began it; the schedulers could exclude single targets, but not versions.

Change: scheduling_constraints::software_version. With it, no target of another version is selected: as a server, as a prefill or decode engine, or as the source of cached prefix blocks. If no target of the version is available, the reason is no_target and not busy, even while others are idle. The request path does not set it yet.

Ruled out: the list of excluded ids. It would have to be computed from all targets for each attempt, and a target that joins in between would be missing.

Evidence: serving_test passes.

--- a/modules/serving/scheduling/engine_scheduler.cpp
+++ b/modules/serving/scheduling/engine_scheduler.cpp
@@ -50,12 +50,15 @@
                     max_deadline_fraction * time_to_deadline);
 }
 
-bool has_decode_engine(const target_list& targets, time_point now)
+bool has_decode_engine(const target_list& targets,
+                       const scheduling_constraints& constraints,
+                       time_point now)
 {
     return std::any_of(targets.begin(), targets.end(),
-                       [now](const std::shared_ptr<target_view>& target)
+                       [&](const std::shared_ptr<target_view>& target)
                        {
                            return target->is_available(now) &&
+                                  constraints.permits_version_of(*target) &&
                                   target->record.stage != target_role::prefill;
                        });
 }
@@ -179,7 +182,7 @@
     engine_assignment assignment = find_cheapest(targets, request, engine, now);
     if (!assignment.decode_engine)
     {
-        reason = has_decode_engine(targets, now)
+        reason = has_decode_engine(targets, request.constraints, now)
                      ? scheduling_failure::busy
                      : scheduling_failure::no_target;
         return assignment;
--- a/modules/serving/scheduling/engine_scheduler_test.cpp
+++ b/modules/serving/scheduling/engine_scheduler_test.cpp
@@ -125,6 +125,62 @@
 
 // Streams stall for seconds if their decode engine prefills long prompts
 // between the tokens that it generates.
+BOOST_AUTO_TEST_CASE(all_engines_of_a_resumed_stream_have_its_version)
+{
+    const engine_list engines = make_fleet();
+    const time_point now{std::chrono::seconds(100)};
+    for (std::size_t index = 0; index < engines.size(); ++index)
+        engines[index]->record.software_version = index % 2 == 0 ? "v1" : "v2";
+    for (const char* version : {"v1", "v2"})
+    {
+        for (int count = 0; count < 20; ++count)
+        {
+            const prompt_info prompt =
+                make_long_prompt("doc-" + std::to_string(count), "s1");
+            generation_request request = make_generation_request(prompt);
+            request.constraints.software_version = version;
+            request.random_value = stable_hash(std::to_string(count));
+            const engine_assignment assignment =
+                schedule(engines, request, now);
+            BOOST_REQUIRE(assignment.prefill_engine);
+            BOOST_REQUIRE(assignment.decode_engine);
+            for (const std::shared_ptr<target_view>& engine :
+                 {assignment.prefill_engine, assignment.decode_engine})
+                BOOST_TEST(engine->record.software_version == version);
+
+            // The new owner would fetch the prefix from the warm one.
+            assignment.prefill_engine->cache_warm_at =
+                now + std::chrono::seconds(1);
+            const engine_assignment after_join =
+                schedule(engines, request, now);
+            assignment.prefill_engine->cache_warm_at = {};
+            if (after_join.prefix_source)
+                BOOST_TEST(after_join.prefix_source->record.software_version ==
+                           version);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_resumed_stream_is_refused_without_an_engine_of_its_version)
+{
+    const engine_list engines = make_fleet();
+    for (const std::shared_ptr<target_view>& engine : engines)
+        engine->record.software_version =
+            engine->record.stage == target_role::prefill ? "v1" : "v2";
+    const prompt_info prompt = make_long_prompt("doc-1", "s1");
+    generation_request request = make_generation_request(prompt);
+    request.constraints.software_version = "v1";
+    scheduling_failure reason = scheduling_failure::busy;
+    const engine_assignment assignment =
+        engine_scheduler(make_engine_estimates())
+            .schedule(engines, request, make_engine_properties(),
+                      time_point{std::chrono::seconds(100)}, reason);
+    BOOST_TEST(!assignment.decode_engine);
+    BOOST_TEST(!assignment.prefill_engine);
+    BOOST_TEST((reason == scheduling_failure::no_target));
+}
+
 BOOST_AUTO_TEST_CASE(decode_engines_leave_long_prompts_to_prefill_engines)
 {
     engine_list engines = make_fleet();
--- a/modules/serving/scheduling/generation_request.cpp
+++ b/modules/serving/scheduling/generation_request.cpp
@@ -13,7 +13,9 @@
 bool is_eligible(const target_view& target, const generation_request& request,
                  time_point now)
 {
-    if (!target.is_available(now))
+    const bool is_permitted = target.is_available(now) &&
+                              request.constraints.permits_version_of(target);
+    if (!is_permitted)
         return false;
     if (target.health.is_probing(now) && target.requests.level() > 0)
         return false;
--- a/modules/serving/scheduling/generation_request.hpp
+++ b/modules/serving/scheduling/generation_request.hpp
@@ -31,7 +31,8 @@
     /** Whether prefill and decode may run on different engines. */
     bool may_transfer_kv = true;
     /** The engine that has prefilled the prompt and retains its KV cache for
-        transfer; null if none has. */
+        transfer; null if none has. Must be of the required software
+        version. */
     std::shared_ptr<target_view> prefilled_by;
     /** Delays observed for the prefill and decode engines of the service. */
     service_delays delays;
@@ -63,8 +64,9 @@
     std::shared_ptr<target_view> prefix_source;
 };
 
-/** Whether the engine may receive the request: it is available, within the
-    connection allowance, not excluded, and not already being probed. */
+/** Whether the engine may receive the request: it is available, of the required
+    software version, within the connection allowance, not excluded, and not
+    already being probed. */
 bool is_eligible(const target_view& target, const generation_request& request,
                  time_point now);
 
--- a/modules/serving/scheduling/prefill_engine_selector.cpp
+++ b/modules/serving/scheduling/prefill_engine_selector.cpp
@@ -40,11 +40,11 @@
 }
 
 /** Returns the engine most likely to have a prefix cached: its owner among the
-    prefill engines whose caches are warm, including engines that accept no new
-    requests. Null if there is none. */
-std::shared_ptr<target_view> find_source_engine(const target_list& targets,
-                                                std::uint64_t prefix_key,
-                                                time_point now)
+    permitted prefill engines whose caches are warm, including engines that
+   accept no new requests. Null if there is none. */
+std::shared_ptr<target_view>
+find_source_engine(const target_list& targets, std::uint64_t prefix_key,
+                   const scheduling_constraints& constraints, time_point now)
 {
     std::shared_ptr<target_view> source_engine;
     std::uint64_t max_weight = 0;
@@ -52,6 +52,7 @@
     {
         const bool is_warm = target->record.stage == target_role::prefill &&
                              now >= target->cache_warm_at &&
+                             constraints.permits_version_of(*target) &&
                              target->health.is_usable(now);
         if (!is_warm)
             continue;
@@ -148,7 +149,7 @@
     const std::size_t owners_end =
         move_highest_weights_to_front(prefill_engines, owner_count, prefix_key);
     const std::shared_ptr<target_view> source_engine =
-        find_source_engine(targets, prefix_key, now);
+        find_source_engine(targets, prefix_key, request.constraints, now);
     engine_candidate cheapest;
     for (std::size_t index = 0; index < owners_end; ++index)
     {
--- a/modules/serving/scheduling/server_scheduler.cpp
+++ b/modules/serving/scheduling/server_scheduler.cpp
@@ -36,6 +36,12 @@
 
 } // namespace
 
+bool scheduling_constraints::permits_version_of(const target_view& target) const
+{
+    return !software_version ||
+           target.record.software_version == *software_version;
+}
+
 std::shared_ptr<target_view> server_scheduler::schedule(
     const std::vector<std::shared_ptr<target_view>>& targets,
     const scheduling_constraints& constraints, time_point now,
@@ -47,6 +53,7 @@
     for (const std::shared_ptr<target_view>& target : targets)
     {
         const bool is_selectable = target->is_available(now) &&
+                                   constraints.permits_version_of(*target) &&
                                    !is_excluded(constraints, target->record.id);
         if (!is_selectable)
             continue;
--- a/modules/serving/scheduling/server_scheduler.hpp
+++ b/modules/serving/scheduling/server_scheduler.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_SERVING_SCHEDULING_SERVER_SCHEDULER_HPP
 
 #include "serving/scheduling/target_registry.hpp"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,13 @@
     std::size_t connection_allowance = 1;
     /** Ids of targets that must not be tried again. */
     std::vector<std::string> excluded;
+    /** The software version of all targets that take part in the request; none
+        if any version may. A stream that has begun continues only at its own
+        version. */
+    std::optional<std::string> software_version;
+
+    /** Returns whether a target has the required software version. */
+    bool permits_version_of(const target_view& target) const;
 };
 
 /** The reason why no target was selected. */
