Record which software versions the targets of a service had

A request to resume a stream may reach a host that cannot learn where the stream began. It can still be continued safely if the service has had a single version for longer than a stream lasts.

Change: software_version_history derives this from the changes of the catalogue. The observation starts with the process and starts anew after a time without a current list of targets, since a target of another version may have served meanwhile. A removed target counts until its streams must have ended, extended by the age that the list of another host may have. Not used yet.

Ruled out: the versions of the present targets alone. A stream may outlive the target that began it.

--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -1,5 +1,6 @@
 #include "serving/serving.hpp"
 
+#include "serving/catalogue/software_version_history.cpp"
 #include "serving/catalogue/target_catalogue.cpp"
 #include "serving/estimation/duration_model.cpp"
 #include "serving/estimation/engine_performance.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -13,6 +13,7 @@
 
 #include "foundation/foundation.hpp"
 
+#include "serving/catalogue/software_version_history.hpp"
 #include "serving/catalogue/target_catalogue.hpp"
 #include "serving/estimation/duration_model.hpp"
 #include "serving/estimation/engine_performance.hpp"
