--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -21,13 +21,18 @@
 /** Maximum size of the body of a response that is not a stream. */
 constexpr std::size_t max_body_bytes = 8U << 20;
 
+/** Maximum size of the body of a refusal and time to read it. It is read only
+   in order to reuse the connection, so it may cost no more than a new one. */
+constexpr std::size_t max_refusal_body_bytes = 64U << 10;
+constexpr std::chrono::milliseconds refusal_body_timeout = connect_timeout;
+
 /** Time during which a target gets no requests after it refused one although it
     had free slots. It is probably changing its stage, which takes seconds. */
 constexpr std::chrono::milliseconds refusal_backoff{300};
 
 /** Maximum number of late responses to other requests that are discarded while
     waiting for the response to this one. */
-constexpr int max_stale_responses = 2;
+constexpr unsigned max_stale_responses = 2;
 
 } // namespace
 
@@ -118,11 +123,19 @@
 target_exchange::read_head(std::chrono::milliseconds first_byte_timeout,
                            boost::asio::yield_context yield)
 {
-    for (int stale_responses = 0; stale_responses <= max_stale_responses;
-         ++stale_responses)
+    for (; stale_responses_ <= max_stale_responses; ++stale_responses_)
     {
         const result<http_response_head> head = connection_->read_head(
             clamp_to_deadline(first_byte_timeout), yield);
+        const bool is_silent = !head && head.error() == http_error::timed_out &&
+                               !context_.is_caller_disconnected &&
+                               !is_deadline_exceeded();
+        if (is_silent)
+        {
+            context_.last_error = head.error().message();
+            record_silence();
+            return attempt_result::silent;
+        }
         if (!head)
             return handle_failure(head.error(), true);
         head_ = head.value();
@@ -149,11 +162,15 @@
 
     context_.last_error =
         "refused without running: " + std::to_string(head_.status);
-    const result<std::string> body = read_body(yield);
+    const result<std::string> body = connection_->read_remaining(
+        max_refusal_body_bytes, clamp_to_deadline(refusal_body_timeout), yield);
     if (body)
         finish();
     services_.fleet.record_outcome(*target_, exchange_outcome::shed,
                                    context_.request.id);
+    if (!body && !context_.is_caller_disconnected)
+        services_.fleet.record_outcome(*target_, exchange_outcome::broken,
+                                       context_.request.id);
     if (parsed_response_.is_misdirected)
         target_->is_withdrawn = true;
     const bool had_free_slots =
@@ -165,6 +182,29 @@
     return attempt_result::not_run;
 }
 
+attempt_result
+target_exchange::wait(std::chrono::milliseconds first_byte_timeout,
+                      boost::asio::yield_context yield)
+{
+    return read_head(first_byte_timeout, yield);
+}
+
+void target_exchange::record_silence()
+{
+    if (is_silence_recorded_)
+        return;
+    is_silence_recorded_ = true;
+    services_.fleet.record_outcome(*target_, exchange_outcome::timed_out,
+                                   context_.request.id);
+    services_.core.connections().forget(target_->record.endpoint);
+}
+
+bool target_exchange::is_deadline_exceeded() const
+{
+    return context_.time_left(services_.core.now()) <=
+           std::chrono::milliseconds(1);
+}
+
 attempt_result target_exchange::handle_failure(std::error_code error,
                                                bool may_have_run)
 {
@@ -172,24 +212,19 @@
         return attempt_result::caller_disconnected;
     context_.last_error = error.message();
     const bool is_timeout = error == http_error::timed_out;
-    const bool is_deadline_exceeded =
-        context_.time_left(services_.core.now()) <=
-        std::chrono::milliseconds(1);
     // The target may close an idle connection at any time, so the failure of a
     // reused connection without a byte received is no sign of its health.
     const bool is_stale =
         is_reused_connection_ && !is_timeout && !connection_->has_received();
-    if (!is_stale)
-        services_.fleet.record_outcome(*target_,
-                                       is_timeout ? exchange_outcome::timed_out
-                                                  : exchange_outcome::broken,
-                                       context_.request.id);
     if (is_timeout)
-        services_.core.connections().forget(target_->record.endpoint);
+        record_silence();
+    else if (!is_stale)
+        services_.fleet.record_outcome(*target_, exchange_outcome::broken,
+                                       context_.request.id);
     if (!may_have_run)
         return attempt_result::not_sent;
-    return is_deadline_exceeded ? attempt_result::deadline_exceeded
-                                : attempt_result::unknown;
+    return is_deadline_exceeded() ? attempt_result::deadline_exceeded
+                                  : attempt_result::unknown;
 }
 
 const http_response_head& target_exchange::head() const
