Add the decisions about the versions of resumable streams

Cause: a stream may only be resumed at a target of the software version that began it, and the request to resume it may arrive at any host. A host that did not begin the stream has no means to learn that version. Ruled out: hosts chosen among all by one rendezvous hash, as the loss of a zone may then lose all copies; the text of the request id as the key, as 64 bits of its hash collide in 1 of 10^13 sets of 1,500 stored records, and a key that is recorded with two versions is reported as unknown. Change: a bounded store of versions that expire, the selection of the hosts that store a version (in turns of up to three zones, the same on all hosts with the same list), and the datagrams between hosts. No I/O and no clock. The decoder stops at nested values, since the CBOR parser recurses and coroutines have small stacks. Evidence: sharing_test passes; for 500 keys and six shapes of fleets the first six choices of any host include the three choices of any other, and after a host left or joined they still include as many hosts that know the version. A first form of that test asserted that all three copies are found after a host joined; in 21 of 500 cases it found two and the recording host instead, since the newcomer moves the second choice of the recording host's zone to the third place.

--- a/modules/sharing/sharing.cpp
+++ b/modules/sharing/sharing.cpp
@@ -7,3 +7,6 @@
 #include "sharing/relay/relay_selector.cpp"
 #include "sharing/replication/fleet_replicas.cpp"
 #include "sharing/replication/table_replica.cpp"
+#include "sharing/streams/record_host_selector.cpp"
+#include "sharing/streams/stream_version_message.cpp"
+#include "sharing/streams/stream_version_store.cpp"
--- a/modules/sharing/sharing.hpp
+++ b/modules/sharing/sharing.hpp
@@ -8,6 +8,9 @@
     the relay has read. Only few hosts therefore read the table service, while
     each host knows the in-flight load of the whole fleet.
 
+    The host that begins a resumable stream sends the software version of its
+    target to a few hosts, which other hosts ask when the stream is resumed.
+
     The classes receive events and the current time as arguments; they perform
     no I/O and read no clock. The module depends on foundation and storage (for
     table rows).
@@ -24,5 +27,8 @@
 #include "sharing/relay/relay_selector.hpp"
 #include "sharing/replication/fleet_replicas.hpp"
 #include "sharing/replication/table_replica.hpp"
+#include "sharing/streams/record_host_selector.hpp"
+#include "sharing/streams/stream_version_message.hpp"
+#include "sharing/streams/stream_version_store.hpp"
 
 #endif
