Separate the datagram socket from the exchange of loads

Cause: other messages between hosts need datagrams too, and load_exchange owns the only socket. Ruled out: a second port, which would be one more setting and one more path to observe; a host of an older version ignores datagrams of unknown kinds on the present one and counts them as unreadable. Change: datagram_channel owns the socket and passes each datagram to the first receiver that processes it. The exchange of loads itself has no test of its own. Conclusion: message format and behaviour of the exchange of loads are unchanged.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -50,8 +50,12 @@
     std::unique_ptr<state_follower> follower = std::make_unique<state_follower>(
         core, fleet, state_follower::source_set{store, store, rows});
     state_follower& follower_ref = *follower;
-    std::unique_ptr<load_exchange> exchange =
-        std::make_unique<load_exchange>(core, fleet, follower_ref);
+    std::unique_ptr<datagram_channel> datagrams =
+        std::make_unique<datagram_channel>(
+            core, datagram_endpoint(settings.address, settings.peer_port));
+    datagram_channel& datagrams_ref = *datagrams;
+    std::unique_ptr<load_exchange> exchange = std::make_unique<load_exchange>(
+        core, fleet, follower_ref, datagrams_ref);
     load_exchange& exchange_ref = *exchange;
     const bool are_services_added =
         add(metrics_service::name,
@@ -59,6 +63,7 @@
         add(settings_watch::name,
             std::make_unique<settings_watch>(core, fleet, source)) &&
         add(state_follower::name, std::move(follower)) &&
+        add(datagram_channel::name, std::move(datagrams)) &&
         add(load_exchange::name, std::move(exchange)) &&
         add(gateway_service::name,
             std::make_unique<gateway_service>(dependencies)) &&
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/request/request_forwarder_completion.cpp"
 #include "gateway/request/request_forwarder_responses.cpp"
 #include "gateway/request/target_exchange.cpp"
+#include "gateway/sharing/datagram_channel.cpp"
 #include "gateway/sharing/load_exchange.cpp"
 #include "gateway/stages/stage_controller.cpp"
 #include "gateway/state/fleet_state.cpp"
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -21,6 +21,7 @@
 #include "gateway/request/request_context.hpp"
 #include "gateway/request/request_forwarder.hpp"
 #include "gateway/request/target_exchange.hpp"
+#include "gateway/sharing/datagram_channel.hpp"
 #include "gateway/sharing/load_exchange.hpp"
 #include "gateway/stages/stage_controller.hpp"
 #include "gateway/state/fleet_state.hpp"
--- a/modules/gateway/sharing/load_exchange.cpp
+++ b/modules/gateway/sharing/load_exchange.cpp
@@ -22,28 +22,21 @@
 /** Of the reports in several parts, one in this many is answered with
     observations of engines. */
 constexpr std::uint64_t report_parts_interval = 8;
-constexpr std::size_t max_datagram_bytes = 4096;
 /** Interval between reports that contain observations of engines. */
 constexpr std::chrono::milliseconds observation_period{400};
 /** Targets with less load than this are left out of reports. */
 constexpr double min_reported_requests = 0.5;
 constexpr double min_reported_exchanges = 0.2;
 
-boost::asio::ip::udp::endpoint endpoint_of(const std::string& address,
-                                           std::uint16_t port)
-{
-    boost::system::error_code ignored;
-    return {boost::asio::ip::make_address(address, ignored), port};
-}
-
 } // namespace
 
 load_exchange::load_exchange(process_core& core, fleet_state& fleet,
-                             state_follower& follower)
+                             state_follower& follower,
+                             datagram_channel& datagrams)
     : core_(core)
     , fleet_(fleet)
     , follower_(follower)
-    , socket_(core.context())
+    , datagrams_(datagrams)
     , selector_(fleet.settings().host, relay_selector_settings{})
     , aggregator_(load_lifetime)
 {
@@ -51,17 +44,9 @@
 
 result<void> load_exchange::start()
 {
-    const host_settings& settings = fleet_.settings();
-    const boost::asio::ip::udp::endpoint local_endpoint =
-        endpoint_of(settings.address, settings.peer_port);
-    boost::system::error_code error;
-    socket_.open(local_endpoint.protocol(), error);
-    if (!error)
-        socket_.bind(local_endpoint, error);
-    if (error)
-        return std::error_code(error);
-    start_task(core_.context(), [this](boost::asio::yield_context yield)
-               { receive_loop(yield); });
+    datagrams_.add_receiver([this](std::string_view bytes,
+                                   const boost::asio::ip::udp::endpoint& sender)
+                            { return receive(bytes, sender); });
     start_task(core_.context(), [this](boost::asio::yield_context yield)
                { report_loop(yield); });
     return outcome::success();
@@ -70,8 +55,6 @@
 void load_exchange::stop()
 {
     is_stopping_ = true;
-    boost::system::error_code ignored;
-    socket_.close(ignored);
 }
 
 std::vector<std::string> load_exchange::relays()
@@ -232,7 +215,7 @@
     ++last_report_number_;
     pending_reports_[last_report_number_] = {host, core_.now()};
     send(message_kind, last_report_number_, loads,
-         endpoint_of(recipient->address, recipient->port));
+         datagram_endpoint(recipient->address, recipient->port));
 }
 
 void load_exchange::send(sharing_message::kind message_kind,
@@ -249,44 +232,21 @@
     for (load_part& part : split_loads(loads))
     {
         message.load = std::move(part);
-        boost::system::error_code error;
-        socket_.send_to(boost::asio::buffer(encode_message(message)), to, 0,
-                        error);
-        if (error)
-            core_.metrics()
-                .counter_of("hibiscusferry_sharing_send_failures_total")
-                .add();
+        datagrams_.send(encode_message(message), to);
     }
 }
 
 // ========================================================================
 // Receiving
 
-void load_exchange::receive_loop(boost::asio::yield_context yield)
+bool load_exchange::receive(std::string_view bytes,
+                            const boost::asio::ip::udp::endpoint& sender)
 {
-    std::array<char, max_datagram_bytes> bytes;
-    while (!is_stopping_)
-    {
-        boost::asio::ip::udp::endpoint sender;
-        boost::system::error_code error;
-        const std::size_t size = socket_.async_receive_from(
-            boost::asio::buffer(bytes), sender, yield[error]);
-        if (error)
-        {
-            // A host whose process has just ended causes an ICMP error.
-            if (!is_stopping_)
-                sleep_for(core_.context(), min_report_period, yield);
-            continue;
-        }
-        const result<sharing_message> message =
-            decode_message({bytes.data(), size});
-        if (message)
-            handle_message(message.value(), sender);
-        else
-            core_.metrics()
-                .counter_of("hibiscusferry_sharing_unreadable_total")
-                .add();
-    }
+    const result<sharing_message> message = decode_message(bytes);
+    if (!message)
+        return false;
+    handle_message(message.value(), sender);
+    return true;
 }
 
 void load_exchange::handle_message(const sharing_message& message,
--- a/modules/gateway/sharing/load_exchange.hpp
+++ b/modules/gateway/sharing/load_exchange.hpp
@@ -1,9 +1,9 @@
 #ifndef HIBISCUSFERRY_GATEWAY_SHARING_LOAD_EXCHANGE_HPP
 #define HIBISCUSFERRY_GATEWAY_SHARING_LOAD_EXCHANGE_HPP
 
+#include "gateway/sharing/datagram_channel.hpp"
 #include "gateway/state/state_follower.hpp"
 #include "sharing/sharing.hpp"
-#include <boost/asio/ip/udp.hpp>
 #include <map>
 #include <optional>
 
@@ -23,8 +23,10 @@
 public:
     static constexpr const char* name = "load_exchange";
 
+    /** @param datagrams  the channel over which it exchanges messages; must
+                          outlive it */
     load_exchange(process_core& core, fleet_state& fleet,
-                  state_follower& follower);
+                  state_follower& follower, datagram_channel& datagrams);
 
     result<void> start() override;
     void stop() override;
@@ -48,7 +50,6 @@
         std::string relay;
     };
 
-    void receive_loop(boost::asio::yield_context yield);
     void report_loop(boost::asio::yield_context yield);
     void update_candidates();
     void report();
@@ -56,6 +57,9 @@
     void update_relay();
     void report_to_zones();
 
+    /** Processes a datagram, if it is a sharing_message. */
+    bool receive(std::string_view bytes,
+                 const boost::asio::ip::udp::endpoint& sender);
     void handle_message(const sharing_message& message,
                         const boost::asio::ip::udp::endpoint& sender);
     void handle_host_report(const sharing_message& message,
@@ -88,7 +92,7 @@
     process_core& core_;
     fleet_state& fleet_;
     state_follower& follower_;
-    boost::asio::ip::udp::socket socket_;
+    datagram_channel& datagrams_;
     relay_selector selector_;
     std::map<std::string, remote_zone> zones_;
     load_aggregator aggregator_;
