Exchange the versions of resumable streams between the hosts

A host that receives a request to resume a stream has to learn the version of the target that began it, usually after the host that forwarded it was killed. Change: stream_version_directory records a version locally and at three other hosts by one datagram each, and finds it by asking the first six choices for the request id. A question is sent again after a third of the timeout. What is not learned is reported as unknown. host_directory provides the list of hosts by a small interface, peer_directory, so that tests need no table service. The daemon starts the service; the request path does not use it yet.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -57,6 +57,9 @@
     std::unique_ptr<load_exchange> exchange = std::make_unique<load_exchange>(
         core, fleet, follower_ref, datagrams_ref);
     load_exchange& exchange_ref = *exchange;
+    std::unique_ptr<stream_version_directory> stream_versions =
+        std::make_unique<stream_version_directory>(
+            core, settings.host, follower_ref.directory(), datagrams_ref);
     const bool are_services_added =
         add(metrics_service::name,
             std::make_unique<metrics_service>(core, fleet, log)) &&
@@ -64,6 +67,7 @@
             std::make_unique<settings_watch>(core, fleet, source)) &&
         add(state_follower::name, std::move(follower)) &&
         add(datagram_channel::name, std::move(datagrams)) &&
+        add(stream_version_directory::name, std::move(stream_versions)) &&
         add(load_exchange::name, std::move(exchange)) &&
         add(gateway_service::name,
             std::make_unique<gateway_service>(dependencies)) &&
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -16,3 +16,4 @@
 #include "gateway/state/host_directory.cpp"
 #include "gateway/state/state_follower.cpp"
 #include "gateway/state/store_monitor.cpp"
+#include "gateway/streams/stream_version_directory.cpp"
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -26,7 +26,9 @@
 #include "gateway/stages/stage_controller.hpp"
 #include "gateway/state/fleet_state.hpp"
 #include "gateway/state/host_directory.hpp"
+#include "gateway/state/peer_directory.hpp"
 #include "gateway/state/state_follower.hpp"
 #include "gateway/state/store_monitor.hpp"
+#include "gateway/streams/stream_version_directory.hpp"
 
 #endif
--- a/modules/gateway/state/host_directory.cpp
+++ b/modules/gateway/state/host_directory.cpp
@@ -61,6 +61,7 @@
             is_unchanged ? previous->second.received_at : now};
     }
     entries_ = std::move(entries);
+    ++revision_;
 }
 
 const host_record* host_directory::find(const std::string& host) const
@@ -107,6 +108,24 @@
     return zone_names;
 }
 
+std::vector<peer_host> host_directory::serving_hosts() const
+{
+    std::vector<peer_host> hosts;
+    for (const auto& [name, entry] : entries_)
+    {
+        const host_record& host = entry.host;
+        if (host.is_serving)
+            hosts.push_back(
+                {name, host.availability_zone, host.address, host.port});
+    }
+    return hosts;
+}
+
+std::uint64_t host_directory::revision() const
+{
+    return revision_;
+}
+
 void host_directory::reset_report_times(time_point now)
 {
     for (auto& [name, entry] : entries_)
--- a/modules/gateway/state/host_directory.hpp
+++ b/modules/gateway/state/host_directory.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_GATEWAY_STATE_HOST_DIRECTORY_HPP
 
 #include "foundation/foundation.hpp"
+#include "gateway/state/peer_directory.hpp"
 #include "storage/storage.hpp"
 #include <chrono>
 #include <map>
@@ -35,7 +36,7 @@
     A host that crashes leaves its row behind. The relay of its availability
     zone detects that it no longer reports, and deletes the row.
 */
-class host_directory
+class host_directory final : public peer_directory
 {
 public:
     /** Replaces all hosts by those of the given rows. Hosts whose row version
@@ -55,6 +56,9 @@
     /** The zones that have serving hosts. */
     std::set<std::string> zones() const;
 
+    std::vector<peer_host> serving_hosts() const override;
+    std::uint64_t revision() const override;
+
     // =================================================================
     // Detection of crashed hosts
 
@@ -79,6 +83,7 @@
 
     /** By the name of the host. */
     std::map<std::string, host_entry> entries_;
+    std::uint64_t revision_ = 0;
 };
 
 } // namespace hibiscusferry
