--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -21,11 +21,14 @@
 #include "gateway/request/request_context.hpp"
 #include "gateway/request/request_forwarder.hpp"
 #include "gateway/request/target_exchange.hpp"
+#include "gateway/sharing/datagram_channel.hpp"
 #include "gateway/sharing/load_exchange.hpp"
 #include "gateway/stages/stage_controller.hpp"
 #include "gateway/state/fleet_state.hpp"
 #include "gateway/state/host_directory.hpp"
+#include "gateway/state/peer_directory.hpp"
 #include "gateway/state/state_follower.hpp"
 #include "gateway/state/store_monitor.hpp"
+#include "gateway/streams/stream_version_directory.hpp"
 
 #endif
