Continue streams only at the software version that began them

Callers saw streams whose events come from two software versions (ORDER). They had resumed them at another host after their connections were reset, or this host had resumed them within the response after a target broke off.

Cause: a resumption was scheduled like a new request, at the least loaded target of the service. Nothing in the system knew at which version a stream had begun, and targets do not check it.

Change: the host that forwards the first event of a resumable stream records the version of its target in stream_versions before the event leaves; the implementation is stream_version_directory, which copies the record to other hosts. From the first event on all attempts of the request are restricted to this version; without a target of it the response ends visibly broken. This also holds for the silent target to which a request returns if no other one takes it. A request that resumes a stream is scheduled only after its version was found. Without a record the version is taken from software_version_history, if the service has had a single one for longer than a stream lasts; otherwise the request is refused as not run, with the new reason unknown_stream_version. The Retry-After of a refused resumption considers only targets of its version.

Ruled out: to continue at the version of most targets, or at the one that still serves after a change. A stream may outlive the targets that began it, so either is a guess.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -39,7 +39,6 @@
     const platform::fleet_rows rows;
     const platform::ingress_protocol callers;
     const platform::server_protocol targets;
-    const gateway_services dependencies{core, fleet, callers, targets};
 
     kernel& services = core.services();
     const auto add =
@@ -60,6 +59,8 @@
     std::unique_ptr<stream_version_directory> stream_versions =
         std::make_unique<stream_version_directory>(
             core, settings.host, follower_ref.directory(), datagrams_ref);
+    const gateway_services dependencies{core, fleet, callers, targets,
+                                        *stream_versions};
     const bool are_services_added =
         add(metrics_service::name,
             std::make_unique<metrics_service>(core, fleet, log)) &&
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -30,5 +30,6 @@
 #include "gateway/state/state_follower.hpp"
 #include "gateway/state/store_monitor.hpp"
 #include "gateway/streams/stream_version_directory.hpp"
+#include "gateway/streams/stream_versions.hpp"
 
 #endif
--- a/modules/gateway/protocol/caller_protocol.cpp
+++ b/modules/gateway/protocol/caller_protocol.cpp
@@ -7,10 +7,17 @@
 
 std::string_view to_text(refusal_cause reason)
 {
-    constexpr std::array<std::string_view, 10> names{
-        "no_configuration",  "no_route",       "bad_request", "no_target",
-        "overloaded",        "target_refused", "out_of_time", "outcome_unknown",
-        "no_answer_in_time", "stopping"};
+    constexpr std::array<std::string_view, 11> names{"no_configuration",
+                                                     "no_route",
+                                                     "bad_request",
+                                                     "no_target",
+                                                     "overloaded",
+                                                     "target_refused",
+                                                     "out_of_time",
+                                                     "outcome_unknown",
+                                                     "no_answer_in_time",
+                                                     "stopping",
+                                                     "unknown_stream_version"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -44,7 +44,8 @@
     expired_before_attempt, ///< the deadline passed before an attempt
     outcome_unknown,        ///< the request was sent, and may have run
     deadline_exceeded,      ///< the deadline passed after the request was sent
-    stopping                ///< this host stops before the request could finish
+    stopping,               ///< this host stops before the request could finish
+    unknown_stream_version  ///< no record of where the resumed stream began
 };
 
 /** Returns the name under which a cause is reported to callers, in the log and
--- a/modules/gateway/request/request_context.cpp
+++ b/modules/gateway/request/request_context.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+bool request_context::is_resumption() const
+{
+    const bool is_resumable_stream =
+        matched_route != nullptr &&
+        matched_route->kind == request_kind::streaming &&
+        matched_route->is_resumable;
+    return is_resumable_stream && (!request.resumed_request_id.empty() ||
+                                   !request.resume_after.empty());
+}
+
 std::chrono::milliseconds request_context::elapsed(time_point now) const
 {
     return to_milliseconds(now - arrived_at);
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -4,6 +4,7 @@
 #include "gateway/protocol/caller_protocol.hpp"
 #include "gateway/protocol/target_protocol.hpp"
 #include "gateway/state/fleet_state.hpp"
+#include "gateway/streams/stream_versions.hpp"
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
     fleet_state& fleet;
     const caller_protocol& callers;
     const target_protocol& targets;
+    stream_versions& versions;
 };
 
 /** The duration of the prefill or the decode step of a request. */
@@ -74,7 +76,8 @@
     std::string last_event_id;
     bool has_stream_started = false;
     /** The software version of the target that sent the first event of the
-        stream; none if that is not known. */
+        stream, at which alone the stream may continue; none if no event was
+        sent yet. */
     std::optional<std::string> stream_software_version;
     std::optional<std::chrono::milliseconds> time_to_first_event;
     /** The last successful prefill, and the last successful attempt at a decode
@@ -86,6 +89,9 @@
     std::string last_software_version;
     std::string last_error;
 
+    /** Whether the caller resumes a stream that an earlier request began. */
+    bool is_resumption() const;
+
     std::chrono::milliseconds elapsed(time_point now) const;
     std::chrono::milliseconds time_left(time_point now) const;
     std::chrono::milliseconds time_to_objective(time_point now) const;
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -85,8 +85,40 @@
     return true;
 }
 
+bool request_forwarder::find_stream_version(boost::asio::yield_context yield)
+{
+    if (!context_.is_resumption())
+        return true;
+    const std::string& first_id = context_.request.resumed_request_id;
+    std::optional<std::string> version;
+    if (!first_id.empty())
+        version = services_.versions.find(
+            first_id,
+            std::min(stream_versions::max_find_time,
+                     context_.time_left(services_.core.now())),
+            yield);
+    const bool is_recorded = version.has_value();
+    if (!is_recorded)
+        version = services_.fleet.software_versions().only_version(
+            context_.service, context_.matched_route->time_limit,
+            services_.core.now());
+    context_.stream_software_version = version;
+    services_.core.metrics()
+        .counter_of("hibiscusferry_stream_resumptions_total",
+                    is_recorded ? "version=\"recorded\""
+                    : version   ? "version=\"only\""
+                                : "version=\"unknown\"")
+        .add();
+    if (version || context_.is_caller_disconnected)
+        return true;
+    refuse(refusal_cause::unknown_stream_version, no_target_backlog, yield);
+    return false;
+}
+
 void request_forwarder::run(boost::asio::yield_context yield)
 {
+    if (!find_stream_version(yield))
+        return;
     for (;;)
     {
         if (context_.is_caller_disconnected)
@@ -130,8 +162,16 @@
 std::chrono::milliseconds request_forwarder::refusal_time_left() const
 {
     const time_point now = services_.core.now();
-    const std::optional<time_point> end = earliest_refusal_end(
-        services_.fleet.registry().targets_for_service(context_.service), now);
+    const scheduling_constraints request_constraints = constraints();
+    target_list permitted_targets;
+    for (const std::shared_ptr<target_view>& target :
+         services_.fleet.registry().targets_for_service(context_.service))
+    {
+        if (request_constraints.permits_version_of(*target))
+            permitted_targets.push_back(target);
+    }
+    const std::optional<time_point> end =
+        earliest_refusal_end(permitted_targets, now);
     if (!end)
         return std::chrono::milliseconds(0);
     return std::chrono::duration_cast<std::chrono::milliseconds>(*end - now);
@@ -151,6 +191,7 @@
                                        : 1,
         request_constraints.live_hosts);
     request_constraints.excluded = context_.excluded;
+    request_constraints.software_version = context_.stream_software_version;
     return request_constraints;
 }
 
@@ -400,7 +441,9 @@
     const std::shared_ptr<target_view> target =
         std::move(context_.silent_target);
     context_.silent_target = nullptr;
-    if (!target || target->is_withdrawn)
+    const bool may_take_request = target && !target->is_withdrawn &&
+                                  constraints().permits_version_of(*target);
+    if (!may_take_request)
         return false;
     assignment_ = engine_assignment();
     assignment_.decode_engine = target;
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -44,6 +44,10 @@
 
     bool admit(boost::asio::yield_context yield);
     void run(boost::asio::yield_context yield);
+    /** Finds the software version at which a stream that the caller resumes may
+        continue; refuses the request if it cannot be found.
+        @returns whether the request may be scheduled */
+    bool find_stream_version(boost::asio::yield_context yield);
     engine_assignment schedule(scheduling_failure& reason);
     /** Time until the first target that wants no requests accepts them again;
         zero if there is none. */
@@ -102,6 +106,8 @@
                            boost::asio::yield_context yield);
     next_step handle_stream_failure(target_exchange& upstream,
                                     target_view& target, std::error_code error);
+    /** Records the version of the target that begins the stream. */
+    void record_stream_version();
     bool forward_event(const server_sent_event& event,
                        target_exchange& upstream,
                        boost::asio::yield_context yield);
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -132,10 +132,7 @@
 
 void request_forwarder::log_resumption()
 {
-    const bool is_resumed_by_caller =
-        !context_.request.resumed_request_id.empty() ||
-        !context_.request.resume_after.empty();
-    if (!is_resumed_by_caller && !context_.has_stream_started)
+    if (!context_.is_resumption() && !context_.has_stream_started)
         return;
     std::vector<event_field> event_fields = fields();
     event_fields.push_back(
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -163,12 +163,29 @@
     return next_step::completed;
 }
 
+void request_forwarder::record_stream_version()
+{
+    if (context_.is_resumption())
+        return;
+    context_.stream_software_version = context_.last_software_version;
+    if (!context_.matched_route->is_resumable)
+        return;
+    // The caller may resume the stream until its own time limit, which may be
+    // longer than that of the route.
+    const std::chrono::milliseconds time_limit = std::max(
+        context_.matched_route->time_limit,
+        context_.request.time_left.value_or(std::chrono::milliseconds(0)));
+    services_.versions.record(context_.request.id,
+                              context_.last_software_version, 2 * time_limit);
+}
+
 bool request_forwarder::forward_event(const server_sent_event& event,
                                       target_exchange& upstream,
                                       boost::asio::yield_context yield)
 {
     if (!context_.has_stream_started)
     {
+        record_stream_version();
         const http_response_head head{
             upstream.head().status,
             services_.targets.headers_for_caller(upstream.head().headers)};
@@ -178,8 +195,6 @@
             return false;
         }
         context_.has_stream_started = true;
-        if (context_.request.resume_after.empty())
-            context_.stream_software_version = context_.last_software_version;
         context_.time_to_first_event = context_.elapsed(services_.core.now());
     }
     if (!exchange_.write_chunk(event.raw, yield))
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -34,6 +34,7 @@
     : core_(core)
     , settings_(settings)
     , catalogue_(settings.outage_grace)
+    , software_versions_(settings.target_drain_time)
     , live_hosts_(initial_live_hosts)
 {
 }
@@ -95,12 +96,23 @@
     has_target_list_ = true;
 }
 
+void fleet_state::confirm_target_list(time_point as_of)
+{
+    software_versions_.confirm_list(as_of);
+}
+
+const software_version_history& fleet_state::software_versions() const
+{
+    return software_versions_;
+}
+
 void fleet_state::apply(const std::vector<target_change>& changes,
                         const std::string& source)
 {
     for (const target_change& change : changes)
     {
         registry_.apply(change, !has_target_list_, core_.now());
+        software_versions_.apply(change, core_.now());
         core_.journal().record(
             event_of(change.type),
             {{"target", change.record.id},
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -47,6 +47,12 @@
     bool has_target_list() const;
     void mark_target_list_received();
 
+    /** Records that the list of targets was complete at a time. */
+    void confirm_target_list(time_point as_of);
+
+    /** The software versions of the targets of each service. */
+    const software_version_history& software_versions() const;
+
     /** Applies changes reported by the catalogue to the registry, and logs
         them. */
     void apply(const std::vector<target_change>& changes,
@@ -99,6 +105,7 @@
     std::shared_ptr<const route_table> routes_;
     target_catalogue catalogue_;
     target_registry registry_;
+    software_version_history software_versions_;
     bool has_target_list_ = false;
     std::map<std::string, fleet_retry_budget> budgets_;
     std::map<std::string, service_delays> delays_;
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -281,8 +281,10 @@
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
         applied_changes, source);
     replicas_.mark_current(update.table, core_.now() - update.age);
-    if (update.table == fleet_table::targets)
-        fleet_.mark_target_list_received();
+    if (update.table != fleet_table::targets)
+        return;
+    fleet_.mark_target_list_received();
+    fleet_.confirm_target_list(core_.now() - update.age);
 }
 
 void state_follower::apply_configuration(const table_changes& changes,
@@ -372,6 +374,8 @@
         }
         replica.advance(position.as_of);
         replicas_.mark_current(table, as_of - position.age);
+        if (table == fleet_table::targets)
+            fleet_.confirm_target_list(as_of - position.age);
     }
     monitor_.record_relay_update(relay.host, as_of - min_age);
     if (is_behind && !is_pulling_)
--- a/modules/gateway/streams/stream_version_directory.hpp
+++ b/modules/gateway/streams/stream_version_directory.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/sharing/datagram_channel.hpp"
 #include "gateway/state/peer_directory.hpp"
+#include "gateway/streams/stream_versions.hpp"
 #include "sharing/sharing.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <map>
@@ -40,14 +41,12 @@
 
     Used on the thread of the process_core only.
 */
-class stream_version_directory final : public kernel_service
+class stream_version_directory final : public kernel_service,
+                                       public stream_versions
 {
 public:
     static constexpr const char* name = "stream_version_directory";
 
-    /** A longer search is of no use: live hosts answer within a round trip. */
-    static constexpr std::chrono::milliseconds max_find_time{200};
-
     /** @param host       the name of this host
         @param peers      the hosts of the fleet; must outlive this
         @param datagrams  the channel to the other hosts; must outlive this */
@@ -59,26 +58,19 @@
     result<void> start() override;
     void stop() override;
 
-    /** Records the version of a stream. To be called before the first event is
-        forwarded to the caller, so that the record precedes any request to
-        resume the stream. Does not wait.
-        @param request_id  the id of the caller's request; must not be empty
-        @param version     may be empty. A version that is longer than
-                           max_stream_version_bytes is not recorded.
-        @param lifetime    how long the stream may be resumed; at most
-                           max_stream_record_lifetime is used */
+    // =================================================================
+    // stream_versions
+
+    /** A version that is longer than max_stream_version_bytes is not recorded,
+        and a lifetime is limited to max_stream_record_lifetime. */
     void record(const std::string& request_id, const std::string& version,
-                std::chrono::milliseconds lifetime);
-
-    /** Finds the version of a stream; asks other hosts if necessary, and sends
-        each question twice if no answer arrives. A version that is found is
-        stored on this host.
-        @param request_id  the id under which the version was recorded
-        @param timeout     maximum time to wait for answers
-        @returns nothing if the version is unknown */
+                std::chrono::milliseconds lifetime) override;
+
+    /** Asks other hosts if necessary, and sends each question twice if no
+        answer arrives. A version that is found is stored on this host. */
     std::optional<std::string> find(const std::string& request_id,
                                     std::chrono::milliseconds timeout,
-                                    boost::asio::yield_context yield);
+                                    boost::asio::yield_context yield) override;
 
 private:
     /** A question that awaits answers. */
