Resume streams at the service that began them

On a route whose traffic is split between services, callers that resumed a stream were refused although two targets of its version were idle.

Cause: the service is drawn by a hash of the request id, and the request to resume a stream has another id than the one that began it. The other service may have no target of that version; before versions were compared, it continued a stream that it had not begun.

Change: for a resumption the service is drawn by the id of the request that began the stream. Traffic is divided as before. If the division changes while a stream lasts, a caller may still reach another service; the stream is then refused, unless that service has the same version.

Ruled out: a missing record of the version; all refusals were no_target.

--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -65,8 +65,13 @@
         fail_request(refusal_cause::no_route, yield);
         return false;
     }
-    context_.service = route_table::select_service(*context_.matched_route,
-                                                   context_.request.id);
+    const bool has_first_id = context_.is_resumption() &&
+                              !context_.request.resumed_request_id.empty();
+    // The service that began the stream, if the traffic is split.
+    context_.service = route_table::select_service(
+        *context_.matched_route, has_first_id
+                                     ? context_.request.resumed_request_id
+                                     : context_.request.id);
     context_.properties =
         context_.routes->configuration().service(context_.service);
     std::chrono::milliseconds limit = context_.matched_route->time_limit;
