--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -21,6 +21,12 @@
     http_request message;
     /** The caller's timeout, counted from the arrival of the request. */
     std::optional<std::chrono::milliseconds> time_left;
+    /** For a caller that resumes a stream: the id of its request that received
+        the first event. Empty if the caller does not state one. */
+    std::string resumed_request_id;
+    /** The id of the event after which the caller resumes a stream; empty for a
+        whole response. */
+    std::string resume_after;
     /** Set for generation requests. */
     std::optional<prompt_info> prompt;
 };
@@ -38,7 +44,8 @@
     expired_before_attempt, ///< the deadline passed before an attempt
     outcome_unknown,        ///< the request was sent, and may have run
     deadline_exceeded,      ///< the deadline passed after the request was sent
-    stopping                ///< this host stops before the request could finish
+    stopping,               ///< this host stops before the request could finish
+    unknown_stream_version  ///< no record of where the resumed stream began
 };
 
 /** Returns the name under which a cause is reported to callers, in the log and
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -4,6 +4,7 @@
 #include "gateway/protocol/caller_protocol.hpp"
 #include "gateway/protocol/target_protocol.hpp"
 #include "gateway/state/fleet_state.hpp"
+#include "gateway/streams/stream_versions.hpp"
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
     fleet_state& fleet;
     const caller_protocol& callers;
     const target_protocol& targets;
+    stream_versions& versions;
 };
 
 /** The duration of the prefill or the decode step of a request. */
@@ -70,14 +72,23 @@
     /** Id of the last event sent to the caller. */
     std::string last_event_id;
     bool has_stream_started = false;
+    /** The software version of the target that sent the first event of the
+        stream, at which alone the stream may continue; none if no event was
+        sent yet. */
+    std::optional<std::string> stream_software_version;
     std::optional<std::chrono::milliseconds> time_to_first_event;
     /** The last successful prefill, and the last successful attempt at a decode
         engine up to the head of its response. */
     std::optional<timed_step> prefill_step;
     std::optional<timed_step> decode_step;
     std::string last_target;
+    /** The software version of `last_target`. */
+    std::string last_software_version;
     std::string last_error;
 
+    /** Whether the caller resumes a stream that an earlier request began. */
+    bool is_resumption() const;
+
     std::chrono::milliseconds elapsed(time_point now) const;
     std::chrono::milliseconds time_left(time_point now) const;
     std::chrono::milliseconds time_to_objective(time_point now) const;
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -65,8 +65,13 @@
         fail_request(refusal_cause::no_route, yield);
         return false;
     }
-    context_.service = route_table::select_service(*context_.matched_route,
-                                                   context_.request.id);
+    const bool has_first_id = context_.is_resumption() &&
+                              !context_.request.resumed_request_id.empty();
+    // The service that began the stream, if the traffic is split.
+    context_.service = route_table::select_service(
+        *context_.matched_route, has_first_id
+                                     ? context_.request.resumed_request_id
+                                     : context_.request.id);
     context_.properties =
         context_.routes->configuration().service(context_.service);
     std::chrono::milliseconds limit = context_.matched_route->time_limit;
@@ -85,8 +90,40 @@
     return true;
 }
 
+bool request_forwarder::find_stream_version(boost::asio::yield_context yield)
+{
+    if (!context_.is_resumption())
+        return true;
+    const std::string& first_id = context_.request.resumed_request_id;
+    std::optional<std::string> version;
+    if (!first_id.empty())
+        version = services_.versions.find(
+            first_id,
+            std::min(stream_versions::max_find_time,
+                     context_.time_left(services_.core.now())),
+            yield);
+    const bool is_recorded = version.has_value();
+    if (!is_recorded)
+        version = services_.fleet.software_versions().only_version(
+            context_.service, context_.matched_route->time_limit,
+            services_.core.now());
+    context_.stream_software_version = version;
+    services_.core.metrics()
+        .counter_of("hibiscusferry_stream_resumptions_total",
+                    is_recorded ? "version=\"recorded\""
+                    : version   ? "version=\"only\""
+                                : "version=\"unknown\"")
+        .add();
+    if (version || context_.is_caller_disconnected)
+        return true;
+    refuse(refusal_cause::unknown_stream_version, no_target_backlog, yield);
+    return false;
+}
+
 void request_forwarder::run(boost::asio::yield_context yield)
 {
+    if (!find_stream_version(yield))
+        return;
     for (;;)
     {
         if (context_.is_caller_disconnected)
@@ -148,8 +185,16 @@
 std::chrono::milliseconds request_forwarder::refusal_time_left() const
 {
     const time_point now = services_.core.now();
-    const std::optional<time_point> end = earliest_refusal_end(
-        services_.fleet.registry().targets_for_service(context_.service), now);
+    const scheduling_constraints request_constraints = constraints();
+    target_list permitted_targets;
+    for (const std::shared_ptr<target_view>& target :
+         services_.fleet.registry().targets_for_service(context_.service))
+    {
+        if (request_constraints.permits_version_of(*target))
+            permitted_targets.push_back(target);
+    }
+    const std::optional<time_point> end =
+        earliest_refusal_end(permitted_targets, now);
     if (!end)
         return std::chrono::milliseconds(0);
     return std::chrono::duration_cast<std::chrono::milliseconds>(*end - now);
@@ -169,6 +214,7 @@
                                        : 1,
         request_constraints.live_hosts);
     request_constraints.excluded = context_.excluded;
+    request_constraints.software_version = context_.stream_software_version;
     return request_constraints;
 }
 
@@ -429,6 +475,8 @@
 request_forwarder::resume_suspended(boost::asio::yield_context yield)
 {
     std::unique_ptr<target_attempt> current = std::move(suspended_);
+    context_.last_target = current->target->record.id;
+    context_.last_software_version = current->software_version;
     if (current->response_start)
         return relay_stream(std::move(current), yield);
     const attempt_result outcome = current->upstream.wait(
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -46,6 +46,10 @@
 
     bool admit(boost::asio::yield_context yield);
     void run(boost::asio::yield_context yield);
+    /** Finds the software version at which a stream that the caller resumes may
+        continue; refuses the request if it cannot be found.
+        @returns whether the request may be scheduled */
+    bool find_stream_version(boost::asio::yield_context yield);
     engine_assignment schedule(scheduling_failure& reason);
     /** Time until the first target that wants no requests accepts them again;
         zero if there is none. */
@@ -108,8 +112,10 @@
                            boost::asio::yield_context yield);
     next_step handle_stream_failure(target_attempt& current,
                                     std::error_code error);
+    /** Records the version of the target that begins the stream. */
+    void record_stream_version(const target_attempt& current);
     bool forward_event(const server_sent_event& event,
-                       target_exchange& upstream,
+                       const target_attempt& current,
                        boost::asio::yield_context yield);
 
     /** Returns whether a retry is allowed, and if so takes it out of the retry
@@ -123,6 +129,9 @@
                 boost::asio::yield_context yield);
     void fail_request(refusal_cause reason, boost::asio::yield_context yield);
     void log_completion(event_number number, const std::string& outcome);
+    /** Logs that a target continues a stream, unless the response is the first
+        of its stream. */
+    void log_resumption();
     std::vector<event_field> fields() const;
 
     const gateway_services& services_;
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -86,6 +86,7 @@
 request_forwarder::relay_stream(std::unique_ptr<target_attempt> current,
                                 boost::asio::yield_context yield)
 {
+    log_resumption();
     const bool may_resume = context_.matched_route->is_safe_to_retry();
     const std::chrono::milliseconds read_timeout =
         may_resume ? std::max<std::chrono::milliseconds>(
@@ -131,7 +132,7 @@
         {
             incomplete_event.erase(
                 0, std::min(incomplete_event.size(), event->raw.size()));
-            if (!forward_event(*event, current->upstream, yield))
+            if (!forward_event(*event, *current, yield))
                 return handle_stream_failure(
                     *current, make_error_code(http_error::broken));
             event_due = services_.core.now() + read_timeout;
@@ -153,15 +154,33 @@
     return next_step::completed;
 }
 
+void request_forwarder::record_stream_version(const target_attempt& current)
+{
+    if (context_.is_resumption())
+        return;
+    context_.stream_software_version = current.software_version;
+    if (!context_.matched_route->is_resumable)
+        return;
+    // The caller may resume the stream until its own time limit, which may be
+    // longer than that of the route.
+    const std::chrono::milliseconds time_limit = std::max(
+        context_.matched_route->time_limit,
+        context_.request.time_left.value_or(std::chrono::milliseconds(0)));
+    services_.versions.record(context_.request.id, current.software_version,
+                              2 * time_limit);
+}
+
 bool request_forwarder::forward_event(const server_sent_event& event,
-                                      target_exchange& upstream,
+                                      const target_attempt& current,
                                       boost::asio::yield_context yield)
 {
     if (!context_.has_stream_started)
     {
+        record_stream_version(current);
+        const http_response_head& upstream_head = current.upstream.head();
         const http_response_head head{
-            upstream.head().status,
-            services_.targets.headers_for_caller(upstream.head().headers)};
+            upstream_head.status,
+            services_.targets.headers_for_caller(upstream_head.headers)};
         if (!exchange_.begin_stream(head, yield))
         {
             context_.is_caller_disconnected = true;
--- a/modules/gateway/request/target_attempt.hpp
+++ b/modules/gateway/request/target_attempt.hpp
@@ -17,6 +17,7 @@
                    const engine_assignment& the_assignment)
         : assignment(the_assignment)
         , target(the_assignment.decode_engine)
+        , software_version(target->record.software_version)
         , is_transferred(context.kv_cache.has_value())
         , start(services.core.now())
         , work(target,
@@ -29,6 +30,7 @@
 
     engine_assignment assignment;
     std::shared_ptr<target_view> target;
+    std::string software_version;
     /** Whether the target fetches the KV cache from a prefill engine. */
     bool is_transferred;
     time_point start;
