Answer a request whose handler throws

Cause: an exception from a request handler ended the coroutine of its connection. It was logged as event 1004, without the request, and the client found the connection closed. Change: the server catches the exception, logs it as before and sends 500 if no response has begun. A response that has begun still ends without its last chunk. Ruled out as sources of an exception beside a configuration, by reading: a request holds its route table, its service properties and its target by shared ownership, so that neither a new configuration nor a removed target invalidates them; budgets and observations are nodes of maps that are never erased; rows and settings are parsed without exceptions and rejected as a whole.

--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -318,7 +318,24 @@
     server_exchange exchange(connection, to_http_request(parser.release()),
                              keeps_alive);
     const counted_exchange counted(exchanges);
-    on_request(exchange, yield);
+    bool has_failed = false;
+    try
+    {
+        on_request(exchange, yield);
+    }
+    catch (const std::exception& problem)
+    {
+        log_internal_error(problem);
+        has_failed = true;
+    }
+    if (has_failed && !exchange.has_started_response())
+    {
+        exchange.close_after_response();
+        const result<void> ignored = exchange.respond(
+            json_response(500, R"({"error":{"code":"internal_error"}})"),
+            yield);
+        static_cast<void>(ignored);
+    }
     if (!exchange.is_complete())
         return false;
     return exchange.keeps_alive() || (keeps_alive && !is_closed);
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
 
 using namespace hibiscusferry;
 using boost::asio::yield_context;
@@ -331,6 +332,29 @@
                      });
 }
 
+BOOST_AUTO_TEST_CASE(request_whose_handler_throws_is_answered)
+{
+    boost::asio::io_context context;
+    const http_server::handler fail =
+        [](http_exchange& exchange, yield_context yield)
+    {
+        if (exchange.request().path() == "/cut")
+            exchange.begin_stream({}, yield).value();
+        throw std::runtime_error("error in a test");
+    };
+    run_with_handler(context, {}, fail,
+                     [&context](http_server& server, yield_context yield)
+                     {
+                         raw_client client(context, server, yield);
+                         client.send(post_request);
+                         BOOST_TEST(has_status(client.receive(), "500"));
+                         raw_client stream_client(context, server, yield);
+                         stream_client.send("GET /cut HTTP/1.1\r\n\r\n");
+                         BOOST_TEST(has_status(stream_client.receive(), "200"));
+                         BOOST_TEST(stream_client.receive().empty());
+                     });
+}
+
 BOOST_AUTO_TEST_CASE(query_values_are_decoded)
 {
     const std::string text = "a b/c?&=%ü";
--- a/modules/http/server/task.cpp
+++ b/modules/http/server/task.cpp
@@ -29,12 +29,17 @@
     }
     catch (const std::exception& problem)
     {
-        LOG(ERROR) << "[1004] internal_error what=" << problem.what();
+        log_internal_error(problem);
     }
 }
 
 } // namespace
 
+void log_internal_error(const std::exception& problem)
+{
+    LOG(ERROR) << "[1004] internal_error what=" << problem.what();
+}
+
 void start_task(boost::asio::io_context& context,
                 std::function<void(boost::asio::yield_context)> body)
 {
--- a/modules/http/server/task.hpp
+++ b/modules/http/server/task.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <chrono>
+#include <exception>
 #include <functional>
 
 namespace hibiscusferry
@@ -17,6 +18,9 @@
 void start_task(boost::asio::io_context& context,
                 std::function<void(boost::asio::yield_context)> body);
 
+/** Logs an exception that escaped from a task or a handler. */
+void log_internal_error(const std::exception& problem);
+
 /** Suspends the calling coroutine for the given duration. */
 void sleep_for(boost::asio::io_context& context,
                std::chrono::nanoseconds duration,
