Count and log exchanges with callers that fail

Cause: nothing showed that the server closed a connection although a request on it had arrived in part or whole: a connection limit, a request that came too late, a write that failed or timed out, a handler that returned early or threw all looked the same from outside. A planned stop that cut requests at its time limit was logged as process_stopped only, since the service finishes before the limit that logs drain_incomplete. Change: http_server calls an observer with the cause of each failed exchange. The gateway counts it (hibiscusferry_failed_exchanges_total by cause) and logs the causes that lie with the host as event 1112 exchange_failed, with the id of the request. Disconnected callers, broken and invalid requests and refused connections are counted only, so that clients cannot fill the log. A planned stop logs drain_incomplete with the number of requests that it cuts. Conclusion: the causes can be told apart from the metrics page and the log.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -81,6 +81,11 @@
                     "A request is not retried: no targets or no retry budget "
                     "are left, or the request may have run.",
                     "")
+HIBISCUSFERRY_EVENT(
+    1112, warning, exchange_failed,
+    "A request of a caller did not arrive completely, or its response was not "
+    "sent completely; the field cause says why.",
+    "")
 
 // 1200-1299 claims (at most once)
 HIBISCUSFERRY_EVENT(1200, warning, claim_not_written,
--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -32,6 +32,18 @@
     for its header: the body gets as long as the header. */
 constexpr int request_time_factor = 2;
 
+/** Returns true for failures that this host caused. What callers cause is only
+    counted; where it matters, the request itself is logged. */
+bool is_logged(exchange_failure_cause cause)
+{
+    return cause == exchange_failure_cause::request_timeout ||
+           cause == exchange_failure_cause::write_failed ||
+           cause == exchange_failure_cause::write_timeout ||
+           cause == exchange_failure_cause::response_incomplete ||
+           cause == exchange_failure_cause::handler_exception ||
+           cause == exchange_failure_cause::server_closed;
+}
+
 } // namespace
 
 gateway_service::gateway_service(const gateway_services& services)
@@ -71,6 +83,8 @@
         return readiness.error();
     callers_ = std::move(callers.value());
     readiness_ = std::move(readiness.value());
+    callers_->on_exchange_failure([this](const exchange_failure& failure)
+                                  { record_failure(failure); });
     services_.core.repeat(connection_sweep_period,
                           [this] { services_.core.connections().sweep(); });
     services_.core.repeat(limits_poll_period,
@@ -131,6 +145,27 @@
          {"knows_targets", services_.fleet.has_target_list() ? "yes" : "no"}});
 }
 
+void gateway_service::record_failure(const exchange_failure& failure)
+{
+    const std::string cause(to_text(failure.cause));
+    services_.core.metrics()
+        .counter_of("hibiscusferry_failed_exchanges_total",
+                    "cause=\"" + cause + "\"")
+        .add();
+    if (!is_logged(failure.cause))
+        return;
+    services_.core.journal().record(
+        event_number::exchange_failed,
+        {{"request", failure.request != nullptr
+                         ? services_.callers.read(*failure.request).id
+                         : std::string()},
+         {"cause", cause},
+         {"caller", failure.client.text()},
+         {"request_read", failure.request != nullptr ? "whole" : "part"},
+         {"response_started", failure.has_started_response ? "yes" : "no"},
+         {"elapsed_ms", std::to_string(failure.elapsed.count())}});
+}
+
 void gateway_service::serve_readiness(http_exchange& exchange,
                                       boost::asio::yield_context yield)
 {
@@ -164,6 +199,12 @@
                 callers_->close_idle();
                 sleep_for(services_.core.context(), drain_poll_period, yield);
             }
+            if (callers_->active_exchanges() > 0)
+                services_.core.journal().record(
+                    event_number::drain_incomplete,
+                    {{"process", services_.core.id()},
+                     {"requests",
+                      std::to_string(callers_->active_exchanges())}});
             finished();
         });
 }
--- a/modules/gateway/process/gateway_service.hpp
+++ b/modules/gateway/process/gateway_service.hpp
@@ -34,6 +34,7 @@
     void serve_readiness(http_exchange& exchange,
                          boost::asio::yield_context yield);
     void log_readiness_change();
+    void record_failure(const exchange_failure& failure);
 
     gateway_services services_;
     std::mt19937_64 random_;
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -7,6 +7,7 @@
 #include "http/message/event_stream_parser.cpp"
 #include "http/message/http_message.cpp"
 #include "http/message/url_encoding.cpp"
+#include "http/server/exchange_failure.cpp"
 #include "http/server/http_exchange.cpp"
 #include "http/server/http_server.cpp"
 #include "http/server/task.cpp"
--- a/modules/http/http.hpp
+++ b/modules/http/http.hpp
@@ -18,6 +18,7 @@
 #include "http/message/event_stream_parser.hpp"
 #include "http/message/http_message.hpp"
 #include "http/message/url_encoding.hpp"
+#include "http/server/exchange_failure.hpp"
 #include "http/server/http_exchange.hpp"
 #include "http/server/http_server.hpp"
 #include "http/server/task.hpp"
--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -22,6 +22,16 @@
 
 } // namespace
 
+http_endpoint remote_endpoint(const server_connection& connection)
+{
+    boost::system::error_code error;
+    const boost::asio::ip::tcp::endpoint remote =
+        connection.stream.socket().remote_endpoint(error);
+    if (error)
+        return {};
+    return {remote.address().to_string(), remote.port()};
+}
+
 server_exchange::server_exchange(server_connection& connection,
                                  http_request request, bool keeps_alive)
     : connection_(connection)
@@ -46,12 +56,7 @@
 
 http_endpoint server_exchange::client() const
 {
-    boost::system::error_code error;
-    const boost::asio::ip::tcp::endpoint remote =
-        connection_.stream.socket().remote_endpoint(error);
-    if (error)
-        return {};
-    return {remote.address().to_string(), remote.port()};
+    return remote_endpoint(connection_);
 }
 
 result<void> server_exchange::respond(const http_response& response,
@@ -76,10 +81,8 @@
     boost::system::error_code error;
     connection_.stream.expires_after(connection_.limits.write_timeout);
     beast_http::async_write(connection_.stream, message, yield[error]);
-    if (error)
-        return to_http_error(error);
-    is_complete_ = true;
-    return outcome::success();
+    is_complete_ = !error;
+    return check_write(error);
 }
 
 result<void> server_exchange::begin_stream(const http_response_head& head,
@@ -102,9 +105,7 @@
     connection_.stream.expires_after(connection_.limits.write_timeout);
     beast_http::async_write_header(connection_.stream, serializer,
                                    yield[error]);
-    if (error)
-        return to_http_error(error);
-    return outcome::success();
+    return check_write(error);
 }
 
 result<void> server_exchange::write_chunk(std::string_view chunk,
@@ -118,9 +119,7 @@
         connection_.stream,
         beast_http::make_chunk(boost::asio::buffer(chunk.data(), chunk.size())),
         yield[error]);
-    if (error)
-        return to_http_error(error);
-    return outcome::success();
+    return check_write(error);
 }
 
 result<void> server_exchange::end_stream(boost::asio::yield_context yield)
@@ -129,10 +128,8 @@
     connection_.stream.expires_after(connection_.limits.write_timeout);
     boost::asio::async_write(connection_.stream, beast_http::make_chunk_last(),
                              yield[error]);
-    if (error)
-        return to_http_error(error);
-    is_complete_ = true;
-    return outcome::success();
+    is_complete_ = !error;
+    return check_write(error);
 }
 
 bool server_exchange::has_started_response() const
@@ -176,11 +173,26 @@
     keeps_alive_ = false;
 }
 
+result<void>
+server_exchange::check_write(const boost::system::error_code& error)
+{
+    if (!error)
+        return outcome::success();
+    if (!write_error_)
+        write_error_ = to_http_error(error);
+    return write_error_;
+}
+
 bool server_exchange::is_complete() const
 {
     return is_complete_;
 }
 
+std::error_code server_exchange::write_error() const
+{
+    return write_error_;
+}
+
 bool server_exchange::keeps_alive() const
 {
     return keeps_alive_ && !connection_.closes_after_responses;
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -87,11 +87,22 @@
                           boost::asio::yield_context yield);
     bool serve_request(server_connection& connection,
                        boost::asio::yield_context yield);
+    /** Returns false if the handler threw an exception. */
+    bool call_handler(server_exchange& exchange,
+                      boost::asio::yield_context yield);
+    exchange_failure_cause failure_cause(server_exchange& exchange) const;
+    void report_unread_request(server_connection& connection,
+                               time_point started, std::error_code reason);
+    void report_unanswered_request(server_exchange& exchange,
+                                   time_point started,
+                                   exchange_failure_cause cause);
+    void report(exchange_failure failure, time_point started);
 
     boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     http_server_limits limits;
     handler on_request;
+    exchange_failure_observer on_failure;
     connection_set connections;
     std::size_t exchanges = 0;
     bool closes_after_responses = false;
@@ -301,6 +312,7 @@
     if (!wait_for_request(connection, yield))
         return false;
 
+    const time_point started = boot_clock::now();
     beast_http::request_parser<beast_http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
@@ -308,6 +320,9 @@
         read_request(connection, parser, limits.request_timeout, yield);
     if (!received)
     {
+        // A client that closes an idle connection has sent no request.
+        if (parser.got_some())
+            report_unread_request(connection, started, received.error());
         refuse_request(connection, received.error(), yield);
         return false;
     }
@@ -318,16 +333,12 @@
     server_exchange exchange(connection, to_http_request(parser.release()),
                              keeps_alive);
     const counted_exchange counted(exchanges);
-    bool has_failed = false;
-    try
-    {
-        on_request(exchange, yield);
-    }
-    catch (const std::exception& problem)
-    {
-        log_internal_error(problem);
-        has_failed = true;
-    }
+    const bool has_failed = !call_handler(exchange, yield);
+    if (has_failed || !exchange.is_complete())
+        report_unanswered_request(
+            exchange, started,
+            has_failed ? exchange_failure_cause::handler_exception
+                       : failure_cause(exchange));
     if (has_failed && !exchange.has_started_response())
     {
         exchange.close_after_response();
@@ -341,6 +352,70 @@
     return exchange.keeps_alive() || (keeps_alive && !is_closed);
 }
 
+bool http_server::implementation::call_handler(server_exchange& exchange,
+                                               boost::asio::yield_context yield)
+{
+    try
+    {
+        on_request(exchange, yield);
+        return true;
+    }
+    catch (const std::exception& problem)
+    {
+        log_internal_error(problem);
+        return false;
+    }
+}
+
+void http_server::implementation::report_unread_request(
+    server_connection& connection, time_point started, std::error_code reason)
+{
+    exchange_failure failure;
+    failure.cause = exchange_failure_cause::request_invalid;
+    if (is_closed)
+        failure.cause = exchange_failure_cause::server_closed;
+    else if (reason == http_error::broken)
+        failure.cause = exchange_failure_cause::request_broken;
+    else if (reason == http_error::timed_out)
+        failure.cause = exchange_failure_cause::request_timeout;
+    failure.client = remote_endpoint(connection);
+    report(failure, started);
+}
+
+void http_server::implementation::report_unanswered_request(
+    server_exchange& exchange, time_point started, exchange_failure_cause cause)
+{
+    exchange_failure failure;
+    failure.cause = cause;
+    failure.client = exchange.client();
+    failure.request = &exchange.request();
+    failure.has_started_response = exchange.has_started_response();
+    report(failure, started);
+}
+
+void http_server::implementation::report(exchange_failure failure,
+                                         time_point started)
+{
+    failure.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        boot_clock::now() - started);
+    if (on_failure)
+        on_failure(failure);
+}
+
+exchange_failure_cause
+http_server::implementation::failure_cause(server_exchange& exchange) const
+{
+    if (is_closed)
+        return exchange_failure_cause::server_closed;
+    if (exchange.write_error() == http_error::timed_out)
+        return exchange_failure_cause::write_timeout;
+    if (exchange.write_error())
+        return exchange_failure_cause::write_failed;
+    if (exchange.is_client_disconnected())
+        return exchange_failure_cause::client_disconnected;
+    return exchange_failure_cause::response_incomplete;
+}
+
 void http_server::implementation::serve_connection(
     const std::shared_ptr<server_connection>& connection,
     boost::asio::yield_context yield)
@@ -368,12 +443,18 @@
             sleep_for(context, accept_retry_delay, yield);
             continue;
         }
+        const std::shared_ptr<server_connection> connection =
+            std::make_shared<server_connection>(std::move(socket), limits);
         if (connections.size() >= limits.connections)
+        {
+            exchange_failure failure;
+            failure.cause = exchange_failure_cause::connection_limit;
+            failure.client = remote_endpoint(*connection);
+            report(failure, boot_clock::now());
             continue;
+        }
 
-        set_socket_options(socket);
-        const std::shared_ptr<server_connection> connection =
-            std::make_shared<server_connection>(std::move(socket), limits);
+        set_socket_options(connection->stream.socket());
         start_task(context, [self = shared_from_this(),
                              connection](boost::asio::yield_context inner)
                    { self->serve_connection(connection, inner); });
@@ -423,6 +504,11 @@
     return std::unique_ptr<http_server>(new http_server(state));
 }
 
+void http_server::on_exchange_failure(exchange_failure_observer observer)
+{
+    implementation_->on_failure = std::move(observer);
+}
+
 http_endpoint http_server::endpoint() const
 {
     boost::system::error_code error;
--- a/modules/http/server/http_server.hpp
+++ b/modules/http/server/http_server.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_HTTP_SERVER_HTTP_SERVER_HPP
 #define HIBISCUSFERRY_HTTP_SERVER_HTTP_SERVER_HPP
 
+#include "http/server/exchange_failure.hpp"
 #include "http/server/http_exchange.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -56,6 +57,10 @@
 
     http_endpoint endpoint() const;
 
+    /** Sets a function that is called for each exchange that fails from now
+        on. */
+    void on_exchange_failure(exchange_failure_observer observer);
+
     /** The number of requests whose handler is running. */
     std::size_t active_exchanges() const;
 
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <stdexcept>
 
 using namespace hibiscusferry;
@@ -355,6 +356,110 @@
                      });
 }
 
+BOOST_AUTO_TEST_CASE(failed_exchanges_are_reported_with_their_cause)
+{
+    http_server_limits limits;
+    limits.connections = 1;
+    limits.request_timeout = std::chrono::milliseconds(200);
+    limits.write_timeout = std::chrono::milliseconds(200);
+    boost::asio::io_context context;
+    const http_server::handler handler =
+        [&context](http_exchange& exchange, yield_context yield)
+    {
+        const std::string_view path = exchange.request().path();
+        if (path == "/throw")
+            throw std::runtime_error("error in a test");
+        if (path == "/wait")
+            sleep_for(context, std::chrono::milliseconds(200), yield);
+        if (path == "/large")
+        {
+            const result<void> ignored =
+                exchange.respond({200, {}, std::string(16U << 20, 'x')}, yield);
+            static_cast<void>(ignored);
+        }
+        if (path == "/")
+            respond_with_body(exchange, yield);
+    };
+    struct failing_exchange
+    {
+        std::string bytes;
+        bool is_closed_by_client;
+        std::string cause;
+    };
+    const std::vector<failing_exchange> exchanges{
+        {"GET / HT", true, "request_broken"},
+        {"GET / HT", false, "request_timeout"},
+        {"garbage\r\n\r\n", false, "request_invalid"},
+        {"GET /wait HTTP/1.1\r\n\r\n", true, "client_disconnected"},
+        {"GET /wait HTTP/1.1\r\n\r\n", false, "response_incomplete"},
+        {"GET /throw HTTP/1.1\r\n\r\n", false, "handler_exception"},
+        {"GET /large HTTP/1.1\r\n\r\n", true, "write_failed"},
+        {"GET /large HTTP/1.1\r\n\r\n", false, "write_timeout"}};
+    run_with_handler(
+        context, limits, handler,
+        [&](http_server& server, yield_context yield)
+        {
+            std::vector<std::string> causes;
+            server.on_exchange_failure(
+                [&causes](const exchange_failure& failure)
+                { causes.emplace_back(to_text(failure.cause)); });
+            const std::chrono::milliseconds delay(100);
+            for (const failing_exchange& exchange : exchanges)
+            {
+                causes.clear();
+                std::optional<raw_client> client(std::in_place, context, server,
+                                                 yield);
+                client->send(exchange.bytes);
+                sleep_for(context, delay, yield);
+                if (exchange.is_closed_by_client)
+                    client.reset();
+                sleep_for(context, 4 * delay, yield);
+                BOOST_TEST(causes == std::vector<std::string>{exchange.cause},
+                           boost::test_tools::per_element());
+                client.reset();
+                sleep_for(context, delay, yield);
+            }
+            causes.clear();
+            raw_client first(context, server, yield);
+            first.send(post_request);
+            BOOST_TEST(has_status(first.receive(), "200"));
+            raw_client second(context, server, yield);
+            BOOST_TEST(second.receive().empty());
+            BOOST_TEST(causes == std::vector<std::string>{"connection_limit"},
+                       boost::test_tools::per_element());
+            first.send("GET /wait HTTP/1.1\r\n\r\n");
+            sleep_for(context, delay, yield);
+            causes.clear();
+            server.close();
+            sleep_for(context, 2 * delay, yield);
+            BOOST_TEST(causes == std::vector<std::string>{"server_closed"},
+                       boost::test_tools::per_element());
+        });
+}
+
+BOOST_AUTO_TEST_CASE(successful_exchanges_are_not_reported_as_failed)
+{
+    boost::asio::io_context context;
+    run_with_handler(
+        context, {}, respond_with_body,
+        [&context](http_server& server, yield_context yield)
+        {
+            int failures = 0;
+            server.on_exchange_failure([&failures](const exchange_failure&)
+                                       { ++failures; });
+            {
+                raw_client client(context, server, yield);
+                client.send(post_request);
+                BOOST_TEST(has_status(client.receive(), "200"));
+            }
+            raw_client idle_client(context, server, yield);
+            sleep_for(context, std::chrono::milliseconds(50), yield);
+            server.close_idle();
+            BOOST_TEST(idle_client.receive().empty());
+            BOOST_TEST(failures == 0);
+        });
+}
+
 BOOST_AUTO_TEST_CASE(query_values_are_decoded)
 {
     const std::string text = "a b/c?&=%ü";
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -35,6 +35,9 @@
     std::chrono::milliseconds idle_timeout{0};
 };
 
+/** The client's address and port; empty if the connection is closed. */
+http_endpoint remote_endpoint(const server_connection& connection);
+
 /** The exchange that is passed to a server's request handler. */
 class server_exchange final : public http_exchange
 {
@@ -62,6 +65,9 @@
     /** Returns true if the complete response has been written. */
     bool is_complete() const;
 
+    /** The error of the first write that failed, if any. */
+    std::error_code write_error() const;
+
     /** Returns true if the connection remains open for another request after
         this response. */
     bool keeps_alive() const;
@@ -75,12 +81,15 @@
         std::function<void()> handler;
     };
 
+    result<void> check_write(const boost::system::error_code& error);
+
     server_connection& connection_;
     http_request request_;
     std::shared_ptr<client_watch> watch_;
     bool keeps_alive_;
     bool has_started_response_ = false;
     bool is_complete_ = false;
+    std::error_code write_error_;
 };
 
 } // namespace hibiscusferry
