--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -81,12 +81,16 @@
                     "A request is not retried: no targets or no retry budget "
                     "are left, or the request may have run.",
                     "")
-
 HIBISCUSFERRY_EVENT(1112, warning, target_silent,
                     "A target sends nothing although its response is not "
                     "complete. The request is sent to another target if one "
                     "can take it; otherwise it keeps waiting.",
                     "")
+HIBISCUSFERRY_EVENT(
+    1113, warning, exchange_failed,
+    "A request of a caller did not arrive completely, or its response was not "
+    "sent completely; the field cause says why.",
+    "")
 
 // 1200-1299 claims (at most once)
 HIBISCUSFERRY_EVENT(1200, warning, claim_not_written,
