Log a stream as resumed only when another target continues it

The log showed stream_resumed for streams that went on at the same target after a silence. Such lines hide the real resumptions among which one at another version would have to be found.

Cause: the event was recorded whenever a stream was relayed, and a suspended attempt that continues is relayed a second time.

Change: the event is recorded once for each response of a target.

A second new case guards the version of a stream that a silent target begins after another one has refused the request; it passes before, too, as the version is that of the attempt.

Evidence: a_stream_that_goes_on_after_a_silence_is_not_logged_as_resumed fails before and passes after; stream_version_test (23 cases, two runs), silent_target_test and platform_adapter_test pass.

--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -26,7 +26,10 @@
         current->upstream.parsed_response().is_event_stream &&
         current->upstream.head().status == 200;
     if (is_stream)
+    {
+        log_resumption();
         return relay_stream(std::move(current), yield);
+    }
     return relay_buffered(*current, yield);
 }
 
@@ -86,7 +89,6 @@
 request_forwarder::relay_stream(std::unique_ptr<target_attempt> current,
                                 boost::asio::yield_context yield)
 {
-    log_resumption();
     const bool may_resume = context_.matched_route->is_safe_to_retry();
     const std::chrono::milliseconds read_timeout =
         may_resume ? std::max<std::chrono::milliseconds>(
