Apply the first byte timeout to all responses of an attempt

Cause: while a target sends responses to other requests, the wait for the head and the body of each had the whole first byte timeout, and each body was kept in memory, up to 8 MB, only to be dropped. Ruled out: the limit of two such responses. It bounds their number; the attempt still took up to six timeouts. Change: one timeout covers the attempt up to the end of its head, and the bodies are read with discard_body(), which keeps nothing. Evidence: a response to another request each 400 ms, first byte timeout 500 ms: before, the next target was tried after 809 ms, now after 500 ms. Conclusion: late responses no longer extend an attempt.

--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -122,11 +122,18 @@
 target_exchange::read_head(std::chrono::milliseconds first_byte_timeout,
                            boost::asio::yield_context yield)
 {
+    const time_point head_due = services_.core.now() + first_byte_timeout;
+    const auto time_left = [&]
+    {
+        return clamp_to_deadline(
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                head_due - services_.core.now()));
+    };
     for (int stale_responses = 0; stale_responses <= max_stale_responses;
          ++stale_responses)
     {
-        const result<http_response_head> head = connection_->read_head(
-            clamp_to_deadline(first_byte_timeout), yield);
+        const result<http_response_head> head =
+            connection_->read_head(time_left(), yield);
         if (!head)
             return handle_failure(head.error(), true);
         head_ = head.value();
@@ -137,8 +144,8 @@
         services_.core.journal().record(
             event_number::answer_mismatch,
             {{"request", context_.request.id}, {"target", target_->record.id}});
-        const result<std::string> discarded = connection_->read_remaining(
-            max_body_bytes, clamp_to_deadline(first_byte_timeout), yield);
+        const result<void> discarded =
+            discard_body(*connection_, max_body_bytes, time_left(), yield);
         if (!discarded)
             return handle_failure(discarded.error(), true);
         connection_->expect_another_response();
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -1,5 +1,6 @@
 #include "http/http.hpp"
 
+#include "http/client/discard_body.cpp"
 #include "http/client/http_call.cpp"
 #include "http/client/http_connection.cpp"
 #include "http/client/http_connection_pool.cpp"
--- a/modules/http/http.hpp
+++ b/modules/http/http.hpp
@@ -11,6 +11,7 @@
 
 #include "foundation/foundation.hpp"
 
+#include "http/client/discard_body.hpp"
 #include "http/client/http_call.hpp"
 #include "http/client/http_connection.hpp"
 #include "http/client/http_connection_pool.hpp"
