End a stream at its deadline while events keep arriving

Cause: the deadline of a stream was only the timeout of its reads, at least 1 ms. A read that finds bytes never times out, so a target that sends events without a pause held its caller's request past the deadline for as long as it sent. Ruled out: the timeout for the next event, which each event starts again. Change: read_some() of an exchange fails with timed_out once the deadline has passed. Conclusion: no stream outlasts its deadline.

--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -228,6 +228,10 @@
 target_exchange::read_some(std::chrono::milliseconds read_timeout,
                            boost::asio::yield_context yield)
 {
+    // A read never times out while bytes are available.
+    if (context_.time_left(services_.core.now()) <=
+        std::chrono::milliseconds(0))
+        return make_error_code(http_error::timed_out);
     return connection_->read_some(clamp_to_deadline(read_timeout), yield);
 }
 
