Do not count comments and empty lines as events

Cause: the parser returned any bytes up to an empty line as an event. Comments and empty lines started the stream of the caller and the timeout for the next event again, so a target that sent nothing else held the stream until its deadline and beyond, and it was not resumed elsewhere. Ruled out: dropping these bytes; a response is passed on unchanged. Passing them on at once would start the stream without an event. Change: comments and empty lines stay in the parser and are returned with the event that follows, within its size limit; what follows the last event goes out with the end of the stream. The relay no longer keeps a second copy of the unfinished event. Conclusion: only events extend the time of a stream.

--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -99,7 +99,6 @@
                          min_first_byte_timeout)
                    : context_.matched_route->time_limit;
     event_stream_parser parser;
-    std::string received;
     // A stalled target may still send a byte now and then, so the timeout ends
     // with the next complete event.
     time_point event_due = services_.core.now() + read_timeout;
@@ -120,11 +119,9 @@
         if (!parser.add(chunk.value()))
             return handle_stream_failure(
                 target, make_error_code(http_error::too_large));
-        received += chunk.value();
         for (std::optional<server_sent_event> event = parser.next(); event;
              event = parser.next())
         {
-            received.erase(0, std::min(received.size(), event->raw.size()));
             event_due = services_.core.now() + read_timeout;
             if (!forward_event(*event, upstream, yield))
                 return handle_stream_failure(
@@ -132,9 +129,12 @@
         }
     }
     // The response ended in the middle of an event, or without any event.
-    if (!received.empty() || !context_.has_stream_started)
+    if (parser.is_within_event() || !context_.has_stream_started)
         return handle_stream_failure(target,
                                      make_error_code(http_error::broken));
+    if (!parser.remainder().empty() &&
+        !exchange_.write_chunk(parser.remainder(), yield))
+        context_.is_caller_disconnected = true;
     upstream.finish();
     services_.fleet.record_outcome(target, exchange_outcome::responded,
                                    context_.request.id);
--- a/modules/http/message/event_stream_parser.cpp
+++ b/modules/http/message/event_stream_parser.cpp
@@ -49,6 +49,19 @@
     }
 }
 
+void parse_lines(std::string_view text, server_sent_event& event)
+{
+    while (!text.empty())
+    {
+        const std::size_t line_end = std::min(text.find('\n'), text.size());
+        std::string_view line = text.substr(0, line_end);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        parse_line(line, event);
+        text.remove_prefix(std::min(line_end + 1, text.size()));
+    }
+}
+
 } // namespace
 
 bool event_stream_parser::add(std::string_view bytes)
@@ -59,29 +72,38 @@
 
 std::optional<server_sent_event> event_stream_parser::next()
 {
-    const std::size_t end = find_event_end(buffer_, scan_position_);
-    if (end == std::string::npos)
+    for (std::size_t end = find_event_end(buffer_, scan_position_);
+         end != std::string::npos; end = find_event_end(buffer_, end))
     {
-        // The last two bytes may be the start of the terminating empty line.
-        scan_position_ = buffer_.size() < 2 ? 0 : buffer_.size() - 2;
-        return std::nullopt;
+        server_sent_event event;
+        parse_lines(
+            std::string_view(buffer_).substr(block_start_, end - block_start_),
+            event);
+        block_start_ = end;
+        scan_position_ = end;
+        const bool is_event = !event.id.empty() || !event.data.empty();
+        if (!is_event)
+            continue;
+        event.raw = buffer_.substr(0, end);
+        buffer_.erase(0, end);
+        block_start_ = 0;
+        scan_position_ = 0;
+        return event;
     }
+    // The last two bytes may be the start of the terminating empty line.
+    scan_position_ =
+        std::max(block_start_, buffer_.size() < 2 ? 0 : buffer_.size() - 2);
+    return std::nullopt;
+}
 
-    server_sent_event event;
-    event.raw = buffer_.substr(0, end);
-    buffer_.erase(0, end);
-    scan_position_ = 0;
-    std::string_view rest = event.raw;
-    while (!rest.empty())
-    {
-        const std::size_t line_end = std::min(rest.find('\n'), rest.size());
-        std::string_view line = rest.substr(0, line_end);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        parse_line(line, event);
-        rest.remove_prefix(std::min(line_end + 1, rest.size()));
-    }
-    return event;
+bool event_stream_parser::is_within_event() const
+{
+    return buffer_.find_first_not_of("\r\n", block_start_) != std::string::npos;
+}
+
+const std::string& event_stream_parser::remainder() const
+{
+    return buffer_;
 }
 
 } // namespace hibiscusferry
