Limit the memory of all buffered responses together

Cause: each response had its own limit only: 8 MB for a body and 1 MB for an unfinished event. With 700 requests in flight, targets that send without end could take far more than the memory of a host. Ruled out: a lower limit for each response; it would have to be 64 KB to hold for 700 of them, and larger responses are valid. Refusing whatever comes when a common pool is used up; then other responses would fail instead. Change: a response may always take 32 KB. What exceeds that comes out of a pool of 25 % of the memory of the host, as the settings state it (256 MB if they do not), and a response takes at most as much as it leaves free. The limit covers bodies and unfinished events. Unit test: 700 growing responses stay within the pool and use more than half of it. Not covered by a test: reading memory-mb from the settings file. Conclusion: buffered responses take at most 25 % of the host's memory and 32 KB for each request.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/request/request_forwarder.cpp"
 #include "gateway/request/request_forwarder_completion.cpp"
 #include "gateway/request/request_forwarder_responses.cpp"
+#include "gateway/request/response_memory.cpp"
 #include "gateway/request/target_exchange.cpp"
 #include "gateway/sharing/load_exchange.cpp"
 #include "gateway/stages/stage_controller.cpp"
--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -4,6 +4,7 @@
 #include "http/http.hpp"
 #include "serving/serving.hpp"
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 namespace hibiscusferry
@@ -24,6 +25,8 @@
     http_endpoint table_service;
     /** CPU capacity of the host, in cores. */
     double processor_cores = 1;
+    /** Memory limit of the process. */
+    std::size_t memory_bytes = 256U << 20;
     /** TCP and UDP port for messages between hosts; the same on all hosts. */
     std::uint16_t peer_port = 0;
     /** Fleet-wide limit on retries. */
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -3,7 +3,10 @@
 
 #include "gateway/protocol/caller_protocol.hpp"
 #include "gateway/protocol/target_protocol.hpp"
+#include "gateway/request/response_memory.hpp"
 #include "gateway/state/fleet_state.hpp"
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +21,9 @@
     fleet_state& fleet;
     const caller_protocol& callers;
     const target_protocol& targets;
+    /** The memory of the responses that the process buffers. */
+    std::shared_ptr<response_memory> memory =
+        std::make_shared<response_memory>();
 };
 
 /** The duration of the prefill or the decode step of a request. */
@@ -67,6 +73,8 @@
     std::optional<kv_cache_handle> kv_cache;
     std::shared_ptr<target_view> kv_cache_engine;
 
+    /** The memory of the buffered part of the response. */
+    std::optional<response_memory::reservation> reserved_memory;
     /** Id of the last event sent to the caller. */
     std::string last_event_id;
     bool has_stream_started = false;
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -27,6 +27,7 @@
     , exchange_(exchange)
     , random_(random)
 {
+    context_.reserved_memory.emplace(services.memory);
 }
 
 void request_forwarder::serve(boost::asio::yield_context yield)
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -116,7 +116,8 @@
         work.prefill_finished();
         if (chunk.value().empty())
             break;
-        if (!parser.add(chunk.value()))
+        if (!parser.add(chunk.value()) ||
+            !upstream.reserve_memory(parser.remainder().size()))
             return handle_stream_failure(
                 target, make_error_code(http_error::too_large));
         for (std::optional<server_sent_event> event = parser.next(); event;
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -21,6 +21,10 @@
 /** Maximum size of the body of a response that is not a stream. */
 constexpr std::size_t max_body_bytes = 8U << 20;
 
+/** Part of the memory of the host that is available to responses larger than
+    response_memory::share_bytes. */
+constexpr std::size_t response_pool_percent = 25;
+
 /** Maximum size of the body of a refusal and time to read it. It is read only
    in order to reuse the connection, so it may cost no more than a new one. */
 constexpr std::size_t max_refusal_body_bytes = 64U << 10;
@@ -219,9 +223,19 @@
 
 result<std::string> target_exchange::read_body(boost::asio::yield_context yield)
 {
-    return connection_->read_remaining(
-        max_body_bytes, clamp_to_deadline(context_.matched_route->time_limit),
-        yield);
+    std::string body;
+    for (;;)
+    {
+        const result<std::string> chunk =
+            read_some(context_.matched_route->time_limit, yield);
+        if (!chunk)
+            return chunk.error();
+        if (chunk.value().empty())
+            return body;
+        body += chunk.value();
+        if (body.size() > max_body_bytes || !reserve_memory(body.capacity()))
+            return make_error_code(http_error::too_large);
+    }
 }
 
 result<std::string>
@@ -235,6 +249,13 @@
     return connection_->read_some(clamp_to_deadline(read_timeout), yield);
 }
 
+bool target_exchange::reserve_memory(std::size_t bytes)
+{
+    return context_.reserved_memory->resize(
+        bytes,
+        services_.fleet.settings().memory_bytes / 100 * response_pool_percent);
+}
+
 void target_exchange::finish()
 {
     context_.active_connection = nullptr;
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -44,7 +44,9 @@
     const http_response_head& head() const;
     const target_response& parsed_response() const;
 
-    /** Reads the rest of the response. */
+    /** Reads the rest of the response.
+        @returns http_error::too_large if it exceeds the limit on its size or
+                 on the memory for responses */
     result<std::string> read_body(boost::asio::yield_context yield);
 
     /** Reads the next chunk of the response.
@@ -53,6 +55,11 @@
     result<std::string> read_some(std::chrono::milliseconds read_timeout,
                                   boost::asio::yield_context yield);
 
+    /** Reserves memory for the buffered part of the response.
+        @param bytes  the new size of that part
+        @returns false if the process buffers too much */
+    bool reserve_memory(std::size_t bytes);
+
     /** Returns the connection to the pool if it can be reused. To be called as
         soon as the response was read to its end, so that other requests can use
         the connection at once. */
