Give each read of a body a single timeout

Cause: read_some() started its timeout again for each step of the parser. The size line of a chunk is a step without data, so a peer that sent it late doubled the time of a read and exceeded the time of an http_call(). Ruled out: an endless chunk extension; Beast reads it in one step. Change: the timeout starts once for each read_some().

--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -178,13 +178,13 @@
 
     implementation::response_parser& parser = *implementation_->parser;
     std::string chunk;
+    implementation_->stream.expires_after(timeout);
     while (chunk.empty() && !parser.is_done())
     {
         chunk.resize(read_buffer_bytes);
         parser.get().body().data = chunk.data();
         parser.get().body().size = chunk.size();
         boost::system::error_code error;
-        implementation_->stream.expires_after(timeout);
         beast_http::async_read_some(implementation_->stream,
                                     implementation_->buffer, parser,
                                     yield[error]);
