Limit the number of fields of a response

Cause: the head of a response is limited to 32 KB, but not the number of its fields. 8000 fields without a value fit, and each takes 64 bytes in http_headers, 512 KB in all, besides what Beast keeps for it. Ruled out: a lower limit in bytes; a head with few long values is valid. Change: a head with more than 256 fields is http_error::too_large. Evidence: 8000 fields: before, the call succeeded and its connection was kept, now it fails with too_large and the connection is closed. 200 fields pass. The memory is computed from the sizes, not measured.

--- a/modules/http/client/http_call_test.cpp
+++ b/modules/http/client/http_call_test.cpp
@@ -116,6 +116,23 @@
     check_is_bounded(chunked_head + "0\r\n", "A: b\r\n");
 }
 
+// Guards against a head of 32 KB whose fields occupy many times that.
+BOOST_AUTO_TEST_CASE(a_response_with_too_many_fields_is_rejected)
+{
+    for (const std::size_t field_count : {200U, 8000U})
+    {
+        std::string fields;
+        for (std::size_t count = 0; count < field_count; ++count)
+            fields += "A:\r\n";
+        const call_outcome outcome = call_server(
+            head + fields + "Content-Length: 0\r\n\r\n", "", call_timeout);
+        BOOST_TEST(outcome.response.has_value() == (field_count == 200));
+        BOOST_TEST(outcome.idle_connections == (field_count == 200 ? 1U : 0U));
+        if (!outcome.response)
+            BOOST_TEST((outcome.response.error() == http_error::too_large));
+    }
+}
+
 // Guards against a chunk whose size restarts the timeout of the read.
 BOOST_AUTO_TEST_CASE(a_read_has_one_timeout)
 {
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -15,6 +15,8 @@
 /** Also bounds what Beast does not: chunk sizes, chunk extensions and
     trailers. */
 constexpr std::size_t max_buffered_bytes = max_response_header_bytes;
+/** A field of a few bytes occupies more than a hundred in memory. */
+constexpr std::size_t max_response_fields = 256;
 constexpr std::size_t read_buffer_bytes = 16U << 10;
 
 /** Requests expect no interim response, so a server that sends more than a few
@@ -164,8 +166,12 @@
     http_response_head head;
     head.status = message.result_int();
     for (const beast_http::fields::value_type& field : message)
+    {
+        if (head.headers.fields().size() == max_response_fields)
+            return make_error_code(http_error::too_large);
         head.headers.add(std::string(field.name_string()),
                          std::string(field.value()));
+    }
     return head;
 }
 
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -48,7 +48,8 @@
         responses (status 1xx) are skipped.
 
         @param timeout  maximum time until the head is complete
-        @returns http_error::bad_message if interim responses do not end
+        @returns http_error::bad_message if interim responses do not end, or
+                 http_error::too_large if the head exceeds 32 KB or 256 fields
     */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
