--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -124,16 +124,14 @@
         current->work.prefill_finished();
         if (chunk.value().empty())
             break;
-        if (!current->parser.add(chunk.value()))
+        if (!current->parser.add(chunk.value()) ||
+            !current->upstream.reserve_memory(
+                current->parser.remainder().size()))
             return handle_stream_failure(
                 *current, make_error_code(http_error::too_large));
-        std::string& incomplete_event = current->incomplete_event;
-        incomplete_event += chunk.value();
         for (std::optional<server_sent_event> event = current->parser.next();
              event; event = current->parser.next())
         {
-            incomplete_event.erase(
-                0, std::min(incomplete_event.size(), event->raw.size()));
             if (!forward_event(*event, *current, yield))
                 return handle_stream_failure(
                     *current, make_error_code(http_error::broken));
@@ -141,9 +139,12 @@
         }
     }
     // The response ended in the middle of an event, or without any event.
-    if (!current->incomplete_event.empty() || !context_.has_stream_started)
+    if (current->parser.is_within_event() || !context_.has_stream_started)
         return handle_stream_failure(*current,
                                      make_error_code(http_error::broken));
+    if (!current->parser.remainder().empty() &&
+        !exchange_.write_chunk(current->parser.remainder(), yield))
+        context_.is_caller_disconnected = true;
     current->upstream.finish();
     services_.fleet.record_outcome(
         *current->target, exchange_outcome::responded, context_.request.id);
--- a/modules/gateway/request/target_attempt.hpp
+++ b/modules/gateway/request/target_attempt.hpp
@@ -40,9 +40,7 @@
     target_exchange upstream;
     bool is_silence_logged = false;
 
-    /** The part of an event stream that holds no complete event yet. */
     event_stream_parser parser;
-    std::string incomplete_event;
 
 private:
     static double tokens_of(const request_context& context)
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -57,7 +57,8 @@
         can be continued with another call; this also holds for read_some().
 
         @param timeout  maximum time until the head is complete
-        @returns http_error::bad_message if interim responses do not end
+        @returns http_error::bad_message if interim responses do not end, or
+                 http_error::too_large if the head exceeds 32 KB or 256 fields
     */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
