--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -3,7 +3,6 @@
 #include "gateway/request/request_limits.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace hibiscusferry
 {
@@ -341,22 +340,6 @@
     return relay_response(std::move(current), yield);
 }
 
-void request_forwarder::observe_response_start(const target_attempt& current)
-{
-    current.target->cached_prefixes.add(
-        *context_.request.prompt,
-        context_.properties->engine->kv_capacity_tokens);
-    // A silence says nothing about the speed of an engine.
-    if (current.upstream.was_silent())
-        return;
-    const std::chrono::nanoseconds duration =
-        *current.response_start - current.start;
-    record_step(current.target, current.assignment.decode_baseline_ms, duration,
-                services_.fleet.delays(context_.service).decode_engines,
-                context_.decode_step);
-    observe_decode_start(current.assignment, current.is_transferred, duration);
-}
-
 request_forwarder::next_step
 request_forwarder::attempt_prefill(const engine_assignment& assignment,
                                    boost::asio::yield_context yield)
@@ -429,76 +412,6 @@
     return next_step::retry;
 }
 
-bool request_forwarder::may_run_at_another_target() const
-{
-    return context_.possible_run_targets.size() <
-               context_.matched_route->max_targets &&
-           context_.time_left(services_.core.now()) >= min_time_to_attempt;
-}
-
-bool request_forwarder::has_alternative_to(const target_view& silent_target)
-{
-    if (suspended_ || !context_.matched_route->is_safe_to_retry())
-        return false;
-    const bool is_new =
-        context_.possible_run_targets.insert(silent_target.record.id).second;
-    const bool may_run = may_run_at_another_target();
-    if (is_new)
-        context_.possible_run_targets.erase(silent_target.record.id);
-    return may_run && can_retry_without(silent_target);
-}
-
-bool request_forwarder::can_retry_without(const target_view& silent_target)
-{
-    const bool has_budget =
-        services_.fleet.budget(context_.service)
-            .remaining(services_.core.now(), services_.fleet.live_hosts()) >= 1;
-    if (!has_budget)
-        return false;
-    context_.excluded.push_back(silent_target.record.id);
-    scheduling_failure ignored = scheduling_failure::no_target;
-    const engine_assignment alternative = schedule(ignored);
-    context_.excluded.pop_back();
-    return alternative.decode_engine &&
-           alternative.decode_engine->health.is_usable(services_.core.now());
-}
-
-request_forwarder::next_step
-request_forwarder::suspend(std::unique_ptr<target_attempt> current)
-{
-    context_.excluded.push_back(current->target->record.id);
-    context_.possible_run_targets.insert(current->target->record.id);
-    suspended_ = std::move(current);
-    return next_step::suspended;
-}
-
-request_forwarder::next_step
-request_forwarder::resume_suspended(boost::asio::yield_context yield)
-{
-    std::unique_ptr<target_attempt> current = std::move(suspended_);
-    context_.last_target = current->target->record.id;
-    context_.last_software_version = current->software_version;
-    if (current->response_start)
-        return relay_stream(std::move(current), yield);
-    const attempt_result outcome = current->upstream.wait(
-        first_byte_timeout(context_.matched_route->is_safe_to_retry()), yield);
-    return complete_attempt(std::move(current), outcome, yield);
-}
-
-void request_forwarder::log_silence(target_attempt& current)
-{
-    if (std::exchange(current.is_silence_logged, true))
-        return;
-    const time_point now = services_.core.now();
-    services_.core.journal().record(
-        event_number::target_silent,
-        {{"request", context_.request.id},
-         {"target", current.target->record.id},
-         {"last_event", context_.last_event_id},
-         {"elapsed_ms", std::to_string(context_.elapsed(now).count())},
-         {"time_left_ms", std::to_string(context_.time_left(now).count())}});
-}
-
 bool request_forwarder::can_reuse_kv_cache(
     const target_view& decode_engine) const
 {
@@ -528,70 +441,6 @@
     context_.kv_cache.reset();
 }
 
-void request_forwarder::record_step(const std::shared_ptr<target_view>& target,
-                                    double expected_ms,
-                                    std::chrono::nanoseconds duration,
-                                    observed_delay& stage,
-                                    std::optional<timed_step>& step)
-{
-    const time_point now = services_.core.now();
-    const std::chrono::milliseconds objective =
-        context_.matched_route->latency_objective;
-    target->delay.add(expected_ms, duration, objective, now);
-    stage.add(expected_ms, duration, objective, now);
-    step = {target->record.id,
-            std::chrono::milliseconds(static_cast<int>(expected_ms)),
-            std::chrono::duration_cast<std::chrono::milliseconds>(duration),
-            assignment_.pending_prefill_tokens,
-            assignment_.queued_prefill_tokens};
-}
-
-void request_forwarder::observe_prefill(const engine_assignment& assignment,
-                                        std::chrono::nanoseconds duration)
-{
-    const double tokens =
-        assignment.queued_prefill_tokens + assignment.pending_prefill_tokens;
-    if (assignment.pending_prefill_tokens <= 0)
-        return;
-    const std::chrono::duration<double, std::milli> fetch(
-        assignment.prefix_fetch_ms);
-    services_.fleet.performance(context_.service)
-        .add(engine_step::prefill, tokens, assignment.pending_prefill_tokens,
-             duration - fetch, assignment.pending_prefill_tokens / tokens,
-             services_.core.now());
-}
-
-void request_forwarder::observe_decode_start(
-    const engine_assignment& assignment, bool was_transferred,
-    std::chrono::nanoseconds duration)
-{
-    if (!was_transferred)
-        return;
-    const bool is_same_zone =
-        context_.kv_cache_engine->record.availability_zone ==
-        assignment.decode_engine->record.availability_zone;
-    const double tokens = context_.request.prompt->prompt_tokens;
-    services_.fleet.performance(context_.service)
-        .add(engine_step::transfer, tokens * (is_same_zone ? 1 : 2), tokens,
-             duration, 1, services_.core.now());
-}
-
-void request_forwarder::observe_completion(const target_attempt& current)
-{
-    if (!is_generation() || context_.is_caller_disconnected ||
-        current.upstream.was_silent())
-        return;
-    const double tokens = context_.request.prompt->output_tokens;
-    const time_point now = services_.core.now();
-    engine_performance& performance =
-        services_.fleet.performance(context_.service);
-    performance.add(engine_step::completion, tokens, tokens,
-                    now - *current.response_start, 1, now);
-    if (current.is_transferred)
-        performance.add(engine_step::decode, tokens, tokens,
-                        now - current.start, 1, now);
-}
-
 request_forwarder::next_step
 request_forwarder::handle_failed_attempt(attempt_result attempt_outcome,
                                          target_view& target)
--- /dev/null
+++ b/modules/gateway/request/request_forwarder_observations.cpp
@@ -0,0 +1,89 @@
+#include "gateway/request/request_forwarder.hpp"
+
+// The part of request_forwarder that records the durations from which the speed
+// of engines is learned.
+
+namespace hibiscusferry
+{
+
+void request_forwarder::record_step(const std::shared_ptr<target_view>& target,
+                                    double expected_ms,
+                                    std::chrono::nanoseconds duration,
+                                    observed_delay& stage,
+                                    std::optional<timed_step>& step)
+{
+    const time_point now = services_.core.now();
+    const std::chrono::milliseconds objective =
+        context_.matched_route->latency_objective;
+    target->delay.add(expected_ms, duration, objective, now);
+    stage.add(expected_ms, duration, objective, now);
+    step = {target->record.id,
+            std::chrono::milliseconds(static_cast<int>(expected_ms)),
+            std::chrono::duration_cast<std::chrono::milliseconds>(duration),
+            assignment_.pending_prefill_tokens,
+            assignment_.queued_prefill_tokens};
+}
+
+void request_forwarder::observe_prefill(const engine_assignment& assignment,
+                                        std::chrono::nanoseconds duration)
+{
+    const double tokens =
+        assignment.queued_prefill_tokens + assignment.pending_prefill_tokens;
+    if (assignment.pending_prefill_tokens <= 0)
+        return;
+    const std::chrono::duration<double, std::milli> fetch(
+        assignment.prefix_fetch_ms);
+    services_.fleet.performance(context_.service)
+        .add(engine_step::prefill, tokens, assignment.pending_prefill_tokens,
+             duration - fetch, assignment.pending_prefill_tokens / tokens,
+             services_.core.now());
+}
+
+void request_forwarder::observe_decode_start(
+    const engine_assignment& assignment, bool was_transferred,
+    std::chrono::nanoseconds duration)
+{
+    if (!was_transferred)
+        return;
+    const bool is_same_zone =
+        context_.kv_cache_engine->record.availability_zone ==
+        assignment.decode_engine->record.availability_zone;
+    const double tokens = context_.request.prompt->prompt_tokens;
+    services_.fleet.performance(context_.service)
+        .add(engine_step::transfer, tokens * (is_same_zone ? 1 : 2), tokens,
+             duration, 1, services_.core.now());
+}
+
+void request_forwarder::observe_completion(const target_attempt& current)
+{
+    if (!is_generation() || context_.is_caller_disconnected ||
+        current.upstream.was_silent())
+        return;
+    const double tokens = context_.request.prompt->output_tokens;
+    const time_point now = services_.core.now();
+    engine_performance& performance =
+        services_.fleet.performance(context_.service);
+    performance.add(engine_step::completion, tokens, tokens,
+                    now - *current.response_start, 1, now);
+    if (current.is_transferred)
+        performance.add(engine_step::decode, tokens, tokens,
+                        now - current.start, 1, now);
+}
+
+void request_forwarder::observe_response_start(const target_attempt& current)
+{
+    current.target->cached_prefixes.add(
+        *context_.request.prompt,
+        context_.properties->engine->kv_capacity_tokens);
+    // A silence says nothing about the speed of an engine.
+    if (current.upstream.was_silent())
+        return;
+    const std::chrono::nanoseconds duration =
+        *current.response_start - current.start;
+    record_step(current.target, current.assignment.decode_baseline_ms, duration,
+                services_.fleet.delays(context_.service).decode_engines,
+                context_.decode_step);
+    observe_decode_start(current.assignment, current.is_transferred, duration);
+}
+
+} // namespace hibiscusferry
