Record how long a request waits before it is read

Nothing shows how long a request waits in the socket or a connection in the accept queue, so the logs cannot tell a late read from late work. Change: an exchange knows when its request arrived, from TCP_INFO, and how long connections had been waiting when its own was accepted. Both are logged with the request (read_delay_ms, accept_delay_ms) and are metrics. The order in which connections are accepted is unchanged: one per pass of the event loop.

--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -53,6 +53,8 @@
     const service_properties* properties = nullptr;
 
     time_point arrived_at{};
+    /** How long the request waited in the socket before it was read. */
+    std::chrono::milliseconds read_delay{0};
     /** A response after this time misses the latency objective. */
     time_point latency_deadline{};
     /** The end of the caller's time limit. */
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -33,6 +33,14 @@
 void request_forwarder::serve(boost::asio::yield_context yield)
 {
     context_.arrived_at = services_.core.now();
+    context_.read_delay = std::chrono::duration_cast<std::chrono::milliseconds>(
+        context_.arrived_at - exchange_.arrived_at());
+    services_.core.metrics()
+        .durations_of("hibiscusferry_read_delay_seconds")
+        .add(context_.read_delay);
+    services_.core.metrics()
+        .durations_of("hibiscusferry_accept_delay_seconds")
+        .add(exchange_.accept_delay());
     context_.request = services_.callers.read(exchange_.request());
     if (!admit(yield))
         return;
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -160,6 +160,13 @@
             {"rank", std::to_string(context_.matched_route->rank)});
     }
     event_fields.push_back({"offers", std::to_string(context_.attempts)});
+    if (context_.read_delay.count() > 0)
+        event_fields.push_back(
+            {"read_delay_ms", std::to_string(context_.read_delay.count())});
+    if (exchange_.accept_delay().count() > 0)
+        event_fields.push_back(
+            {"accept_delay_ms",
+             std::to_string(exchange_.accept_delay().count())});
     if (!context_.last_target.empty())
     {
         event_fields.push_back({"target", context_.last_target});
--- a/modules/http/server/beast_support.hpp
+++ b/modules/http/server/beast_support.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstddef>
 #include <netinet/tcp.h>
 
 // Boost.Beast helpers shared by the sources of this module; not public.
@@ -66,6 +68,20 @@
                  sizeof(tcp_user_timeout_milliseconds));
 }
 
+/** Returns the time since the kernel received the last data of a connection;
+    zero if it does not report that. */
+inline std::chrono::milliseconds
+time_since_last_data(boost::asio::ip::tcp::socket& socket)
+{
+    tcp_info status{};
+    socklen_t size = sizeof status;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &status,
+                     &size) != 0 ||
+        size < offsetof(tcp_info, tcpi_last_ack_recv))
+        return std::chrono::milliseconds(0);
+    return std::chrono::milliseconds(status.tcpi_last_data_recv);
+}
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -33,15 +33,18 @@
 }
 
 server_exchange::server_exchange(server_connection& connection,
-                                 http_request request, bool keeps_alive)
+                                 http_request request, time_point arrived_at,
+                                 bool keeps_alive)
     : connection_(connection)
     , request_(std::move(request))
+    , arrived_at_(arrived_at)
     , keeps_alive_(keeps_alive)
 {
 }
 
 server_exchange::~server_exchange()
 {
+    connection_.accept_delay = std::chrono::milliseconds(0);
     if (!watch_)
         return;
     watch_->exchange = nullptr;
@@ -59,6 +62,16 @@
     return remote_endpoint(connection_);
 }
 
+time_point server_exchange::arrived_at() const
+{
+    return arrived_at_;
+}
+
+std::chrono::milliseconds server_exchange::accept_delay() const
+{
+    return connection_.accept_delay;
+}
+
 result<void> server_exchange::respond(const http_response& response,
                                       boost::asio::yield_context yield)
 {
--- a/modules/http/server/http_exchange.hpp
+++ b/modules/http/server/http_exchange.hpp
@@ -5,6 +5,7 @@
 #include "http/errors/http_error.hpp"
 #include "http/message/http_message.hpp"
 #include <boost/asio/spawn.hpp>
+#include <chrono>
 #include <functional>
 #include <string_view>
 
@@ -28,6 +29,15 @@
     /** The client's IP address and port. */
     virtual http_endpoint client() const = 0;
 
+    /** When the last byte of the request arrived at this host, whether or not
+        it was read then. Before the time of the call by up to the time that the
+        request waited for the server. */
+    virtual time_point arrived_at() const = 0;
+
+    /** How long the connection waited, at most, until it was accepted; zero
+        after its first request. */
+    virtual std::chrono::milliseconds accept_delay() const = 0;
+
     /** Sends a complete response. */
     virtual result<void> respond(const http_response& response,
                                  boost::asio::yield_context yield) = 0;
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -3,6 +3,7 @@
 #include "http/server/server_connection.hpp"
 #include "http/server/task.hpp"
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <set>
 
@@ -80,6 +81,10 @@
     }
 
     void accept_connections(boost::asio::yield_context yield);
+    /** @param backlog_since  since when connections have been waiting to be
+                              accepted without interruption */
+    void accept_connection(boost::asio::ip::tcp::socket socket,
+                           const std::optional<time_point>& backlog_since);
     void close_expired_connections(boost::asio::yield_context yield);
     bool wait_for_request(server_connection& connection,
                           boost::asio::yield_context yield);
@@ -255,7 +260,7 @@
     else if (reason == http_error::timed_out)
         status = 408;
 
-    server_exchange exchange(connection, {}, false);
+    server_exchange exchange(connection, {}, boot_clock::now(), false);
     const result<void> ignored = exchange.respond(
         json_response(status, R"({"error":{"code":"bad_request","outcome":)"
                               R"("not_run","message":")" +
@@ -327,11 +332,13 @@
         return false;
     }
 
+    const time_point arrived_at =
+        boot_clock::now() - time_since_last_data(connection.stream.socket());
     connection.stream.expires_never();
     connection.closes_after_responses = closes_after_responses;
     const bool keeps_alive = parser.get().keep_alive();
     server_exchange exchange(connection, to_http_request(parser.release()),
-                             keeps_alive);
+                             arrived_at, keeps_alive);
     const counted_exchange counted(exchanges);
     const bool has_failed = !call_handler(exchange, yield);
     if (has_failed || !exchange.is_complete())
@@ -429,13 +436,20 @@
 void http_server::implementation::accept_connections(
     boost::asio::yield_context yield)
 {
+    boost::system::error_code error;
+    acceptor.non_blocking(true, error);
+    std::optional<time_point> backlog_since;
     while (acceptor.is_open())
     {
-        boost::system::error_code error;
         boost::asio::ip::tcp::socket socket(context);
-        acceptor.async_accept(socket, yield[error]);
-        if (!acceptor.is_open())
-            return;
+        acceptor.accept(socket, error);
+        if (error == boost::asio::error::would_block)
+        {
+            acceptor.async_wait(boost::asio::ip::tcp::acceptor::wait_read,
+                                yield[error]);
+            backlog_since = boot_clock::now();
+            continue;
+        }
         if (error)
         {
             // For example, no file descriptors are left. Retry later, when
@@ -443,22 +457,34 @@
             sleep_for(context, accept_retry_delay, yield);
             continue;
         }
-        const std::shared_ptr<server_connection> connection =
-            std::make_shared<server_connection>(std::move(socket), limits);
-        if (connections.size() >= limits.connections)
-        {
-            exchange_failure failure;
-            failure.cause = exchange_failure_cause::connection_limit;
-            failure.client = remote_endpoint(*connection);
-            report(failure, boot_clock::now());
-            continue;
-        }
+        accept_connection(std::move(socket), backlog_since);
+        boost::asio::post(context, yield);
+    }
+}
 
-        set_socket_options(connection->stream.socket());
-        start_task(context, [self = shared_from_this(),
-                             connection](boost::asio::yield_context inner)
-                   { self->serve_connection(connection, inner); });
+void http_server::implementation::accept_connection(
+    boost::asio::ip::tcp::socket socket,
+    const std::optional<time_point>& backlog_since)
+{
+    const std::shared_ptr<server_connection> connection =
+        std::make_shared<server_connection>(std::move(socket), limits);
+    if (backlog_since)
+        connection->accept_delay =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                boot_clock::now() - *backlog_since);
+    if (connections.size() >= limits.connections)
+    {
+        exchange_failure failure;
+        failure.cause = exchange_failure_cause::connection_limit;
+        failure.client = remote_endpoint(*connection);
+        report(failure, boot_clock::now());
+        return;
     }
+
+    set_socket_options(connection->stream.socket());
+    start_task(context, [self = shared_from_this(),
+                         connection](boost::asio::yield_context inner)
+               { self->serve_connection(connection, inner); });
 }
 
 http_server::http_server(std::shared_ptr<implementation> state)
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -25,6 +25,9 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     const http_server_limits limits;
+    /** How long connections had been waiting to be accepted when this one was
+        accepted; an upper bound of its own wait. */
+    std::chrono::milliseconds accept_delay{0};
     bool closes_after_responses = false;
     /** True if a response has announced that the connection will be closed. */
     bool has_announced_close = false;
@@ -43,13 +46,15 @@
 {
 public:
     server_exchange(server_connection& connection, http_request request,
-                    bool keeps_alive);
+                    time_point arrived_at, bool keeps_alive);
     ~server_exchange() override;
     server_exchange(const server_exchange&) = delete;
     server_exchange& operator=(const server_exchange&) = delete;
 
     const http_request& request() const override;
     http_endpoint client() const override;
+    time_point arrived_at() const override;
+    std::chrono::milliseconds accept_delay() const override;
     result<void> respond(const http_response& response,
                          boost::asio::yield_context yield) override;
     result<void> begin_stream(const http_response_head& head,
@@ -85,6 +90,7 @@
 
     server_connection& connection_;
     http_request request_;
+    time_point arrived_at_;
     std::shared_ptr<client_watch> watch_;
     bool keeps_alive_;
     bool has_started_response_ = false;
