Send no request whose caller has left, and count deadlines from its arrival

What callers saw: targets received requests 0.5 to 0.8 s after their callers had closed their connections (GONE), at a host that was saturated. Cause: a close was noticed only by an asynchronous wait, whose handler runs after the coroutine of the request has been suspended for the first time. On a kept connection the request has been sent by then. Ruled out: work that goes on after a close that was noticed (hypothesis 2) and waits inside the host (hypothesis 3); both would show an elapsed_ms of hundreds of milliseconds.

--- a/modules/gateway/request/request_context.cpp
+++ b/modules/gateway/request/request_context.cpp
@@ -13,6 +13,14 @@
 
 } // namespace
 
+bool request_context::has_caller_left()
+{
+    is_caller_disconnected =
+        is_caller_disconnected ||
+        (caller != nullptr && caller->is_client_disconnected());
+    return is_caller_disconnected;
+}
+
 bool request_context::is_resumption() const
 {
     const bool is_resumable_stream =
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -60,6 +60,8 @@
     /** The end of the caller's time limit. */
     time_point deadline{};
 
+    /** The connection to the caller; outlives the request. */
+    http_exchange* caller = nullptr;
     bool is_caller_disconnected = false;
     /** Closed when the caller disconnects. */
     http_connection* active_connection = nullptr;
@@ -96,6 +98,11 @@
     std::string last_software_version;
     std::string last_error;
 
+    /** Whether the caller has disconnected, including a disconnect of which the
+        event loop has not notified this request yet. Checked before each step
+        that causes work for others. */
+    bool has_caller_left();
+
     /** Whether the caller resumes a stream that an earlier request began. */
     bool is_resumption() const;
 
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -32,9 +32,9 @@
 
 void request_forwarder::serve(boost::asio::yield_context yield)
 {
-    context_.arrived_at = services_.core.now();
-    context_.read_delay = std::chrono::duration_cast<std::chrono::milliseconds>(
-        context_.arrived_at - exchange_.arrived_at());
+    context_.caller = &exchange_;
+    context_.arrived_at = exchange_.arrived_at();
+    context_.read_delay = context_.elapsed(services_.core.now());
     services_.core.metrics()
         .durations_of("hibiscusferry_read_delay_seconds")
         .add(context_.read_delay);
@@ -42,6 +42,11 @@
         .durations_of("hibiscusferry_accept_delay_seconds")
         .add(exchange_.accept_delay());
     context_.request = services_.callers.read(exchange_.request());
+    if (context_.has_caller_left())
+    {
+        log_completion(event_number::request_abandoned, "caller_gone");
+        return;
+    }
     if (!admit(yield))
         return;
     exchange_.on_client_disconnect(
@@ -88,13 +93,13 @@
     context_.deadline = context_.arrived_at + limit;
     context_.latency_deadline =
         context_.arrived_at + context_.matched_route->latency_objective;
-    if (services_.fleet.will_stop_before(context_.deadline,
-                                         context_.arrived_at))
+    const time_point now = services_.core.now();
+    if (services_.fleet.will_stop_before(context_.deadline, now))
     {
         refuse(refusal_cause::stopping, stopping_backlog, yield);
         return false;
     }
-    services_.fleet.budget(context_.service).count_request(context_.arrived_at);
+    services_.fleet.budget(context_.service).count_request(now);
     return true;
 }
 
@@ -134,7 +139,7 @@
         return;
     for (;;)
     {
-        if (context_.is_caller_disconnected)
+        if (context_.has_caller_left())
         {
             log_completion(event_number::request_abandoned, "caller_gone");
             return;
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -103,12 +103,16 @@
     if (connected != attempt_result::response_received)
         return connected;
 
+    if (context_.has_caller_left())
+    {
+        finish();
+        return attempt_result::caller_disconnected;
+    }
     attempt_options current_options = options;
     current_options.time_left = context_.time_left(services_.core.now());
     if (current_options.time_left <= std::chrono::milliseconds(0))
     {
-        services_.core.connections().release(std::move(connection_));
-        context_.active_connection = nullptr;
+        finish();
         return attempt_result::not_sent;
     }
     ++context_.attempts;
