Refuse requests early at a host that receives more than it can process

What callers saw: at a saturated host nearly all answers were late, and most callers gave up; those that were refused had waited as long as the others. Cause: overload was detected by the number of requests in flight (700) and by the load of the targets, not by the wait for the host's own processor. Each request was parsed and scheduled however late, and refusing it cost as much. Change: requests that have been read wait in a queue of their own, from which each pass of the event loop takes one, so that requests in flight go first and the wait is known. A request that has waited for half of the strictest latency objective, or for a sixth if the queue has not been empty for longer, is refused before it is parsed (503, reason host_overloaded, with a Retry-After). These refusals are logged once a second (1114 requests_unprocessed). Ruled out: a limit on the length of the queue, since the cost of a request differs by more than a factor of ten between routes.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -91,6 +91,11 @@
     "A request of a caller did not arrive completely, or its response was not "
     "sent completely; the field cause says why.",
     "")
+HIBISCUSFERRY_EVENT(
+    1114, warning, requests_unprocessed,
+    "The host received more requests than its processor can handle, and "
+    "refused the given number of them without processing them.",
+    "")
 
 // 1200-1299 claims (at most once)
 HIBISCUSFERRY_EVENT(1200, warning, claim_not_written,
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/process/gateway_service.cpp"
 #include "gateway/process/metrics_service.cpp"
+#include "gateway/process/request_intake.cpp"
 #include "gateway/process/settings_watch.cpp"
 #include "gateway/protocol/caller_protocol.cpp"
 #include "gateway/request/request_context.cpp"
--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -22,6 +22,11 @@
 
 constexpr std::chrono::milliseconds limits_poll_period{200};
 constexpr std::chrono::milliseconds connection_sweep_period{2000};
+constexpr std::chrono::milliseconds unprocessed_log_period{1000};
+
+/** Basis of the retry delay of a request that this host is too busy to process:
+    about the time for which a burst lasts. */
+constexpr std::chrono::milliseconds overload_backlog{500};
 
 /** Added to the configured idle limit. Callers reuse connections that have been
     idle for up to a fraction of the announced limit; the margin covers a change
@@ -49,6 +54,7 @@
 gateway_service::gateway_service(const gateway_services& services)
     : services_(services)
     , random_(stable_hash(services.core.id()))
+    , intake_(services.core.context())
 {
 }
 
@@ -93,6 +99,8 @@
                               update_limits();
                               log_readiness_change();
                           });
+    services_.core.repeat(unprocessed_log_period,
+                          [this] { log_unprocessed(); });
     return outcome::success();
 }
 
@@ -103,29 +111,60 @@
         return;
     limits_version_ = routes->configuration().version;
     callers_->set_limits(limits());
+    intake_.delay().set_latency_objective(
+        routes->configuration().strictest_latency_objective());
 }
 
 void gateway_service::serve(http_exchange& exchange,
                             boost::asio::yield_context yield)
 {
-    if (callers_->active_exchanges() > max_requests_in_flight)
+    intake_.wait_for_turn(yield);
+    const time_point now = services_.core.now();
+    const std::chrono::nanoseconds wait = now - exchange.arrived_at();
+    if (callers_->active_exchanges() > max_requests_in_flight ||
+        !intake_.delay().admits(wait, now))
     {
-        constexpr std::chrono::milliseconds backlog{500};
-        const result<void> ignored = exchange.respond(
-            services_.callers.write(
-                {refusal_cause::overloaded, retry_delay(backlog, random_())}),
-            yield);
-        static_cast<void>(ignored);
-        services_.core.metrics()
-            .counter_of("hibiscusferry_refusals_total",
-                        "reason=\"too_many_open\"")
-            .add();
+        refuse_unprocessed(
+            exchange,
+            std::chrono::duration_cast<std::chrono::milliseconds>(wait), yield);
         return;
     }
     request_forwarder forwarder(services_, exchange, random_);
     forwarder.serve(yield);
 }
 
+void gateway_service::refuse_unprocessed(http_exchange& exchange,
+                                         std::chrono::milliseconds wait,
+                                         boost::asio::yield_context yield)
+{
+    ++unprocessed_.count;
+    unprocessed_.max_wait = std::max(unprocessed_.max_wait, wait);
+    const result<void> ignored = exchange.respond(
+        services_.callers.write({refusal_cause::host_overloaded,
+                                 retry_delay(overload_backlog, random_())}),
+        yield);
+    static_cast<void>(ignored);
+}
+
+void gateway_service::log_unprocessed()
+{
+    if (unprocessed_.count == 0)
+        return;
+    services_.core.metrics()
+        .counter_of("hibiscusferry_refusals_total",
+                    "reason=\"" +
+                        std::string(to_text(refusal_cause::host_overloaded)) +
+                        "\"")
+        .add(unprocessed_.count);
+    services_.core.journal().record(
+        event_number::requests_unprocessed,
+        {{"count", std::to_string(unprocessed_.count)},
+         {"max_wait_ms", std::to_string(unprocessed_.max_wait.count())},
+         {"waiting", std::to_string(intake_.size())},
+         {"in_flight", std::to_string(callers_->active_exchanges())}});
+    unprocessed_ = {};
+}
+
 bool gateway_service::is_ready() const
 {
     return !is_draining_ && services_.fleet.routes() != nullptr &&
--- a/modules/gateway/process/gateway_service.hpp
+++ b/modules/gateway/process/gateway_service.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_GATEWAY_PROCESS_GATEWAY_SERVICE_HPP
 #define HIBISCUSFERRY_GATEWAY_PROCESS_GATEWAY_SERVICE_HPP
 
+#include "gateway/process/request_intake.hpp"
 #include "gateway/request/request_forwarder.hpp"
 #include <memory>
 #include <random>
@@ -30,14 +31,28 @@
     http_server_limits limits() const;
     void update_limits();
     void serve(http_exchange& exchange, boost::asio::yield_context yield);
+    /** Refuses a request that this host is too busy to process. */
+    void refuse_unprocessed(http_exchange& exchange,
+                            std::chrono::milliseconds wait,
+                            boost::asio::yield_context yield);
+    void log_unprocessed();
     bool is_ready() const;
     void serve_readiness(http_exchange& exchange,
                          boost::asio::yield_context yield);
     void log_readiness_change();
     void record_failure(const exchange_failure& failure);
 
+    /** Requests that were refused unprocessed since they were last logged. */
+    struct unprocessed_requests
+    {
+        std::size_t count = 0;
+        std::chrono::milliseconds max_wait{0};
+    };
+
     gateway_services services_;
     std::mt19937_64 random_;
+    request_intake intake_;
+    unprocessed_requests unprocessed_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> readiness_;
     std::uint64_t limits_version_ = 0;
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -45,7 +45,8 @@
     outcome_unknown,        ///< the request was sent, and may have run
     deadline_exceeded,      ///< the deadline passed after the request was sent
     stopping,               ///< this host stops before the request could finish
-    unknown_stream_version  ///< no record of where the resumed stream began
+    unknown_stream_version, ///< no record of where the resumed stream began
+    host_overloaded         ///< this host is too busy to process the request
 };
 
 /** Returns the name under which a cause is reported to callers, in the log and
--- a/modules/serving/model/fleet_configuration.hpp
+++ b/modules/serving/model/fleet_configuration.hpp
@@ -104,6 +104,11 @@
 
     /** Returns the service of the given name, or null. */
     const service_properties* service(const std::string& name) const;
+
+    /** Returns the shortest latency objective of all routes that have one, or
+        std::nullopt. */
+    std::optional<std::chrono::milliseconds>
+    strictest_latency_objective() const;
 };
 
 } // namespace hibiscusferry
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -5,6 +5,7 @@
 #include "serving/estimation/duration_model.cpp"
 #include "serving/estimation/engine_performance.cpp"
 #include "serving/health/observed_health.cpp"
+#include "serving/limits/controlled_delay.cpp"
 #include "serving/limits/fleet_retry_budget.cpp"
 #include "serving/model/fleet_configuration.cpp"
 #include "serving/model/prompt_info.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -19,6 +19,7 @@
 #include "serving/estimation/engine_performance.hpp"
 #include "serving/health/observed_health.hpp"
 #include "serving/limits/connection_allowance.hpp"
+#include "serving/limits/controlled_delay.hpp"
 #include "serving/limits/fleet_retry_budget.hpp"
 #include "serving/limits/retry_delay.hpp"
 #include "serving/model/fleet_configuration.hpp"
