Refuse all expired requests in one pass of the event loop

Cause: each pass of the event loop took a single request from the queue, whether it was processed or had expired.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -118,15 +118,11 @@
 void gateway_service::serve(http_exchange& exchange,
                             boost::asio::yield_context yield)
 {
-    intake_.wait_for_turn(yield);
-    const time_point now = services_.core.now();
-    const std::chrono::nanoseconds wait = now - exchange.arrived_at();
-    if (callers_->active_exchanges() > max_requests_in_flight ||
-        !intake_.delay().admits(wait, now))
+    const bool is_admitted =
+        intake_.wait_for_turn(exchange.arrived_at(), yield);
+    if (!is_admitted || callers_->active_exchanges() > max_requests_in_flight)
     {
-        refuse_unprocessed(
-            exchange,
-            std::chrono::duration_cast<std::chrono::milliseconds>(wait), yield);
+        refuse_unprocessed(exchange, yield);
         return;
     }
     request_forwarder forwarder(services_, exchange, random_);
@@ -134,9 +130,11 @@
 }
 
 void gateway_service::refuse_unprocessed(http_exchange& exchange,
-                                         std::chrono::milliseconds wait,
                                          boost::asio::yield_context yield)
 {
+    const std::chrono::milliseconds wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            services_.core.now() - exchange.arrived_at());
     ++unprocessed_.count;
     unprocessed_.max_wait = std::max(unprocessed_.max_wait, wait);
     const result<void> ignored = exchange.respond(
--- a/modules/gateway/process/gateway_service.hpp
+++ b/modules/gateway/process/gateway_service.hpp
@@ -33,7 +33,6 @@
     void serve(http_exchange& exchange, boost::asio::yield_context yield);
     /** Refuses a request that this host is too busy to process. */
     void refuse_unprocessed(http_exchange& exchange,
-                            std::chrono::milliseconds wait,
                             boost::asio::yield_context yield);
     void log_unprocessed();
     bool is_ready() const;
--- a/modules/gateway/process/request_intake.hpp
+++ b/modules/gateway/process/request_intake.hpp
@@ -12,9 +12,10 @@
 
 /** The queue of the requests that have been read and not yet processed.
 
-    One request is taken from the queue in each pass of the event loop. Requests
-    in flight therefore go before new ones, and the time for which a new request
-    waits is known.
+    Each pass of the event loop takes one request that will be processed from
+    the queue, and those before it that have waited too long. Requests in flight
+    therefore go before new ones, and the time for which a new request waits is
+    known.
 */
 class request_intake
 {
@@ -24,21 +25,31 @@
     request_intake(const request_intake&) = delete;
     request_intake& operator=(const request_intake&) = delete;
 
-    /** Decides on the requests whose turn has come. */
+    /** Decides which requests are processed. */
     controlled_delay& delay();
 
-    /** Suspends the calling coroutine until the turn of its request. */
-    void wait_for_turn(boost::asio::yield_context yield);
+    /** Suspends the calling coroutine until the turn of its request.
+        @param arrived_at  when the request arrived
+        @returns whether the request is processed; it is refused otherwise */
+    bool wait_for_turn(time_point arrived_at, boost::asio::yield_context yield);
 
     std::size_t size() const;
 
 private:
-    void schedule_next();
-    void resume_next();
+    struct waiting_request
+    {
+        time_point arrived_at;
+        /** Where the waiting coroutine finds the decision. */
+        bool* is_admitted;
+        std::function<void()> resume;
+    };
+
+    void schedule_pass();
+    void run_pass();
 
     boost::asio::io_context& context_;
     controlled_delay delay_;
-    std::deque<std::function<void()>> waiting_;
+    std::deque<waiting_request> waiting_;
     bool is_scheduled_ = false;
 };
 
