--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -459,13 +459,17 @@
                                          target_view& target)
 {
     context_.excluded.push_back(target.record.id);
-    services_.core.journal().record(
-        event_number::attempt_failed,
-        {{"request", context_.request.id},
-         {"target", target.record.id},
-         {"problem", context_.last_error},
-         {"elapsed_ms",
-          std::to_string(context_.elapsed(services_.core.now()).count())}});
+    std::vector<event_field> event_fields{
+        {"request", context_.request.id},
+        {"target", target.record.id},
+        {"problem", context_.last_error},
+        {"elapsed_ms",
+         std::to_string(context_.elapsed(services_.core.now()).count())}};
+    if (is_generation())
+        event_fields.push_back(
+            {"blocks", context_.request.prompt->shared_block_ids()});
+    services_.core.journal().record(event_number::attempt_failed,
+                                    std::move(event_fields));
     const bool may_have_run =
         attempt_outcome == attempt_result::unknown ||
         attempt_outcome == attempt_result::deadline_exceeded ||
--- a/modules/serving/model/prompt_info.cpp
+++ b/modules/serving/model/prompt_info.cpp
@@ -19,4 +19,12 @@
     return blocks.empty() ? 0 : blocks.size() - 1;
 }
 
+std::string prompt_info::shared_block_ids() const
+{
+    std::string ids;
+    for (std::size_t index = 0; index < shared_block_count(); ++index)
+        ids += (index == 0 ? "" : ",") + blocks[index].id;
+    return ids;
+}
+
 } // namespace hibiscusferry
--- a/modules/serving/model/prompt_info.hpp
+++ b/modules/serving/model/prompt_info.hpp
@@ -34,6 +34,9 @@
     /** Returns the number of blocks that other requests may share: all but the
         last. */
     std::size_t shared_block_count() const;
+
+    /** Returns the ids of the shared blocks for a log message. */
+    std::string shared_block_ids() const;
 };
 
 } // namespace hibiscusferry
