Withhold prompts with a block that crashes targets

Cause: nothing related the end of a target to the prompts that it was beginning to respond to. Health is counted by target, and a new incarnation has none. Ruled out: retries of the same request as the main cause; a limit on crashes by caller, first block or route, since sound prompts share them. Change: when a connection breaks before a second event, the gateway opens a connection to the target; if that fails, the target has crashed, and the shared blocks of the prompt are recorded. Three separate crashes (or five at once) of different targets without a completed generation in between make a block suspected; requests with it are refused at once as not run (503 prompt_suspected). One host, selected by hashing, probes it with one request after a second; after a failed probe the next one is five minutes later, then ten. A completed generation ends the suspicion at all hosts, and so do ten minutes without a change. Evidence is merged as a join of sets and times, spreads as a rumour to three random hosts every 100 ms for two seconds, and each host queries a random one every second, so that restarted and cut off hosts learn it. At most 512 blocks with 8 crashes each are kept.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -59,8 +59,11 @@
     std::unique_ptr<stream_version_directory> stream_versions =
         std::make_unique<stream_version_directory>(
             core, settings.host, follower_ref.directory(), datagrams_ref);
-    const gateway_services dependencies{core, fleet, callers, targets,
-                                        *stream_versions};
+    std::unique_ptr<crash_directory> crashes =
+        std::make_unique<crash_directory>(
+            core, settings.host, follower_ref.directory(), datagrams_ref);
+    const gateway_services dependencies{
+        core, fleet, callers, targets, *stream_versions, *crashes};
     const bool are_services_added =
         add(metrics_service::name,
             std::make_unique<metrics_service>(core, fleet, log)) &&
@@ -69,6 +72,7 @@
         add(state_follower::name, std::move(follower)) &&
         add(datagram_channel::name, std::move(datagrams)) &&
         add(stream_version_directory::name, std::move(stream_versions)) &&
+        add(crash_directory::name, std::move(crashes)) &&
         add(load_exchange::name, std::move(exchange)) &&
         add(gateway_service::name,
             std::make_unique<gateway_service>(dependencies)) &&
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -229,6 +229,22 @@
                     "A target wants no requests from this host for a time that "
                     "it has stated; it receives none until then.",
                     "")
+HIBISCUSFERRY_EVENT(
+    1416, warning, target_crashed,
+    "A target ended while it was beginning to respond to prompts with the "
+    "given shared blocks.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1417, alarm, prompt_block_suspected,
+    "Targets crashed repeatedly while they were beginning to respond to "
+    "prompts with a block, and no such prompt was completed in between. "
+    "Requests with the block are refused, except for rare probes.",
+    "Find out why the block crashes the engines. The suspicion ends when a "
+    "probe is completed.")
+HIBISCUSFERRY_EVENT(1418, info, prompt_block_cleared,
+                    "A prompt with a block that was suspected of crashing "
+                    "targets was completed, or the suspicion expired.",
+                    "")
 
 // 1500-1599 membership and peers
 HIBISCUSFERRY_EVENT(1500, info, host_alive,
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -11,6 +11,8 @@
 #ifndef HIBISCUSFERRY_GATEWAY_GATEWAY_HPP
 #define HIBISCUSFERRY_GATEWAY_GATEWAY_HPP
 
+#include "gateway/crashes/crash_directory.hpp"
+#include "gateway/crashes/prompt_quarantine.hpp"
 #include "gateway/process/gateway_service.hpp"
 #include "gateway/process/metrics_service.hpp"
 #include "gateway/process/request_intake.hpp"
--- a/modules/gateway/protocol/caller_protocol.cpp
+++ b/modules/gateway/protocol/caller_protocol.cpp
@@ -7,7 +7,7 @@
 
 std::string_view to_text(refusal_cause reason)
 {
-    constexpr std::array<std::string_view, 12> names{"no_configuration",
+    constexpr std::array<std::string_view, 13> names{"no_configuration",
                                                      "no_route",
                                                      "bad_request",
                                                      "no_target",
@@ -18,7 +18,8 @@
                                                      "no_answer_in_time",
                                                      "stopping",
                                                      "unknown_stream_version",
-                                                     "host_overloaded"};
+                                                     "host_overloaded",
+                                                     "prompt_suspected"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -46,7 +46,8 @@
     deadline_exceeded,      ///< the deadline passed after the request was sent
     stopping,               ///< this host stops before the request could finish
     unknown_stream_version, ///< no record of where the resumed stream began
-    host_overloaded         ///< this host is too busy to process the request
+    host_overloaded,        ///< this host is too busy to process the request
+    prompt_suspected        ///< targets crashed under a block of the prompt
 };
 
 /** Returns the name under which a cause is reported to callers, in the log and
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -144,6 +144,8 @@
             log_completion(event_number::request_abandoned, "caller_gone");
             return;
         }
+        if (!suspended_ && !check_quarantine(yield))
+            return;
         next_step step = next_step::retry;
         const bool has_time =
             context_.time_left(services_.core.now()) >= min_time_to_attempt;
@@ -177,6 +179,28 @@
     }
 }
 
+bool request_forwarder::check_quarantine(boost::asio::yield_context yield)
+{
+    if (!is_generation())
+        return true;
+    const bool is_failed_probe =
+        context_.is_probe && !context_.possible_run_targets.empty();
+    if (context_.is_probe && !is_failed_probe)
+        return true;
+    const prompt_treatment treatment =
+        is_failed_probe ? prompt_treatment::refused
+                        : services_.quarantine.assess(
+                              *context_.request.prompt,
+                              context_.time_left(services_.core.now()));
+    context_.is_probe = treatment == prompt_treatment::probe;
+    if (treatment != prompt_treatment::refused)
+        return true;
+    context_.last_error = "suspected of crashing targets: " +
+                          context_.request.prompt->shared_block_ids();
+    refuse(refusal_cause::prompt_suspected, no_target_backlog, yield);
+    return false;
+}
+
 void request_forwarder::refuse_unscheduled(bool has_time,
                                            scheduling_failure reason,
                                            boost::asio::yield_context yield)
@@ -256,7 +280,9 @@
                                        ? std::chrono::milliseconds(0)
                                        : context_.time_to_objective(now);
     generation.time_to_deadline = context_.time_left(now);
-    generation.may_transfer_kv = context_.last_event_id.empty();
+    // A probe reaches a single target, which both prefills and decodes.
+    generation.may_transfer_kv =
+        context_.last_event_id.empty() && !context_.is_probe;
     generation.delays = services_.fleet.delays(context_.service);
     generation.random_value =
         stable_hash(context_.request.id) + context_.attempts;
@@ -343,6 +369,8 @@
             return suspend(std::move(current));
         outcome = current->upstream.wait(timeout, yield);
     }
+    if (outcome == attempt_result::unknown)
+        report_broken_generation(*current);
     if (outcome != attempt_result::response_received)
         return handle_failed_attempt(outcome, *current->target);
     if (!is_server_error(current->upstream.head().status))
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -50,6 +50,13 @@
         continue; refuses the request if it cannot be found.
         @returns whether the request may be scheduled */
     bool find_stream_version(boost::asio::yield_context yield);
+    /** Refuses a generation whose prompt is suspected of crashing targets.
+        @returns whether the request may be scheduled */
+    bool check_quarantine(boost::asio::yield_context yield);
+    /** Reports a broken connection to a target that was beginning to respond.
+     */
+    void report_broken_generation(const target_attempt& current);
+    void report_completed_generation();
     engine_assignment schedule(scheduling_failure& reason);
     /** Time until the first target that wants no requests accepts them again;
         zero if there is none. */
--- a/modules/gateway/request/request_forwarder_observations.cpp
+++ b/modules/gateway/request/request_forwarder_observations.cpp
@@ -86,4 +86,20 @@
     observe_decode_start(current.assignment, current.is_transferred, duration);
 }
 
+void request_forwarder::report_broken_generation(const target_attempt& current)
+{
+    // A target that has sent a second event crashed for another reason than the
+    // beginning of this response.
+    if (!is_generation() || current.events > 1)
+        return;
+    services_.quarantine.report_broken_generation(
+        current.target->record, *context_.request.prompt, context_.is_probe);
+}
+
+void request_forwarder::report_completed_generation()
+{
+    if (is_generation())
+        services_.quarantine.report_completion(*context_.request.prompt);
+}
+
 } // namespace hibiscusferry
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -43,8 +43,11 @@
     {
         context_.last_error = "response truncated: " + body.error().message();
         if (!context_.is_caller_disconnected)
+        {
             services_.fleet.record_outcome(target, exchange_outcome::broken,
                                            context_.request.id);
+            report_broken_generation(current);
+        }
         return handle_failed_attempt(attempt_result::unknown, target);
     }
     current.upstream.finish();
@@ -79,6 +82,8 @@
         return next_step::completed;
     }
     observe_completion(current);
+    if (!is_server_error(response.status))
+        report_completed_generation();
     context_.time_to_first_event = context_.elapsed(services_.core.now());
     log_completion(event_number::request_finished,
                    std::to_string(response.status));
@@ -135,6 +140,7 @@
             if (!forward_event(*event, *current, yield))
                 return handle_stream_failure(
                     *current, make_error_code(http_error::broken));
+            ++current->events;
             event_due = services_.core.now() + read_timeout;
         }
     }
@@ -149,6 +155,7 @@
     services_.fleet.record_outcome(
         *current->target, exchange_outcome::responded, context_.request.id);
     observe_completion(*current);
+    report_completed_generation();
     const result<void> end_result = exchange_.end_stream(yield);
     if (!end_result)
         log_completion(event_number::request_abandoned, "caller_gone");
@@ -210,8 +217,11 @@
     if (!context_.is_caller_disconnected && error == http_error::timed_out)
         current.upstream.record_silence();
     else if (!context_.is_caller_disconnected)
+    {
         services_.fleet.record_outcome(
             *current.target, exchange_outcome::broken, context_.request.id);
+        report_broken_generation(current);
+    }
     return handle_failed_attempt(attempt_result::unknown, *current.target);
 }
 
--- a/modules/gateway/request/target_attempt.hpp
+++ b/modules/gateway/request/target_attempt.hpp
@@ -39,6 +39,8 @@
     target_load_guard work;
     target_exchange upstream;
     bool is_silence_logged = false;
+    /** Number of complete events received. */
+    unsigned events = 0;
 
     event_stream_parser parser;
 
--- a/modules/sharing/sharing.cpp
+++ b/modules/sharing/sharing.cpp
@@ -1,5 +1,7 @@
 #include "sharing/sharing.hpp"
 
+#include "sharing/crashes/crash_evidence.cpp"
+#include "sharing/crashes/crash_message.cpp"
 #include "sharing/load/engine_observations.cpp"
 #include "sharing/load/in_flight_load.cpp"
 #include "sharing/load/load_aggregator.cpp"
--- a/modules/sharing/sharing.hpp
+++ b/modules/sharing/sharing.hpp
@@ -11,6 +11,10 @@
     The host that begins a resumable stream sends the software version of its
     target to a few hosts, which other hosts ask when the stream is resumed.
 
+    Crashes of targets are recorded by the blocks of the prompts that they were
+    beginning to respond to. Hosts merge their records, so that each of them
+    knows which blocks crash targets.
+
     The classes receive events and the current time as arguments; they perform
     no I/O and read no clock. The module depends on foundation and storage (for
     table rows).
@@ -20,6 +24,8 @@
 
 #include "foundation/foundation.hpp"
 
+#include "sharing/crashes/crash_evidence.hpp"
+#include "sharing/crashes/crash_message.hpp"
 #include "sharing/load/engine_observations.hpp"
 #include "sharing/load/in_flight_load.hpp"
 #include "sharing/load/load_aggregator.hpp"
--- a/modules/sharing/streams/stream_version_message.cpp
+++ b/modules/sharing/streams/stream_version_message.cpp
@@ -1,10 +1,8 @@
 #include "sharing/streams/stream_version_message.hpp"
 
+#include "sharing/message/flat_cbor.hpp"
 #include <array>
 #include <cassert>
-#include <nlohmann/json.hpp>
-#include <variant>
-#include <vector>
 
 namespace hibiscusferry
 {
@@ -15,104 +13,8 @@
 /** The first field: the name of the protocol, then its format version. */
 constexpr std::string_view protocol = "sv";
 constexpr std::string_view protocol_version = "sv1";
-/** CBOR headers of arrays and texts with a length below 24. */
-constexpr unsigned char short_array_header = 0x80;
-constexpr unsigned char short_text_header = 0x60;
-constexpr unsigned char short_length_mask = 0x1f;
 constexpr std::size_t max_fields = 5;
 
-using message_field = std::variant<std::uint64_t, std::string>;
-
-/** Collects the fields of a flat CBOR array of unsigned integers and texts.
-    Stops at any other value. The parser recurses, so stopping at a nested value
-    also bounds its use of the stack. */
-class field_collector final : public nlohmann::json_sax<nlohmann::json>
-{
-public:
-    const std::vector<message_field>& fields() const
-    {
-        return fields_;
-    }
-
-    bool null() override
-    {
-        return false;
-    }
-    bool boolean(bool) override
-    {
-        return false;
-    }
-    bool number_integer(number_integer_t) override
-    {
-        return false;
-    }
-    bool number_unsigned(number_unsigned_t value) override
-    {
-        return add(value);
-    }
-    bool number_float(number_float_t, const string_t&) override
-    {
-        return false;
-    }
-    bool string(string_t& value) override
-    {
-        return add(std::move(value));
-    }
-    bool binary(binary_t&) override
-    {
-        return false;
-    }
-    bool key(string_t&) override
-    {
-        return false;
-    }
-    bool start_object(std::size_t) override
-    {
-        return false;
-    }
-    bool start_array(std::size_t) override
-    {
-        const bool is_outermost = !is_in_array_;
-        is_in_array_ = true;
-        return is_outermost;
-    }
-    bool end_object() override
-    {
-        return false;
-    }
-    bool end_array() override
-    {
-        return true;
-    }
-    bool parse_error(std::size_t, const std::string&,
-                     const nlohmann::detail::exception&) override
-    {
-        return false;
-    }
-
-private:
-    bool add(message_field field)
-    {
-        if (!is_in_array_ || fields_.size() == max_fields)
-            return false;
-        fields_.push_back(std::move(field));
-        return true;
-    }
-
-    std::vector<message_field> fields_;
-    bool is_in_array_ = false;
-};
-
-/** The number at an index, or none. */
-std::optional<std::uint64_t>
-number_field(const std::vector<message_field>& fields, std::size_t index)
-{
-    if (index >= fields.size() ||
-        !std::holds_alternative<std::uint64_t>(fields[index]))
-        return std::nullopt;
-    return std::get<std::uint64_t>(fields[index]);
-}
-
 /** The version and its lifetime in two fields from an index on, or none. */
 std::optional<stream_version>
 version_fields(const std::vector<message_field>& fields, std::size_t index)
@@ -179,13 +81,7 @@
 
 bool is_stream_version_message(std::string_view bytes)
 {
-    if (bytes.size() < 2 + protocol.size())
-        return false;
-    const unsigned char array_header = static_cast<unsigned char>(bytes[0]);
-    const unsigned char text_header = static_cast<unsigned char>(bytes[1]);
-    return (array_header & ~short_length_mask) == short_array_header &&
-           (text_header & ~short_length_mask) == short_text_header &&
-           bytes.substr(2, protocol.size()) == protocol;
+    return has_protocol(bytes, protocol);
 }
 
 std::string encode_stream_message(const stream_version_message& message)
@@ -218,16 +114,14 @@
         const std::vector<message_field>&);
     constexpr std::array<field_reader, 3> readers{&read_record, &read_question,
                                                   &read_answer};
-    field_collector collector;
-    const bool is_flat_array =
-        nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &collector,
-                                  nlohmann::json::input_format_t::cbor);
-    const std::vector<message_field>& fields = collector.fields();
-    const std::optional<std::uint64_t> kind = number_field(fields, 1);
-    if (!is_flat_array || !kind || *kind >= readers.size() ||
-        fields.front() != message_field(std::string(protocol_version)))
+    const std::optional<std::vector<message_field>> fields =
+        read_flat_cbor(bytes, max_fields);
+    const std::optional<std::uint64_t> kind =
+        fields ? number_field(*fields, 1) : std::nullopt;
+    if (!kind || *kind >= readers.size() ||
+        fields->front() != message_field(std::string(protocol_version)))
         return std::make_error_code(std::errc::bad_message);
-    std::optional<stream_version_message> message = readers[*kind](fields);
+    std::optional<stream_version_message> message = readers[*kind](*fields);
     if (!message)
         return std::make_error_code(std::errc::bad_message);
     return std::move(*message);
