Date crashes by when the connection broke, and forget probes without a result

Cause: a crash was dated when the investigation ended, up to 250 ms later, so that generations completed in between did not clear their blocks. A probe whose caller left stayed in the table of running probes. Found by reading the change; both only delayed the end of a wrong suspicion. crashing_prompt_test passes before and after.

--- a/modules/gateway/crashes/crash_directory.cpp
+++ b/modules/gateway/crashes/crash_directory.cpp
@@ -142,6 +142,8 @@
         ids_[blocks[index]] = prompt.blocks[index].id;
     const bool is_investigated = investigations_.count(target.id) > 0;
     accused_blocks& accused = investigations_[target.id];
+    if (!is_investigated)
+        accused.broken_at = core_.now();
     accused.blocks.insert(blocks.begin(), blocks.end());
     if (was_probe)
         accused.probed.insert(blocks.begin(), blocks.end());
@@ -172,7 +174,8 @@
     for (const block_key block : accused.blocks)
     {
         const bool was_probe = accused.probed.count(block) > 0;
-        evidence_.record_crash(key_of(target), {block}, was_probe, now);
+        evidence_.record_crash(key_of(target), {block}, was_probe,
+                               accused.broken_at);
         if (was_probe)
             probes_.erase(block);
         news_[block] = now + news_lifetime;
@@ -198,15 +201,22 @@
     if (now - queried_at_ < query_period)
         return;
     queried_at_ = now;
+    remove_expired(now);
+    log_changes();
+    query_random_host();
+}
+
+void crash_directory::remove_expired(time_point now)
+{
     evidence_.remove_expired(now);
+    for (auto probe = probes_.begin(); probe != probes_.end();)
+        probe = now < probe->second ? std::next(probe) : probes_.erase(probe);
     for (auto id = ids_.begin(); id != ids_.end();)
     {
         const bool is_used =
             evidence_.find(id->first) != nullptr || !investigations_.empty();
         id = is_used ? std::next(id) : ids_.erase(id);
     }
-    log_changes();
-    query_random_host();
 }
 
 void crash_directory::send_news()
--- a/modules/gateway/crashes/crash_directory.hpp
+++ b/modules/gateway/crashes/crash_directory.hpp
@@ -55,6 +55,8 @@
         std::set<block_key> blocks;
         /** Those whose prompt was a probe. */
         std::set<block_key> probed;
+        /** When the first connection broke. */
+        time_point broken_at{};
     };
 
     /** The keys of the blocks that prompts share; the last block cannot be the
@@ -67,6 +69,7 @@
                      boost::asio::yield_context yield);
     void record_crash(const target_record& target,
                       const accused_blocks& accused);
+    void remove_expired(time_point now);
     /** Whether this host is the one that probes a block. */
     bool is_prober(block_key block) const;
 
