--- a/modules/gateway/crashes/crash_directory.cpp
+++ b/modules/gateway/crashes/crash_directory.cpp
@@ -42,7 +42,7 @@
     , host_(std::move(host))
     , peers_(peers)
     , datagrams_(datagrams)
-    , random_(stable_hash(core.id()))
+    , random_(combine_hashes(stable_hash(core.id()), stable_hash(host_)))
 {
 }
 
