Let operators see and end the suspicion of a prompt block

Cause: the log names a suspected block, but only a probe or time ended a suspicion, while an operator may know that a release has mended the engines. Change: /suspected-blocks on the metrics port lists the blocks (GET) and ends a suspicion at all hosts (DELETE ?block=ID), as a completed generation does.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -62,11 +62,12 @@
     std::unique_ptr<crash_directory> crashes =
         std::make_unique<crash_directory>(
             core, settings.host, follower_ref.directory(), datagrams_ref);
+    crash_directory& crashes_ref = *crashes;
     const gateway_services dependencies{
-        core, fleet, callers, targets, *stream_versions, *crashes};
+        core, fleet, callers, targets, *stream_versions, crashes_ref};
     const bool are_services_added =
         add(metrics_service::name,
-            std::make_unique<metrics_service>(core, fleet, log)) &&
+            std::make_unique<metrics_service>(core, fleet, log, crashes_ref)) &&
         add(settings_watch::name,
             std::make_unique<settings_watch>(core, fleet, source)) &&
         add(state_follower::name, std::move(follower)) &&
--- a/modules/gateway/crashes/crash_directory.cpp
+++ b/modules/gateway/crashes/crash_directory.cpp
@@ -118,7 +118,11 @@
 {
     if (evidence_.records().empty())
         return;
-    const std::vector<block_key> blocks = shared_blocks(prompt);
+    record_completion(shared_blocks(prompt));
+}
+
+void crash_directory::record_completion(const std::vector<block_key>& blocks)
+{
     const time_point now = core_.now();
     if (!evidence_.record_completion(blocks, now))
         return;
@@ -326,25 +330,15 @@
 void crash_directory::log_changes()
 {
     const time_point now = core_.now();
-    const auto log = [&](event_number number, block_key block)
+    const auto log = [this](event_number number, block_key block)
     {
-        const block_record* const record = evidence_.find(block);
-        std::vector<event_field> fields{{"block", id_of(block)}};
-        if (record != nullptr)
-        {
-            const std::vector<time_point> crashes = record->uncleared_crashes();
-            fields.push_back({"crashes", std::to_string(crashes.size())});
-            fields.push_back(
-                {"failed_probes", std::to_string(record->uncleared_probes())});
-            if (!crashes.empty())
-                fields.push_back(
-                    {"first_crash_ms_ago",
-                     std::to_string(
-                         std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now - crashes.front())
-                             .count())});
-        }
-        core_.journal().record(number, std::move(fields));
+        const suspected_block details = describe(block);
+        core_.journal().record(
+            number, {{"block", details.id},
+                     {"crashes", std::to_string(details.crashes)},
+                     {"failed_probes", std::to_string(details.failed_probes)},
+                     {"first_crash_ms_ago",
+                      std::to_string(details.first_crash_age.count())}});
     };
     for (const auto& [block, record] : evidence_.records())
     {
@@ -367,10 +361,50 @@
         .set(static_cast<double>(suspected_.size()));
 }
 
+std::vector<suspected_block> crash_directory::suspected_blocks() const
+{
+    std::vector<suspected_block> blocks;
+    for (const auto& [block, record] : evidence_.records())
+    {
+        if (evidence_.is_suspected(block, core_.now()))
+            blocks.push_back(describe(block));
+    }
+    return blocks;
+}
+
+bool crash_directory::end_suspicion(const std::string& id)
+{
+    for (const auto& [block, record] : evidence_.records())
+    {
+        if (id_of(block) != id || !evidence_.is_suspected(block, core_.now()))
+            continue;
+        record_completion({block});
+        return true;
+    }
+    return false;
+}
+
+suspected_block crash_directory::describe(block_key block) const
+{
+    suspected_block details;
+    details.id = id_of(block);
+    const block_record* const record = evidence_.find(block);
+    if (record == nullptr)
+        return details;
+    const std::vector<time_point> crashes = record->uncleared_crashes();
+    details.crashes = crashes.size();
+    details.failed_probes = record->uncleared_probes();
+    if (!crashes.empty())
+        details.first_crash_age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                core_.now() - crashes.front());
+    return details;
+}
+
 std::string crash_directory::id_of(block_key block) const
 {
     const auto entry = ids_.find(block);
-    return entry != ids_.end() ? entry->second : "key " + std::to_string(block);
+    return entry != ids_.end() ? entry->second : "key-" + std::to_string(block);
 }
 
 } // namespace hibiscusferry
--- a/modules/gateway/crashes/crash_directory.hpp
+++ b/modules/gateway/crashes/crash_directory.hpp
@@ -14,6 +14,16 @@
 namespace hibiscusferry
 {
 
+/** A block that is suspected of crashing targets. */
+struct suspected_block
+{
+    /** The id of the block, or its key if no prompt with it was seen here. */
+    std::string id;
+    std::size_t crashes = 0;
+    unsigned failed_probes = 0;
+    std::chrono::milliseconds first_crash_age{0};
+};
+
 /** The crashes of targets that any host of the fleet has seen, by the blocks of
     the prompts that the targets were beginning to respond to.
 
@@ -38,6 +48,14 @@
     result<void> start() override;
     void stop() override;
 
+    std::vector<suspected_block> suspected_blocks() const;
+
+    /** Ends the suspicion of a block at all hosts, as a completed generation
+        does.
+        @param id  as in suspected_block
+        @returns whether the block was suspected */
+    bool end_suspicion(const std::string& id);
+
     // =================================================================
     // prompt_quarantine
 
@@ -61,7 +79,8 @@
 
     /** The keys of the blocks that prompts share; the last block cannot be the
         cause, as it belongs to a single request or session. */
-    std::vector<block_key> shared_blocks(const prompt_info& prompt);
+    static std::vector<block_key> shared_blocks(const prompt_info& prompt);
+    void record_completion(const std::vector<block_key>& blocks);
 
     /** Opens a connection to a target in order to find out whether it has
         crashed, and records the crash if so. */
@@ -89,7 +108,8 @@
 
     /** Logs the blocks that have become suspected, or no longer are. */
     void log_changes();
-    /** The id of a block, if a prompt with it was seen here. */
+    suspected_block describe(block_key block) const;
+    /** The id of a block, if a prompt with it was seen here, or its key. */
     std::string id_of(block_key block) const;
 
     process_core& core_;
@@ -101,6 +121,7 @@
     /** Blocks with new evidence, and until when it is sent. */
     std::map<block_key, time_point> news_;
     std::map<block_key, std::string> ids_;
+    /** Those whose suspicion has been logged. */
     std::set<block_key> suspected_;
     /** Blocks that are being probed, and until when a result is awaited. */
     std::map<block_key, time_point> probes_;
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "gateway/crashes/crash_directory.cpp"
+#include "gateway/crashes/quarantine_page.cpp"
 #include "gateway/process/gateway_service.cpp"
 #include "gateway/process/metrics_service.cpp"
 #include "gateway/process/request_intake.cpp"
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 
 #include "gateway/crashes/crash_directory.hpp"
 #include "gateway/crashes/prompt_quarantine.hpp"
+#include "gateway/crashes/quarantine_page.hpp"
 #include "gateway/process/gateway_service.hpp"
 #include "gateway/process/metrics_service.hpp"
 #include "gateway/process/request_intake.hpp"
--- a/modules/gateway/process/metrics_service.cpp
+++ b/modules/gateway/process/metrics_service.cpp
@@ -1,5 +1,7 @@
 #include "gateway/process/metrics_service.hpp"
 
+#include "gateway/crashes/quarantine_page.hpp"
+
 namespace hibiscusferry
 {
 
@@ -14,10 +16,11 @@
 } // namespace
 
 metrics_service::metrics_service(process_core& core, const fleet_state& fleet,
-                                 log_writer& log)
+                                 log_writer& log, crash_directory& crashes)
     : core_(core)
     , fleet_(fleet)
     , log_(log)
+    , crashes_(crashes)
 {
 }
 
@@ -35,13 +38,8 @@
         core_.context(), {fleet_.settings().address, metrics_port}, {},
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         {
-            http_response response;
-            const bool is_page = exchange.request().path() == metrics_path;
-            response.status = is_page ? 200 : 404;
-            response.headers.set("Content-Type", "text/plain; charset=utf-8");
-            if (is_page)
-                response.body = core_.metrics().text();
-            const result<void> ignored = exchange.respond(response, yield);
+            const result<void> ignored =
+                exchange.respond(serve(exchange.request()), yield);
             static_cast<void>(ignored);
         });
     if (!listening)
@@ -50,6 +48,19 @@
     return outcome::success();
 }
 
+http_response metrics_service::serve(const http_request& request)
+{
+    if (request.path() == quarantine_path)
+        return serve_quarantine_page(crashes_, request);
+    http_response response;
+    const bool is_page = request.path() == metrics_path;
+    response.status = is_page ? 200 : 404;
+    response.headers.set("Content-Type", "text/plain; charset=utf-8");
+    if (is_page)
+        response.body = core_.metrics().text();
+    return response;
+}
+
 void metrics_service::stop()
 {
     log_.flush();
