--- a/modules/gateway/crashes/crash_directory.cpp
+++ b/modules/gateway/crashes/crash_directory.cpp
@@ -282,6 +282,7 @@
     std::sample(hosts.begin(), hosts.end(), std::back_inserter(selected), count,
                 random_);
     std::vector<boost::asio::ip::udp::endpoint> endpoints;
+    endpoints.reserve(selected.size());
     for (const peer_host& peer : selected)
         endpoints.push_back(datagram_endpoint(peer.address, peer.port));
     return endpoints;
--- a/modules/sharing/crashes/crash_evidence_test.cpp
+++ b/modules/sharing/crashes/crash_evidence_test.cpp
@@ -19,9 +19,10 @@
 crash_evidence evidence_with(int crashes, milliseconds distance = apart)
 {
     crash_evidence evidence;
+    incarnation_key target = 0;
     for (int index = 0; index < crashes; ++index)
-        evidence.record_crash(static_cast<incarnation_key>(index + 1), {block},
-                              false, start + index * distance);
+        evidence.record_crash(++target, {block}, false,
+                              start + index * distance);
     return evidence;
 }
 
@@ -76,9 +77,9 @@
 BOOST_AUTO_TEST_CASE(two_blocks_are_suspected_independently)
 {
     crash_evidence evidence = evidence_with(3);
+    incarnation_key target = 20;
     for (int index = 0; index < 3; ++index)
-        evidence.record_crash(static_cast<incarnation_key>(index + 20), {8},
-                              false, start + index * apart);
+        evidence.record_crash(++target, {8}, false, start + index * apart);
     evidence.record_completion({block}, start + seconds(2));
     BOOST_TEST(!evidence.is_suspected(block, start + seconds(2)));
     BOOST_TEST(evidence.is_suspected(8, start + seconds(2)));
