--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -3,7 +3,9 @@
 
     It replicates the fleet's state from the table service, forwards requests
     to targets and relays their responses, and orders engines to change their
-    stage. The decisions themselves are made by the serving module. The
+    stage. Requests that a busy host reads too late are refused before they are
+    parsed, and prompts that crash targets are withheld, on the evidence of all
+    hosts. The decisions themselves are made by the serving module. The
    protocols of callers, targets, operators and the host are behind the
    interfaces in protocol/. Depends on process, serving, sharing, storage, http
    and authority.
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -183,15 +183,14 @@
 {
     if (!is_generation())
         return true;
-    const bool is_failed_probe =
-        context_.is_probe && !context_.possible_run_targets.empty();
-    if (context_.is_probe && !is_failed_probe)
+    if (context_.is_probe && context_.possible_run_targets.empty())
         return true;
+    // A probe that failed is not repeated at another target.
     const prompt_treatment treatment =
-        is_failed_probe ? prompt_treatment::refused
-                        : services_.quarantine.assess(
-                              *context_.request.prompt,
-                              context_.time_left(services_.core.now()));
+        context_.is_probe ? prompt_treatment::refused
+                          : services_.quarantine.assess(
+                                *context_.request.prompt,
+                                context_.time_left(services_.core.now()));
     context_.is_probe = treatment == prompt_treatment::probe;
     if (treatment != prompt_treatment::refused)
         return true;
