Count a failed probe against the probed block only

Found when reading the change. A probe carries other shared blocks besides the suspected one; when it crashed its target, they got a failed probe too, so that one of them, suspected wrongly later, would not have been probed for five minutes instead of one second. Test: failed_probe_does_not_count_against_the_other_blocks failed before.

--- a/modules/gateway/crashes/crash_directory.cpp
+++ b/modules/gateway/crashes/crash_directory.cpp
@@ -149,8 +149,11 @@
     if (!is_investigated)
         accused.broken_at = core_.now();
     accused.blocks.insert(blocks.begin(), blocks.end());
-    if (was_probe)
-        accused.probed.insert(blocks.begin(), blocks.end());
+    for (const block_key block : blocks)
+    {
+        if (was_probe && probes_.count(block) > 0)
+            accused.probed.insert(block);
+    }
     if (is_investigated)
         return;
     start_task(core_.context(), [this, target](boost::asio::yield_context yield)
--- a/modules/gateway/crashes/crash_directory.hpp
+++ b/modules/gateway/crashes/crash_directory.hpp
@@ -71,7 +71,7 @@
     struct accused_blocks
     {
         std::set<block_key> blocks;
-        /** Those whose prompt was a probe. */
+        /** Those that were being probed. */
         std::set<block_key> probed;
         /** When the first connection broke. */
         time_point broken_at{};
