--- a/modules/gateway/crashes/crash_directory_test.cpp
+++ b/modules/gateway/crashes/crash_directory_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gateway.hpp"
+#include "gateway/state/fake_peer_directory.hpp"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -14,22 +15,6 @@
 /** Time after which no host may send a prompt with the block. */
 constexpr milliseconds max_spread_time{3000};
 
-class fixed_peers final : public peer_directory
-{
-public:
-    std::vector<peer_host> serving_hosts() const override
-    {
-        return hosts;
-    }
-
-    std::uint64_t revision() const override
-    {
-        return hosts.size();
-    }
-
-    std::vector<peer_host> hosts;
-};
-
 process_settings test_process_settings()
 {
     process_settings settings;
@@ -85,15 +70,14 @@
         core.context().restart();
         core.context().run_for(duration);
     };
-    fixed_peers peers;
+    fake_peer_directory peers;
     std::vector<std::unique_ptr<test_host>> hosts;
     for (std::size_t index = 0; index < host_count; ++index)
     {
         const std::string name = "host-" + std::to_string(index);
         hosts.push_back(
             std::make_unique<test_host>(core, name, "127.0.0.1", peers));
-        peers.hosts.push_back(
-            {name, "a", "127.0.0.1", hosts.back()->channel.endpoint().port()});
+        peers.add(name, hosts.back()->channel.endpoint());
     }
     const prompt_info prompt = prompt_with("fatal");
     for (std::size_t crash = 0; crash < 3; ++crash)
--- a/modules/gateway/streams/stream_version_directory_test.cpp
+++ b/modules/gateway/streams/stream_version_directory_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gateway.hpp"
+#include "gateway/state/fake_peer_directory.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
@@ -15,33 +16,6 @@
 constexpr milliseconds delivery_time{100};
 constexpr milliseconds lifetime{10000};
 
-/** The hosts that a test declares to be serving. */
-class fake_peers final : public peer_directory
-{
-public:
-    void add(const std::string& host,
-             const boost::asio::ip::udp::endpoint& endpoint)
-    {
-        hosts_.push_back({host, "zone-of-" + host,
-                          endpoint.address().to_string(), endpoint.port()});
-        ++revision_;
-    }
-
-    std::vector<peer_host> serving_hosts() const override
-    {
-        return hosts_;
-    }
-
-    std::uint64_t revision() const override
-    {
-        return revision_;
-    }
-
-private:
-    std::vector<peer_host> hosts_;
-    std::uint64_t revision_ = 0;
-};
-
 /** One host: its channel and its directory. */
 class test_host
 {
@@ -155,7 +129,7 @@
     }
 
     process_core core;
-    fake_peers peers;
+    fake_peer_directory peers;
     test_host first;
     test_host second;
     test_host third;
@@ -305,7 +279,7 @@
 {
     first.directory.record("r1", "v1", lifetime);
     run(delivery_time);
-    fake_peers later_peers;
+    fake_peer_directory later_peers;
     test_host started(core, "fourth", "127.0.0.4", later_peers);
     boost::asio::steady_timer timer(core.context(), milliseconds(20));
     timer.async_wait(
@@ -319,7 +293,7 @@
 
 BOOST_AUTO_TEST_CASE(the_only_host_does_not_wait)
 {
-    fake_peers only_itself;
+    fake_peer_directory only_itself;
     test_host alone(core, "fourth", "127.0.0.4", only_itself);
     only_itself.add("fourth", alone.channel.endpoint());
     const find_outcome outcome = find(alone, "r1");
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -11,4 +11,5 @@
 #include "http/server/exchange_failure.cpp"
 #include "http/server/http_exchange.cpp"
 #include "http/server/http_server.cpp"
+#include "http/server/request_reader.cpp"
 #include "http/server/task.cpp"
