--- a/modules/http/server/http_exchange.hpp
+++ b/modules/http/server/http_exchange.hpp
@@ -29,9 +29,9 @@
     /** The client's IP address and port. */
     virtual http_endpoint client() const = 0;
 
-    /** When the last byte of the request arrived at this host, whether or not
-        it was read then. Before the time of the call by up to the time that the
-        request waited for the server. */
+    /** When the last byte of the request arrived at this host. The time since
+        then includes the time for which the request waited to be read, if the
+        system reports it. */
     virtual time_point arrived_at() const = 0;
 
     /** How long the connection waited, at most, until it was accepted; zero
--- a/modules/sharing/crashes/crash_evidence.hpp
+++ b/modules/sharing/crashes/crash_evidence.hpp
@@ -63,8 +63,8 @@
     time until the next one doubles. A completed generation ends the suspicion,
     and so does the absence of crashes for a long time.
 
-    Crashes that are seen together, such as the loss of an availability zone,
-    count once, since they accuse the blocks of all prompts in flight.
+    Crashes at about the same time, such as the loss of an availability zone,
+    count as one time, since they accuse the blocks of all prompts in flight.
 */
 class crash_evidence
 {
@@ -73,9 +73,8 @@
     static constexpr std::size_t max_blocks = 512;
 
     /** Records that a target crashed while it began to respond to a prompt.
-        @param blocks     the shared blocks of the prompt
-        @param was_probe  whether the prompt was sent to probe its suspected
-                          block */
+        @param blocks     shared blocks of the prompt
+        @param was_probe  whether the prompt was sent to probe these blocks */
     void record_crash(incarnation_key target,
                       const std::vector<block_key>& blocks, bool was_probe,
                       time_point now);
