Show that a planned stop after a change of grace-s cuts streams

Cause: process_core takes its drain timeout from grace-s once, at the start, while gateway_service drains for the value that was read again.

--- a/review/build.sh
+++ b/review/build.sh
@@ -10,7 +10,7 @@
 for name in "${shared[@]}"; do
     "${compile[@]}" -c "review/stand_in/$name.cpp" -o "target/review/$name.o"
 done
-for program in large_bodies; do
+for program in large_bodies grace_change; do
     "${compile[@]}" "review/stand_in/$program.cpp" \
         target/review/wire.o target/review/deployment.o \
         -o "target/review/$program"
