Log why a request counts as not run

What callers saw: requests that had been refused as not run had run, and requests that may run once ran twice. The log could not tell a late response to another request from a contradictory statement or from a relayed failure.

attempt_failed, answer_mismatch, request_refused and the events that end a request without success now hold the connection (new or reused), the status and id of the last response, and what became of the statement that the request was not run. Failed prefill attempts are logged as well. Failures of targets that are relayed to callers, until now sampled as routine successes, are always logged. Two counters with few label values hold the same figures: hibiscusferry_not_run_statements_total and hibiscusferry_failures_relayed_total.

The volume stays at one event for each failed attempt and each request.

No decision changes.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "gateway/request/request_forwarder_observations.cpp"
 #include "gateway/request/request_forwarder_responses.cpp"
 #include "gateway/request/request_forwarder_silence.cpp"
+#include "gateway/request/response_evidence.cpp"
 #include "gateway/request/response_memory.cpp"
 #include "gateway/request/target_exchange.cpp"
 #include "gateway/sharing/datagram_channel.cpp"
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -27,6 +27,7 @@
 #include "gateway/protocol/target_protocol.hpp"
 #include "gateway/request/request_context.hpp"
 #include "gateway/request/request_forwarder.hpp"
+#include "gateway/request/response_evidence.hpp"
 #include "gateway/request/response_memory.hpp"
 #include "gateway/request/target_exchange.hpp"
 #include "gateway/sharing/datagram_channel.hpp"
--- a/modules/gateway/protocol/target_protocol.hpp
+++ b/modules/gateway/protocol/target_protocol.hpp
@@ -50,13 +50,25 @@
     std::string unreadable_limit;
 };
 
+/** The request that a response names as its own. */
+enum class response_id
+{
+    missing,  ///< none
+    matching, ///< the request for which the response is read
+    other     ///< another request
+};
+
 /** Properties of a target's response that its head shows. */
 struct target_response
 {
+    response_id id = response_id::missing;
     /** The response carries the id of the request. */
     bool echoes_request_id = false;
     /** The target has not run the request and never will. */
     bool is_not_run = false;
+    /** A caller takes the status as a guarantee that the request was not run,
+        whether or not the target states that. */
+    bool promises_not_run = false;
     /** The address now belongs to another target. */
     bool is_misdirected = false;
     bool is_event_stream = false;
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -4,6 +4,7 @@
 #include "gateway/crashes/request_quarantine.hpp"
 #include "gateway/protocol/caller_protocol.hpp"
 #include "gateway/protocol/target_protocol.hpp"
+#include "gateway/request/response_evidence.hpp"
 #include "gateway/request/response_memory.hpp"
 #include "gateway/state/fleet_state.hpp"
 #include "gateway/streams/stream_versions.hpp"
@@ -108,6 +109,10 @@
     std::string last_target;
     /** The software version of `last_target`. */
     std::string last_software_version;
+    /** What the last attempt, other than a prefill, has shown. */
+    response_evidence last_evidence;
+    /** Whether the response to the caller is an error response of a target. */
+    bool is_failure_relayed = false;
     std::string last_error;
 
     /** Whether the caller has disconnected, including a disconnect of which the
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -443,8 +443,7 @@
         const bool goes_on_elsewhere =
             suspended_ && suspended_->upstream.has_unread_data();
         if (goes_on_elsewhere)
-            return handle_failed_attempt(attempt_result::unknown,
-                                         *current->target);
+            return handle_failed_attempt(attempt_result::unknown, *current);
         if (has_alternative_to(*current->target))
             return suspend(std::move(current));
         outcome = current->upstream.wait(timeout, yield);
@@ -453,7 +452,7 @@
         current->upstream.is_connection_broken())
         report_broken_attempt(*current, yield);
     if (outcome != attempt_result::response_received)
-        return handle_failed_attempt(outcome, *current->target);
+        return handle_failed_attempt(outcome, *current);
     if (!is_server_error(current->upstream.head().status))
         suspended_ = nullptr;
     current->response_start = services_.core.now();
@@ -530,6 +529,7 @@
     if (attempt_outcome == attempt_result::not_run)
         services_.fleet.budget(context_.service)
             .count_retry(services_.core.now());
+    log_failed_attempt(*prefill_engine, upstream, "prefill");
     context_.excluded.push_back(prefill_engine->record.id);
     return next_step::retry;
 }
@@ -568,20 +568,13 @@
 
 request_forwarder::next_step
 request_forwarder::handle_failed_attempt(attempt_result attempt_outcome,
-                                         target_view& target)
+                                         const target_attempt& current)
 {
+    const target_view& target = *current.target;
     context_.excluded.push_back(target.record.id);
-    std::vector<event_field> event_fields{
-        {"request", context_.request.id},
-        {"target", target.record.id},
-        {"problem", context_.last_error},
-        {"elapsed_ms",
-         std::to_string(context_.elapsed(services_.core.now()).count())}};
-    if (is_generation())
-        event_fields.push_back(
-            {"blocks", context_.request.prompt->shared_block_ids()});
-    services_.core.journal().record(event_number::attempt_failed,
-                                    std::move(event_fields));
+    context_.last_evidence = current.upstream.evidence();
+    log_failed_attempt(target, current.upstream,
+                       is_generation() ? "decode" : "");
     const bool may_have_run =
         attempt_outcome == attempt_result::unknown ||
         attempt_outcome == attempt_result::deadline_exceeded ||
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -118,7 +118,11 @@
         targets that another one may run it, and there is time for that. */
     bool may_run_at_another_target() const;
     next_step handle_failed_attempt(attempt_result attempt_outcome,
-                                    target_view& target);
+                                    const target_attempt& current);
+    /** @param step  the step of a generation; empty for other requests */
+    void log_failed_attempt(const target_view& target,
+                            const target_exchange& upstream,
+                            const std::string& step);
     next_step relay_response(std::unique_ptr<target_attempt> current,
                              boost::asio::yield_context yield);
     next_step relay_buffered(target_attempt& current,
@@ -145,6 +149,8 @@
                 boost::asio::yield_context yield);
     void fail_request(refusal_cause reason, boost::asio::yield_context yield);
     void log_completion(event_number number, const std::string& outcome);
+    /** Counts an error response of a target that is sent to the caller. */
+    void count_relayed_failure(unsigned status);
     /** Logs that a target continues a stream, unless the response is the first
         of its stream. */
     void log_resumption();
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -54,6 +54,8 @@
     event_fields.push_back(
         {"return_after_ms", std::to_string(response.retry_after->count())});
     event_fields.push_back({"sent", sent ? "yes" : "no"});
+    for (const event_field& field : context_.last_evidence.fields())
+        event_fields.push_back(field);
     services_.core.journal().record(event_number::request_refused,
                                     std::move(event_fields));
 }
@@ -69,6 +71,7 @@
     }
     if (failed_response_)
     {
+        count_relayed_failure(failed_response_->response.status);
         const result<void> sent =
             exchange_.respond(failed_response_->response, yield);
         log_completion(sent ? event_number::request_finished
@@ -115,6 +118,7 @@
             .durations_of("hibiscusferry_first_event_seconds", route_label)
             .add(*context_.time_to_first_event);
     const bool is_routine_success = number == event_number::request_finished &&
+                                    !context_.is_failure_relayed &&
                                     context_.attempts <= 2 &&
                                     context_.excluded.empty();
     if (is_routine_success &&
@@ -123,6 +127,9 @@
     std::vector<event_field> event_fields = fields();
     event_fields.push_back({"outcome", outcome});
     event_fields.push_back({"elapsed_ms", std::to_string(elapsed.count())});
+    if (number != event_number::request_finished || context_.is_failure_relayed)
+        for (const event_field& field : context_.last_evidence.fields())
+            event_fields.push_back(field);
     if (context_.time_to_first_event)
         event_fields.push_back(
             {"first_event_ms",
@@ -130,6 +137,39 @@
     services_.core.journal().record(number, std::move(event_fields));
 }
 
+void request_forwarder::log_failed_attempt(const target_view& target,
+                                           const target_exchange& upstream,
+                                           const std::string& step)
+{
+    std::vector<event_field> event_fields{
+        {"request", context_.request.id},
+        {"target", target.record.id},
+        {"problem", context_.last_error},
+        {"elapsed_ms",
+         std::to_string(context_.elapsed(services_.core.now()).count())}};
+    for (const event_field& field : upstream.evidence().fields())
+        event_fields.push_back(field);
+    if (!step.empty())
+        event_fields.push_back({"step", step});
+    if (is_generation())
+        event_fields.push_back(
+            {"blocks", context_.request.prompt->shared_block_ids()});
+    services_.core.journal().record(event_number::attempt_failed,
+                                    std::move(event_fields));
+}
+
+void request_forwarder::count_relayed_failure(unsigned status)
+{
+    context_.is_failure_relayed = true;
+    const std::string is_repeatable =
+        context_.matched_route->is_safe_to_retry() ? "yes" : "no";
+    services_.core.metrics()
+        .counter_of("hibiscusferry_failures_relayed_total",
+                    "repeatable=\"" + is_repeatable + "\",status=\"" +
+                        status_label(status) + "\"")
+        .add();
+}
+
 void request_forwarder::log_resumption()
 {
     if (!context_.is_resumption() && !context_.has_stream_started)
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -49,7 +49,7 @@
             if (body.error() == http_error::broken)
                 report_broken_attempt(current, yield);
         }
-        return handle_failed_attempt(attempt_result::unknown, target);
+        return handle_failed_attempt(attempt_result::unknown, current);
     }
     current.upstream.finish();
     http_response response;
@@ -69,13 +69,18 @@
         context_.last_error =
             "target responded with " + std::to_string(response.status);
         failed_response_ = {std::move(response), target.record.id};
+        context_.last_evidence = current.upstream.evidence();
         context_.possible_run_targets.insert(target.record.id);
         context_.excluded.push_back(target.record.id);
         return next_step::may_have_run;
     }
     if (context_.has_stream_started)
-        return handle_failed_attempt(attempt_result::unknown, target);
+        return handle_failed_attempt(attempt_result::unknown, current);
 
+    context_.last_evidence = current.upstream.evidence();
+    if (is_server_error(response.status) ||
+        current.upstream.parsed_response().promises_not_run)
+        count_relayed_failure(response.status);
     const result<void> sent = exchange_.respond(response, yield);
     if (!sent || context_.is_caller_disconnected)
     {
@@ -225,7 +230,7 @@
         if (error == http_error::broken)
             report_broken_attempt(current, yield);
     }
-    return handle_failed_attempt(attempt_result::unknown, *current.target);
+    return handle_failed_attempt(attempt_result::unknown, current);
 }
 
 } // namespace hibiscusferry
--- a/modules/gateway/request/request_limits.hpp
+++ b/modules/gateway/request/request_limits.hpp
@@ -1,7 +1,10 @@
 #ifndef HIBISCUSFERRY_GATEWAY_REQUEST_REQUEST_LIMITS_HPP
 #define HIBISCUSFERRY_GATEWAY_REQUEST_REQUEST_LIMITS_HPP
 
+#include <algorithm>
+#include <array>
 #include <chrono>
+#include <string>
 
 // Limits shared by the request classes; private to the module.
 
@@ -24,6 +27,17 @@
     return status >= 500;
 }
 
+/** Returns the status as a label of a metric. A target may send any number, so
+    only the usual ones are told apart. */
+inline std::string status_label(unsigned status)
+{
+    constexpr std::array<unsigned, 11> usual{200, 400, 404, 408, 413, 421,
+                                             429, 500, 502, 503, 504};
+    return std::find(usual.begin(), usual.end(), status) != usual.end()
+               ? std::to_string(status)
+               : "other";
+}
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -72,6 +72,7 @@
                                      ? max_idle_time
                                      : max_idle_time_not_repeatable);
     is_reused_connection_ = connection_ != nullptr;
+    evidence_.begin(is_reused_connection_);
     if (!connection_)
     {
         services_.core.metrics()
@@ -112,6 +113,7 @@
     current_options.time_left = context_.time_left(services_.core.now());
     if (current_options.time_left <= std::chrono::milliseconds(0))
     {
+        context_.last_error = "deadline passed before the request was sent";
         finish();
         return attempt_result::not_sent;
     }
@@ -161,16 +163,12 @@
         head_ = head.value();
         parsed_response_ = services_.targets.read_response(
             head_, context_.request, services_.core.now());
+        evidence_.add(head_.status, parsed_response_);
         if (parsed_response_.echoes_request_id)
             break;
-        services_.core.journal().record(
-            event_number::answer_mismatch,
-            {{"request", context_.request.id}, {"target", target_->record.id}});
-        const result<void> discarded =
-            discard_body(*connection_, max_body_bytes, time_left(), yield);
+        const result<void> discarded = discard_response(time_left(), yield);
         if (!discarded)
             return handle_failure(discarded.error(), true);
-        connection_->expect_another_response();
     }
     if (!parsed_response_.echoes_request_id)
         return handle_failure(make_error_code(http_error::bad_message), true);
@@ -183,6 +181,8 @@
     if (!parsed_response_.is_not_run)
         return attempt_result::response_received;
 
+    evidence_.conclude_not_run();
+    count_statement();
     context_.last_error =
         "refused without running: " + std::to_string(head_.status);
     const result<std::string> body = connection_->read_remaining(
@@ -205,6 +205,33 @@
     return attempt_result::not_run;
 }
 
+result<void>
+target_exchange::discard_response(std::chrono::milliseconds timeout,
+                                  boost::asio::yield_context yield)
+{
+    count_statement();
+    std::vector<event_field> fields{{"request", context_.request.id},
+                                    {"target", target_->record.id}};
+    for (const event_field& field : evidence_.fields())
+        fields.push_back(field);
+    services_.core.journal().record(event_number::answer_mismatch,
+                                    std::move(fields));
+    const result<void> discarded =
+        discard_body(*connection_, max_body_bytes, timeout, yield);
+    if (discarded)
+        connection_->expect_another_response();
+    return discarded;
+}
+
+void target_exchange::count_statement()
+{
+    if (evidence_.states_not_run())
+        services_.core.metrics()
+            .counter_of("hibiscusferry_not_run_statements_total",
+                        evidence_.labels())
+            .add();
+}
+
 attempt_result
 target_exchange::wait(std::chrono::milliseconds first_byte_timeout,
                       boost::asio::yield_context yield)
@@ -295,6 +322,11 @@
     return parsed_response_;
 }
 
+const response_evidence& target_exchange::evidence() const
+{
+    return evidence_;
+}
+
 result<std::string> target_exchange::read_body(boost::asio::yield_context yield)
 {
     std::string body;
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -67,6 +67,9 @@
     const http_response_head& head() const;
     const target_response& parsed_response() const;
 
+    /** The evidence on whether the target has run the request. */
+    const response_evidence& evidence() const;
+
     /** Reads the rest of the response.
         @returns http_error::too_large if it exceeds the limit on its size or
                  on the memory for responses */
@@ -96,6 +99,10 @@
                                boost::asio::yield_context yield);
     attempt_result read_head(std::chrono::milliseconds first_byte_timeout,
                              boost::asio::yield_context yield);
+    /** Discards a response that does not belong to the request. */
+    result<void> discard_response(std::chrono::milliseconds timeout,
+                                  boost::asio::yield_context yield);
+    void count_statement();
     /** Returns whether an operation failed only because the target is silent,
         and records the silence. */
     bool is_silence(std::error_code error);
@@ -115,6 +122,7 @@
     unsigned stale_responses_ = 0;
     http_response_head head_;
     target_response parsed_response_;
+    response_evidence evidence_;
 };
 
 } // namespace hibiscusferry
