Log how the version of a resumed stream was found

What callers saw: a stream that went on at another software version, with nothing in the logs that told a version that was recorded from one that was inferred from the list of targets. Change: stream_resumed and request_refused carry version_source and, where the list was used, target_list_age_ms. Result: no change of behaviour; stream_version_test passes.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "gateway/request/request_forwarder_completion.cpp"
 #include "gateway/request/request_forwarder_observations.cpp"
 #include "gateway/request/request_forwarder_responses.cpp"
+#include "gateway/request/request_forwarder_resumptions.cpp"
 #include "gateway/request/request_forwarder_silence.cpp"
 #include "gateway/request/response_evidence.cpp"
 #include "gateway/request/response_memory.cpp"
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -101,6 +101,12 @@
         stream, at which alone the stream may continue; none if no event was
         sent yet. */
     std::optional<std::string> stream_software_version;
+    /** How the version of a resumed stream was found, for the log; empty for
+        other requests. */
+    std::string stream_version_source;
+    /** The age of the list of targets when that version was looked for in it;
+        none if it was not. */
+    std::optional<std::chrono::milliseconds> target_list_age;
     std::optional<std::chrono::milliseconds> time_to_first_event;
     /** The last successful prefill, and the last successful attempt at a decode
         engine up to the head of its response. */
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -107,36 +107,6 @@
     return true;
 }
 
-bool request_forwarder::find_stream_version(boost::asio::yield_context yield)
-{
-    if (!context_.is_resumption())
-        return true;
-    const std::string& first_id = context_.request.resumed_request_id;
-    std::optional<std::string> version;
-    if (!first_id.empty())
-        version = services_.versions.find(
-            first_id,
-            std::min(stream_versions::max_find_time,
-                     context_.time_left(services_.core.now())),
-            yield);
-    const bool is_recorded = version.has_value();
-    if (!is_recorded)
-        version = services_.fleet.software_versions().only_version(
-            context_.service, context_.matched_route->time_limit,
-            services_.core.now());
-    context_.stream_software_version = version;
-    services_.core.metrics()
-        .counter_of("hibiscusferry_stream_resumptions_total",
-                    is_recorded ? "version=\"recorded\""
-                    : version   ? "version=\"only\""
-                                : "version=\"unknown\"")
-        .add();
-    if (version || context_.is_caller_disconnected)
-        return true;
-    refuse(refusal_cause::unknown_stream_version, no_target_backlog, yield);
-    return false;
-}
-
 void request_forwarder::run(boost::asio::yield_context yield)
 {
     if (!find_stream_version(yield))
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -50,6 +50,9 @@
         continue; refuses the request if it cannot be found.
         @returns whether the request may be scheduled */
     bool find_stream_version(boost::asio::yield_context yield);
+    /** Returns the version of a resumed stream of which there is no record, if
+        all targets of the service have had the same one. */
+    std::optional<std::string> infer_stream_version();
     /** Refuses a request that is suspected of crashing targets.
         @returns whether the request may be scheduled */
     bool check_quarantine(boost::asio::yield_context yield);
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -218,6 +218,13 @@
             {"resumes", context_.request.resumed_request_id});
     if (!context_.request.resume_after.empty())
         event_fields.push_back({"resume_after", context_.request.resume_after});
+    if (!context_.stream_version_source.empty())
+        event_fields.push_back(
+            {"version_source", context_.stream_version_source});
+    if (context_.target_list_age)
+        event_fields.push_back(
+            {"target_list_age_ms",
+             std::to_string(context_.target_list_age->count())});
     if (assignment_.expected_ms > 0)
         event_fields.push_back({"expected_ms", std::to_string(static_cast<int>(
                                                    assignment_.expected_ms))});
--- a/modules/serving/catalogue/software_version_history.cpp
+++ b/modules/serving/catalogue/software_version_history.cpp
@@ -46,6 +46,11 @@
     list_confirmed_at_ = std::max(list_confirmed_at_, as_of);
 }
 
+std::optional<time_point> software_version_history::list_confirmed_at() const
+{
+    return observed_since_ ? std::optional(list_confirmed_at_) : std::nullopt;
+}
+
 std::optional<std::string> software_version_history::only_version(
     const std::string& service, std::chrono::milliseconds stream_duration,
     time_point now) const
--- a/modules/serving/catalogue/software_version_history.hpp
+++ b/modules/serving/catalogue/software_version_history.hpp
@@ -32,6 +32,10 @@
     /** Records that the list of targets was complete at a time. */
     void confirm_list(time_point as_of);
 
+    /** The time as of which the list of targets was last known to be complete;
+        none if it never was. */
+    std::optional<time_point> list_confirmed_at() const;
+
     /** Returns the only software version that targets of a service have had for
         a duration, and that they still have. None if there were several, or if
         this host has not observed the service for that long.
