Reject deeply nested messages of other hosts

What callers saw: a host ended, and every connection to it broke.

Cause: the CBOR parser calls itself for each level, and datagrams and pulled updates are parsed on the stack of a coroutine, which has 256 KB. A single datagram of 4,096 bytes, each of which begins another array, exhausts it.

Change: messages with loads and updates are built by read_nested_cbor(), which stops where a value is nested more deeply than any message.

--- a/modules/sharing/message/sharing_message.cpp
+++ b/modules/sharing/message/sharing_message.cpp
@@ -1,8 +1,8 @@
 #include "sharing/message/sharing_message.hpp"
 
+#include "sharing/message/nested_cbor.hpp"
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace hibiscusferry
@@ -256,10 +256,12 @@
 
 result<sharing_message> decode_message(std::string_view bytes)
 {
+    const result<nlohmann::json> parsed = read_nested_cbor(bytes);
+    if (!parsed)
+        return parsed.error();
     try
     {
-        const nlohmann::json fields =
-            nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        const nlohmann::json& fields = parsed.value();
         const std::uint64_t kind = number_at(fields, 1);
         constexpr std::uint64_t last_kind =
             static_cast<std::uint64_t>(sharing_message::kind::zone_response);
--- a/modules/sharing/message/sharing_message_test.cpp
+++ b/modules/sharing/message/sharing_message_test.cpp
@@ -83,6 +83,22 @@
         {reinterpret_cast<const char*>(negative.data()), negative.size()}));
 }
 
+// Guards against the exhaustion of the stack by a single message.
+BOOST_AUTO_TEST_CASE(deeply_nested_bytes_are_rejected)
+{
+    constexpr std::size_t levels = 1U << 20;
+    std::string objects;
+    for (std::size_t level = 0; level < levels; ++level)
+        objects += std::string("\xa1\x60", 2);
+    for (const std::string& bytes :
+         {std::string(levels, '\x81'), std::string(levels, '\x9f'),
+          std::string(levels, '\xc1'), objects})
+    {
+        BOOST_TEST(!decode_message(bytes));
+        BOOST_TEST(!decode_updates(bytes));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(parts_fit_into_a_datagram_and_hold_all_targets)
 {
     aggregated_loads loads;
--- a/modules/sharing/replication/fleet_replicas.cpp
+++ b/modules/sharing/replication/fleet_replicas.cpp
@@ -1,7 +1,7 @@
 #include "sharing/replication/fleet_replicas.hpp"
 
+#include "sharing/message/nested_cbor.hpp"
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace hibiscusferry
 {
@@ -80,11 +80,13 @@
 
 result<std::vector<table_update>> decode_updates(const std::string& bytes)
 {
+    const result<nlohmann::json> tables = read_nested_cbor(bytes);
+    if (!tables)
+        return tables.error();
     try
     {
-        const nlohmann::json tables = nlohmann::json::from_cbor(bytes);
         std::vector<table_update> updates;
-        for (const nlohmann::json& object : tables)
+        for (const nlohmann::json& object : tables.value())
             updates.push_back(decode_table_update(object));
         return updates;
     }
