Do not take the end of a killed target's connection for the end of a response

What callers saw: a stream, or another body, that its target had not finished ended as complete.

Cause: a response without a length or chunks ends with its connection. The kernel also ends the connections of a process that is killed, with FIN if it has nothing left to read, so the end alone does not tell.

Evidence, on the code before:

unframed_stream_of_a_killed_target_is_not_complete: check receive("/stream/x") == events(1, 2) + "!" has failed [id: 1 data: piece 1 id: 2 data: piece 2 . != id: 1 data: piece 1 id: 2 data: piece 2 !] unframed_stream_of_a_killed_target_is_resumed: check resumed_after.back() == "2" has failed [none != 2] unframed_body_of_a_killed_target_is_not_complete: check receive("/once/x").substr(0, 3) == "502" has failed [hal != 502]

Change: such an end counts only if the target still accepts connections. The connection that shows it goes to the pool, where the next request needs one in any case, as the former one was closed. Otherwise the response is broken: a resumable stream continues elsewhere, another one ends without its last chunk, a buffered response is not passed on.

Not covered: a target that completes a response of this kind and ends at once is taken for killed; one of several processes behind the same port cannot be told from the others.

stream_pieces_test and platform_adapter_test: no errors detected.

--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -150,8 +150,10 @@
             event_due = services_.core.now() + read_timeout;
         }
     }
-    // The response ended in the middle of an event, or without any event.
-    if (current->parser.is_within_event() || !context_.has_stream_started)
+    // The response ended in the middle of an event, without any event, or
+    // because its target has ended.
+    if (current->parser.is_within_event() || !context_.has_stream_started ||
+        !current->upstream.confirm_end(yield))
         return handle_stream_failure(
             *current, make_error_code(http_error::broken), yield);
     if (!current->parser.remainder().empty() &&
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -75,11 +75,8 @@
     evidence_.begin(is_reused_connection_);
     if (!connection_)
     {
-        services_.core.metrics()
-            .counter_of("hibiscusferry_target_connections_total")
-            .add();
         result<std::unique_ptr<http_connection>> opened =
-            pool.open(endpoint, clamp_to_deadline(connect_timeout), yield);
+            open_connection(yield);
         if (context_.is_caller_disconnected)
             return attempt_result::caller_disconnected;
         if (!opened)
@@ -95,6 +92,16 @@
     return attempt_result::response_received;
 }
 
+result<std::unique_ptr<http_connection>>
+target_exchange::open_connection(boost::asio::yield_context yield)
+{
+    services_.core.metrics()
+        .counter_of("hibiscusferry_target_connections_total")
+        .add();
+    return services_.core.connections().open(
+        target_->record.endpoint, clamp_to_deadline(connect_timeout), yield);
+}
+
 attempt_result
 target_exchange::send(const attempt_options& options,
                       std::chrono::milliseconds first_byte_timeout,
@@ -336,6 +343,8 @@
             read_some(context_.matched_route->time_limit, yield);
         if (!chunk)
             return chunk.error();
+        if (chunk.value().empty() && !confirm_end(yield))
+            return make_error_code(http_error::broken);
         if (chunk.value().empty())
             return body;
         body += chunk.value();
@@ -356,6 +365,19 @@
     return connection_->read_some(clamp_to_deadline(read_timeout), yield);
 }
 
+bool target_exchange::confirm_end(boost::asio::yield_context yield)
+{
+    if (!connection_->ends_with_connection())
+        return true;
+    // The connection is not lost: the next request to the target needs a new
+    // one in any case.
+    result<std::unique_ptr<http_connection>> opened = open_connection(yield);
+    if (!opened)
+        return false;
+    services_.core.connections().release(std::move(opened.value()));
+    return true;
+}
+
 bool target_exchange::reserve_memory(std::size_t bytes)
 {
     return context_.reserved_memory->resize(
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -70,7 +70,7 @@
     /** The evidence on whether the target has run the request. */
     const response_evidence& evidence() const;
 
-    /** Reads the rest of the response.
+    /** Reads the rest of the response, up to its confirmed end.
         @returns http_error::too_large if it exceeds the limit on its size or
                  on the memory for responses */
     result<std::string> read_body(boost::asio::yield_context yield);
@@ -81,6 +81,12 @@
     result<std::string> read_some(std::chrono::milliseconds read_timeout,
                                   boost::asio::yield_context yield);
 
+    /** Finds out whether a response that has been read to its end is complete.
+        The end of the connection alone does not tell: it may also be that of a
+        process that was killed. In that case the target must still be running.
+    */
+    bool confirm_end(boost::asio::yield_context yield);
+
     /** Reserves memory for the buffered part of the response.
         @param bytes  the new size of that part
         @returns false if the process buffers too much */
@@ -93,6 +99,8 @@
 
 private:
     attempt_result connect(boost::asio::yield_context yield);
+    result<std::unique_ptr<http_connection>>
+    open_connection(boost::asio::yield_context yield);
     /** Reads the head of the response unless the request could not be sent. */
     attempt_result finish_send(const result<void>& sent,
                                std::chrono::milliseconds first_byte_timeout,
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -314,6 +314,11 @@
     return chunk;
 }
 
+bool http_connection::ends_with_connection() const
+{
+    return implementation_->parser && implementation_->parser->need_eof();
+}
+
 result<std::string>
 http_connection::read_remaining(std::size_t max_body_bytes,
                                 std::chrono::milliseconds timeout,
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -70,6 +70,10 @@
     result<std::string> read_some(std::chrono::milliseconds timeout,
                                   boost::asio::yield_context yield);
 
+    /** Whether the body of the response has neither a length nor chunks, so
+       that it ends with the connection. Valid after read_head(). */
+    bool ends_with_connection() const;
+
     /** Reads the remainder of the body.
 
         @returns http_error::too_large if it exceeds `max_body_bytes`
