Date what was read by when it was asked for

What callers saw: streams taken up again at another software version, at hosts that had stood still for a moment. Cause: a table was held to be as old as the moment at which its response was processed. A process that stands still between a read of the store, or of a relay, and the processing of the response took an old list of targets for a new one. The same age decides when a host reads the store itself. Evidence: state_follower_test on the code before: "a_pause_before_a_response_is_processed_counts_as_its_age: check (confirmed_at() <= feed.asked_at["targets"]) has failed" and "a_pause_before_an_update_is_processed_counts_as_its_age: check (confirmed_at() <= relay.asked_at - relay.age) has failed". Change: a read counts from when it was asked for. One that waits for a change counts from the end of its wait if there was none; if a change ended it, a second read without a wait follows. Polls of the targets start at a fixed interval, so that a response does not lengthen it. Ages are rounded up. Result: state_follower_test passes.

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -183,6 +183,7 @@
 
 void state_follower::follow(fleet_table table, boost::asio::yield_context yield)
 {
+    bool was_wait_ended = false;
     while (!is_stopping_)
     {
         if (!is_store_read_due(table))
@@ -190,33 +191,48 @@
             sleep_for(core_.context(), due_check_period, yield);
             continue;
         }
-        const result<void> read_result = read(table, yield);
+        const time_point asked_at = core_.now();
+        // It is not known when a change has ended the wait, so a second read
+        // shows until when there was no other one.
+        const result<bool> read_result = read(
+            table,
+            was_wait_ended ? std::chrono::milliseconds(0) : max_wait(table),
+            yield);
         if (!read_result)
         {
             monitor_.record_failure(read_result.error());
             sleep_for(core_.context(), retry_interval, yield);
             continue;
         }
+        was_wait_ended = read_result.value();
         monitor_.record_success();
         if (table == fleet_table::targets)
             sleep_for(core_.context(),
-                      target_poll_percent *
-                          fleet_.settings().target_drain_time / 100,
-                      yield);
+                      asked_at + target_poll_interval() - core_.now(), yield);
     }
 }
 
-result<void> state_follower::read(fleet_table table,
-                                  boost::asio::yield_context yield)
+std::chrono::milliseconds state_follower::target_poll_interval() const
+{
+    return target_poll_percent * fleet_.settings().target_drain_time / 100;
+}
+
+std::chrono::milliseconds state_follower::max_wait(fleet_table table) const
 {
-    const host_settings& settings = fleet_.settings();
     const std::array<std::chrono::milliseconds, fleet_table_count> waits{
-        configuration_wait_percent * settings.max_configuration_delay / 100,
+        configuration_wait_percent * fleet_.settings().max_configuration_delay /
+            100,
         std::chrono::milliseconds(0), host_table_wait};
-    const std::chrono::milliseconds wait =
-        waits[static_cast<std::size_t>(table)];
+    return waits[static_cast<std::size_t>(table)];
+}
+
+result<bool> state_follower::read(fleet_table table,
+                                  std::chrono::milliseconds wait,
+                                  boost::asio::yield_context yield)
+{
     const store_position known_position = replicas_.replica(table).as_of();
     bool is_snapshot = known_position.version == 0;
+    time_point asked_at = core_.now();
     result<table_changes> changes =
         is_snapshot
             ? sources_.feed.snapshot(store_table(table), store_call_timeout,
@@ -226,6 +242,7 @@
     if (!changes && changes.error() == platform_error::history_expired)
     {
         is_snapshot = true;
+        asked_at = core_.now();
         changes = sources_.feed.snapshot(store_table(table), store_call_timeout,
                                          yield);
     }
@@ -234,18 +251,27 @@
     // A response that was delayed beyond the start of a new era.
     if (changes.value().era < replicas_.replica(table).as_of().era)
         return make_error_code(platform_error::history_expired);
-    apply_update({table, is_snapshot, std::move(changes.value())}, "store");
+    const bool has_changed =
+        !changes.value().rows.empty() || !changes.value().deleted.empty();
+    // A response without a change was not sent before the end of the wait.
+    const bool was_wait_ended =
+        !is_snapshot && has_changed && wait > std::chrono::milliseconds(0);
+    const time_point as_of = is_snapshot || has_changed
+                                 ? asked_at
+                                 : std::min(asked_at + wait, core_.now());
+    apply_update({table, is_snapshot, std::move(changes.value())}, as_of,
+                 "store");
     const bool is_config_missing =
         table == fleet_table::configuration && !fleet_.routes();
     if (is_snapshot && is_config_missing)
         sleep_for(core_.context(), retry_interval, yield);
-    return outcome::success();
+    return was_wait_ended;
 }
 
 // ========================================================================
 // Applying updates
 
-void state_follower::apply_update(const table_update& update,
+void state_follower::apply_update(const table_update& update, time_point as_of,
                                   const std::string& source)
 {
     using apply_function =
@@ -273,18 +299,21 @@
              {"rows", std::to_string(update.changes.rows.size())},
              {"version", std::to_string(update.changes.version)},
              {"era", std::to_string(update.changes.era)},
-             {"age_ms", std::to_string(update.age.count())},
+             {"age_ms",
+              std::to_string(std::chrono::ceil<std::chrono::milliseconds>(
+                                 core_.now() - as_of)
+                                 .count())},
              {"source", source}});
     const table_changes applied_changes = update.is_snapshot
                                               ? replica.replace(update.changes)
                                               : replica.apply(update.changes);
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
         applied_changes, source);
-    replicas_.mark_current(update.table, core_.now() - update.age);
+    replicas_.mark_current(update.table, as_of);
     if (update.table != fleet_table::targets)
         return;
     fleet_.mark_target_list_received();
-    fleet_.confirm_target_list(core_.now() - update.age);
+    fleet_.confirm_target_list(as_of);
 }
 
 void state_follower::apply_configuration(const table_changes& changes,
@@ -398,9 +427,10 @@
                           encode_position(known_position) + "&";
     }
     const std::string source = "relay " + relay.host;
+    const time_point asked_at = core_.now();
     http_call(core_.context(), core_.connections(), {relay.address, relay.port},
               request, pull_timeout, max_pull_response_bytes,
-              [this, source](const result<http_response>& response)
+              [this, source, asked_at](const result<http_response>& response)
               {
                   is_pulling_ = false;
                   if (!response || response.value().status != 200)
@@ -415,7 +445,7 @@
                   }
                   for (const table_update& update : updates.value())
                   {
-                      apply_update(update, source);
+                      apply_update(update, asked_at - update.age, source);
                       needs_snapshot_[static_cast<std::size_t>(update.table)] =
                           replicas_.replica(update.table).digest() !=
                           update.digest;
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -62,12 +62,23 @@
 
 private:
     void follow(fleet_table table, boost::asio::yield_context yield);
-    result<void> read(fleet_table table, boost::asio::yield_context yield);
+    /** Reads what has changed in a table.
+        @param wait  how long the store waits for a change
+        @returns whether a change has ended the wait */
+    result<bool> read(fleet_table table, std::chrono::milliseconds wait,
+                      boost::asio::yield_context yield);
     bool is_store_read_due(fleet_table table) const;
     std::string store_table(fleet_table table) const;
     std::chrono::milliseconds max_age(fleet_table table) const;
-
-    void apply_update(const table_update& update, const std::string& source);
+    std::chrono::milliseconds max_wait(fleet_table table) const;
+    std::chrono::milliseconds target_poll_interval() const;
+
+    /** Applies changes to a replica.
+        @param as_of  the time as of which the replica then is complete: not
+                      when the update was processed, as the process may have
+                      stood still since it asked for it */
+    void apply_update(const table_update& update, time_point as_of,
+                      const std::string& source);
     void apply_configuration(const table_changes& changes,
                              const std::string& source);
     void apply_targets(const table_changes& changes, const std::string& source);
--- /dev/null
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -0,0 +1,346 @@
+#include "gateway/gateway.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace hibiscusferry;
+using boost::asio::yield_context;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/** How long the process stands still in a test. */
+constexpr milliseconds pause_duration{400};
+/** Time from the reading of a table to the arrival of the response. */
+constexpr milliseconds response_time{60};
+
+/** A store whose responses take some time. */
+class fake_feed final : public table_feed
+{
+public:
+    explicit fake_feed(process_core& core)
+        : core_(core)
+    {
+    }
+
+    result<table_changes> snapshot(const std::string& table, milliseconds,
+                                   yield_context yield) override
+    {
+        asked_at[table] = core_.now();
+        ++reads[table];
+        const table_changes all = tables[table];
+        sleep_for(core_.context(), response_time, yield);
+        if (is_cut_off)
+            return make_error_code(platform_error::not_sent);
+        return all;
+    }
+
+    result<table_changes> changes(const std::string& table,
+                                  const store_position& after,
+                                  milliseconds max_wait, milliseconds,
+                                  yield_context yield) override
+    {
+        asked_at[table] = core_.now();
+        ++reads[table];
+        if (tables[table].era != after.era)
+            return make_error_code(platform_error::history_expired);
+        table_changes changed = changes_after(table, after);
+        const time_point wait_end = core_.now() + max_wait;
+        while (changed.rows.empty() && core_.now() < wait_end)
+        {
+            sleep_for(core_.context(), milliseconds(5), yield);
+            changed = changes_after(table, after);
+        }
+        read_at[table] = core_.now();
+        sleep_for(core_.context(), response_time, yield);
+        if (is_cut_off)
+            return make_error_code(platform_error::not_sent);
+        return changed;
+    }
+
+    /** Writes a row. */
+    void put(const std::string& key, const std::string& value)
+    {
+        table_changes& table = tables[key.substr(0, key.find('/'))];
+        for (auto& [name, changes] : tables)
+            changes.version = last_version_ + 1;
+        table.version = ++last_version_;
+        table.rows.push_back({key, value, last_version_, table.era});
+    }
+
+    std::map<std::string, table_changes> tables;
+    /** When each table was last asked for, and when the store read it. */
+    std::map<std::string, time_point> asked_at;
+    std::map<std::string, time_point> read_at;
+    std::map<std::string, int> reads;
+    bool is_cut_off = false;
+
+private:
+    table_changes changes_after(const std::string& table,
+                                const store_position& after)
+    {
+        table_changes changed = tables[table];
+        changed.rows.clear();
+        for (const table_row& row : tables[table].rows)
+        {
+            if (row.version > after.version)
+                changed.rows.push_back(row);
+        }
+        return changed;
+    }
+
+    process_core& core_;
+    row_version last_version_ = 0;
+};
+
+/** A store that commits every transaction. */
+class fake_store final : public table_store
+{
+public:
+    explicit fake_store(boost::asio::io_context& context)
+        : context_(context)
+    {
+    }
+
+    void commit(const table_transaction&, milliseconds,
+                commit_handler handler) override
+    {
+        boost::asio::post(context_, [handler] { handler(commit_receipt{}); });
+    }
+
+    void read(const std::string&, milliseconds, read_handler) override
+    {
+    }
+
+    void scan(const std::string&, const std::string&, std::size_t, milliseconds,
+              scan_handler) override
+    {
+    }
+
+private:
+    boost::asio::io_context& context_;
+};
+
+/** Rows whose value is the version of the configuration, or the software
+    version of the target. */
+class fake_records final : public fleet_records
+{
+public:
+    std::string configuration_key() const override
+    {
+        return "operator/configuration";
+    }
+
+    std::string target_table() const override
+    {
+        return "targets";
+    }
+
+    result<fleet_configuration>
+    read_configuration(const std::string& value) const override
+    {
+        fleet_configuration configuration;
+        configuration.version = std::stoull(value);
+        return configuration;
+    }
+
+    result<target_record> read_target(const table_row& row) const override
+    {
+        target_record record;
+        record.id = row.key.substr(row.key.find('/') + 1);
+        record.service = "llm";
+        record.software_version = row.value;
+        return record;
+    }
+};
+
+/** A relay that answers with a snapshot of the targets. */
+class fake_relay
+{
+public:
+    fake_relay(process_core& core, const fleet_records& records)
+        : replica_([&records](const table_row& row)
+                   { return hash_of(records.read_target(row).value()); })
+        , server_(std::move(
+              http_server::listen(
+                  core.context(), {"127.0.0.1", 0}, {},
+                  [this, &core](http_exchange& exchange, yield_context yield)
+                  {
+                      asked_at = core.now();
+                      http_response response;
+                      response.body = encode_updates(
+                          {{fleet_table::targets, true, replica_.snapshot(),
+                            replica_.digest() + digest_error, age}});
+                      sleep_for(core.context(), response_time, yield);
+                      exchange.respond(response, yield).value();
+                  })
+                  .value()))
+    {
+    }
+
+    void put(const std::string& id, const std::string& software_version)
+    {
+        table_changes changes = replica_.snapshot();
+        changes.version = 100 + changes.rows.size();
+        changes.rows.push_back(
+            {"targets/" + id, software_version, changes.version});
+        replica_.replace(changes);
+    }
+
+    host_record record() const
+    {
+        host_record host;
+        host.host = "relay";
+        host.address = server_->endpoint().address;
+        host.port = server_->endpoint().port;
+        return host;
+    }
+
+    replica_positions positions() const
+    {
+        replica_positions positions;
+        positions[static_cast<std::size_t>(fleet_table::targets)] = {
+            replica_.as_of(), replica_.digest(), age};
+        return positions;
+    }
+
+    milliseconds age{0};
+    std::uint64_t digest_error = 0;
+    time_point asked_at{};
+
+private:
+    table_replica replica_;
+    std::unique_ptr<http_server> server_;
+};
+
+process_settings test_process_settings()
+{
+    process_settings settings;
+    settings.host = "host-1";
+    settings.region = "r";
+    settings.availability_zone = "a";
+    return settings;
+}
+
+host_settings test_host_settings()
+{
+    host_settings settings;
+    settings.host = "host-1";
+    settings.availability_zone = "a";
+    settings.address = "127.0.0.1";
+    return settings;
+}
+
+struct follower_fixture
+{
+    follower_fixture()
+        : core("gateway", test_process_settings())
+        , fleet(core, test_host_settings())
+        , feed(core)
+        , store(core.context())
+        , follower(core, fleet, {feed, store, records})
+        , relay(core, records)
+    {
+        feed.put("operator/configuration", "1");
+        feed.put("hosts/host-1", "");
+        feed.put("targets/i-1", "v1");
+    }
+
+    void start(bool is_relay = true)
+    {
+        follower.set_relay(is_relay);
+        BOOST_REQUIRE(follower.start().has_value());
+    }
+
+    /** Runs all pending work for the given duration. */
+    void run(milliseconds duration)
+    {
+        core.context().restart();
+        core.context().run_for(duration);
+    }
+
+    /** Lets the process stand still before it reads what has arrived. */
+    static void pause()
+    {
+        std::this_thread::sleep_for(pause_duration);
+    }
+
+    time_point confirmed_at() const
+    {
+        return fleet.software_versions().list_confirmed_at().value();
+    }
+
+    process_core core;
+    fleet_state fleet;
+    fake_feed feed;
+    fake_store store;
+    fake_records records;
+    state_follower follower;
+    fake_relay relay;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(state_follower_test, follower_fixture)
+
+// ========================================================================
+// The age of what was read
+
+BOOST_AUTO_TEST_CASE(a_pause_before_a_response_is_processed_counts_as_its_age)
+{
+    start();
+    run(response_time / 2);
+    BOOST_REQUIRE(feed.reads["targets"] == 1);
+    pause();
+    run(response_time);
+    const time_point now = core.now();
+    BOOST_REQUIRE(fleet.has_target_list());
+    BOOST_TEST((confirmed_at() <= feed.asked_at["targets"]));
+    for (const fleet_table table : all_fleet_tables)
+        BOOST_TEST((follower.replicas().age(table, now) >= pause_duration));
+}
+
+BOOST_AUTO_TEST_CASE(a_read_that_waited_is_as_old_as_the_end_of_its_wait)
+{
+    start();
+    run(milliseconds(1500));
+    const time_point now = core.now();
+    const time_point read_at =
+        now - follower.replicas().age(fleet_table::configuration, now);
+    BOOST_TEST((read_at > feed.asked_at["operator"] - milliseconds(200)));
+    BOOST_TEST((read_at <= feed.read_at["operator"] + milliseconds(1)));
+}
+
+// A change ends the wait, at a time that the response does not tell.
+BOOST_AUTO_TEST_CASE(a_read_that_a_change_has_ended_is_repeated_without_wait)
+{
+    start();
+    run(milliseconds(300));
+    const int reads_before = feed.reads["operator"];
+    feed.put("operator/configuration", "2");
+    run(milliseconds(200));
+    BOOST_REQUIRE(fleet.routes()->configuration().version == 2U);
+    BOOST_TEST(feed.reads["operator"] >= reads_before + 2);
+    BOOST_TEST((follower.replicas().age(fleet_table::configuration,
+                                        core.now()) < milliseconds(250)));
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_before_an_update_is_processed_counts_as_its_age)
+{
+    relay.put("i-1", "v1");
+    relay.put("i-2", "v2");
+    relay.age = milliseconds(100);
+    start(false);
+    run(3 * response_time);
+    follower.apply_positions(relay.record(), relay.positions(), core.now());
+    run(response_time / 2);
+    BOOST_REQUIRE((relay.asked_at != time_point{}));
+    pause();
+    run(response_time);
+    BOOST_REQUIRE(fleet.catalogue().targets().count("i-2") == 1U);
+    BOOST_TEST((confirmed_at() <= relay.asked_at - relay.age));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/sharing/replication/fleet_replicas.cpp
+++ b/modules/sharing/replication/fleet_replicas.cpp
@@ -131,8 +131,7 @@
         tables_[index_of(table)].current_at;
     if (!current_at)
         return age_if_never_read;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                                 *current_at);
+    return std::chrono::ceil<std::chrono::milliseconds>(now - *current_at);
 }
 
 std::uint64_t fleet_replicas::era() const
