Infer the version of a stream only from a list read after its resumption

Cause: without a record of a stream, the host took the only version that it knew, from a list of targets of up to target_drain_time before. A version that had joined since was known to the host that began the stream. Evidence: stream_version_test on the code before: "an_unknown_stream_is_refused_with_a_list_older_than_itself: check response.value().status == 503U has failed [200 != 503]" and "a_version_that_joins_while_an_unknown_stream_waits_is_considered: check response.value().status == 503U has failed [200 != 503]". Change: such a resumption waits for a list as of its own arrival or later. The table service is then read at once, with one read for all that wait, at most a thousand times a second by all hosts. A resumption waits for at most 700 ms and a third of its time, and is then refused with the least Retry-After, as another host may be in touch. If the list already shows two versions nothing is read. Result: stream_version_test and state_follower_test pass.

--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -50,9 +50,14 @@
         continue; refuses the request if it cannot be found.
         @returns whether the request may be scheduled */
     bool find_stream_version(boost::asio::yield_context yield);
-    /** Returns the version of a resumed stream of which there is no record, if
-        all targets of the service have had the same one. */
-    std::optional<std::string> infer_stream_version();
+    /** Finds the version of a resumed stream of which there is no record, if
+        all targets of the service have had the same one.
+        @param begun_by  a time at which the stream had begun
+        @param version   set if the version is known
+        @returns the source of the version, for the log */
+    std::string infer_stream_version(time_point begun_by,
+                                     std::optional<std::string>& version,
+                                     boost::asio::yield_context yield);
     /** Refuses a request that is suspected of crashing targets.
         @returns whether the request may be scheduled */
     bool check_quarantine(boost::asio::yield_context yield);
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -35,6 +35,7 @@
     , settings_(settings)
     , catalogue_(settings.outage_grace)
     , software_versions_(settings.target_drain_time)
+    , target_list_(core)
     , live_hosts_(initial_live_hosts)
 {
 }
@@ -99,6 +100,12 @@
 void fleet_state::confirm_target_list(time_point as_of)
 {
     software_versions_.confirm_list(as_of);
+    target_list_.confirm(as_of);
+}
+
+target_list_confirmation& fleet_state::target_list()
+{
+    return target_list_;
 }
 
 const software_version_history& fleet_state::software_versions() const
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/protocol/host_settings.hpp"
 #include "gateway/protocol/target_protocol.hpp"
+#include "gateway/state/target_list_confirmation.hpp"
 #include "process/process.hpp"
 #include "serving/serving.hpp"
 #include <map>
@@ -50,6 +51,9 @@
     /** Records that the list of targets was complete at a time. */
     void confirm_target_list(time_point as_of);
 
+    /** Lets requests wait for a confirmation of the list of targets. */
+    target_list_confirmation& target_list();
+
     /** The software versions of the targets of each service. */
     const software_version_history& software_versions() const;
 
@@ -119,6 +123,7 @@
     target_catalogue catalogue_;
     target_registry registry_;
     software_version_history software_versions_;
+    target_list_confirmation target_list_;
     bool has_target_list_ = false;
     std::map<std::string, fleet_retry_budget> budgets_;
     std::map<std::string, service_delays> delays_;
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -19,6 +19,10 @@
     because they change with every heartbeat. */
 constexpr int target_poll_percent = 42;
 constexpr int max_target_age_percent = 58;
+/** Interval between reads of the target rows while requests wait for them. It
+    grows with the number of hosts, so that all hosts together read the table at
+    most a thousand times a second. */
+constexpr std::chrono::milliseconds target_read_interval_per_host{1};
 /** The host table rarely changes, and no guarantee depends on how fast a change
     is seen. */
 constexpr std::chrono::milliseconds host_table_wait{3000};
@@ -178,7 +182,14 @@
 
 bool state_follower::is_store_read_due(fleet_table table) const
 {
-    return is_relay_ || replicas_.age(table, core_.now()) > max_age(table);
+    const time_point now = core_.now();
+    if (table == fleet_table::targets && fleet_.target_list().is_awaited())
+        return now >= targets_read_at_ + min_target_read_interval();
+    const bool is_polled =
+        is_relay_ || replicas_.age(table, now) > max_age(table);
+    const bool is_too_soon = table == fleet_table::targets &&
+                             now < targets_read_at_ + target_poll_interval();
+    return is_polled && !is_too_soon;
 }
 
 void state_follower::follow(fleet_table table, boost::asio::yield_context yield)
@@ -191,7 +202,8 @@
             sleep_for(core_.context(), due_check_period, yield);
             continue;
         }
-        const time_point asked_at = core_.now();
+        if (table == fleet_table::targets)
+            targets_read_at_ = core_.now();
         // It is not known when a change has ended the wait, so a second read
         // shows until when there was no other one.
         const result<bool> read_result = read(
@@ -201,17 +213,23 @@
         if (!read_result)
         {
             monitor_.record_failure(read_result.error());
+            if (table == fleet_table::targets)
+                targets_read_at_ = {};
             sleep_for(core_.context(), retry_interval, yield);
             continue;
         }
         was_wait_ended = read_result.value();
         monitor_.record_success();
-        if (table == fleet_table::targets)
-            sleep_for(core_.context(),
-                      asked_at + target_poll_interval() - core_.now(), yield);
     }
 }
 
+std::chrono::milliseconds state_follower::min_target_read_interval() const
+{
+    return std::max<std::chrono::milliseconds>(
+        due_check_period, target_read_interval_per_host *
+                              static_cast<std::int64_t>(fleet_.live_hosts()));
+}
+
 std::chrono::milliseconds state_follower::target_poll_interval() const
 {
     return target_poll_percent * fleet_.settings().target_drain_time / 100;
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -72,6 +72,7 @@
     std::chrono::milliseconds max_age(fleet_table table) const;
     std::chrono::milliseconds max_wait(fleet_table table) const;
     std::chrono::milliseconds target_poll_interval() const;
+    std::chrono::milliseconds min_target_read_interval() const;
 
     /** Applies changes to a replica.
         @param as_of  the time as of which the replica then is complete: not
@@ -101,6 +102,8 @@
     /** Tables to be fetched whole, because the changes received from a relay
        did not lead to the same digest. */
     std::array<bool, fleet_table_count> needs_snapshot_{};
+    /** When the target rows were last asked for; zero after a failure. */
+    time_point targets_read_at_{};
     bool is_serving_ = true;
     bool is_stopping_ = false;
     std::optional<time_point> own_row_written_at_;
--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -16,6 +16,8 @@
 /** Time from the reading of a table to the arrival of the response. */
 constexpr milliseconds response_time{60};
 
+constexpr milliseconds list_timeout{700};
+
 /** A store whose responses take some time. */
 class fake_feed final : public table_feed
 {
@@ -267,6 +269,25 @@
         std::this_thread::sleep_for(pause_duration);
     }
 
+    struct wait_outcome
+    {
+        bool is_confirmed = false;
+        std::chrono::nanoseconds duration{0};
+    };
+
+    /** Waits for a list in the background. */
+    void wait_for_list(wait_outcome& outcome, time_point as_of)
+    {
+        start_task(core.context(),
+                   [this, &outcome, as_of](yield_context yield)
+                   {
+                       const time_point start = core.now();
+                       outcome.is_confirmed =
+                           fleet.target_list().wait(as_of, list_timeout, yield);
+                       outcome.duration = core.now() - start;
+                   });
+    }
+
     time_point confirmed_at() const
     {
         return fleet.software_versions().list_confirmed_at().value();
@@ -343,4 +364,72 @@
     BOOST_TEST((confirmed_at() <= relay.asked_at - relay.age));
 }
 
+// ========================================================================
+// Requests that wait for a new list
+
+BOOST_AUTO_TEST_CASE(requests_that_wait_for_a_new_list_share_one_read_at_once)
+{
+    start(false);
+    run(milliseconds(300));
+    const int reads_before = feed.reads["targets"];
+    std::vector<wait_outcome> outcomes(20);
+    for (wait_outcome& outcome : outcomes)
+        wait_for_list(outcome, core.now());
+    run(milliseconds(300));
+    BOOST_TEST(feed.reads["targets"] == reads_before + 1);
+    for (const wait_outcome& outcome : outcomes)
+    {
+        BOOST_TEST(outcome.is_confirmed);
+        BOOST_TEST((outcome.duration < 2 * response_time));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_read_that_was_already_sent_does_not_serve_a_request)
+{
+    start();
+    run(response_time / 2);
+    wait_outcome outcome;
+    wait_for_list(outcome, core.now());
+    run(response_time);
+    BOOST_TEST(fleet.has_target_list());
+    BOOST_TEST(!outcome.is_confirmed);
+    run(3 * response_time);
+    BOOST_TEST(outcome.is_confirmed);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_does_not_wait_longer_than_its_timeout)
+{
+    start(false);
+    run(milliseconds(300));
+    feed.is_cut_off = true;
+    wait_outcome outcome;
+    wait_for_list(outcome, core.now());
+    run(milliseconds(900));
+    BOOST_TEST(!outcome.is_confirmed);
+    BOOST_TEST((outcome.duration >= list_timeout));
+    BOOST_TEST((outcome.duration < list_timeout + milliseconds(100)));
+}
+
+// All hosts together must not exceed the limits of the store.
+BOOST_AUTO_TEST_CASE(
+    the_reads_for_waiting_requests_are_bounded_in_a_large_fleet)
+{
+    start(false);
+    run(milliseconds(300));
+    fleet.set_live_hosts(370);
+    const int reads_before = feed.reads["targets"];
+    std::vector<wait_outcome> outcomes(100);
+    for (wait_outcome& outcome : outcomes)
+    {
+        wait_for_list(outcome, core.now());
+        run(milliseconds(10));
+    }
+    run(list_timeout);
+    const int reads = feed.reads["targets"] - reads_before;
+    BOOST_TEST(reads >= 2);
+    BOOST_TEST(reads <= 1 + 1700 / 370);
+    for (const wait_outcome& outcome : outcomes)
+        BOOST_TEST(outcome.is_confirmed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/serving/catalogue/software_version_history.cpp
+++ b/modules/serving/catalogue/software_version_history.cpp
@@ -53,11 +53,21 @@
 
 std::optional<std::string> software_version_history::only_version(
     const std::string& service, std::chrono::milliseconds stream_duration,
-    time_point now) const
+    time_point begun_by) const
 {
-    const time_point begin = now - stream_duration - max_list_age_;
+    return list_confirmed_at_ >= begun_by
+               ? expected_version(service, stream_duration, begun_by)
+               : std::nullopt;
+}
+
+std::optional<std::string> software_version_history::expected_version(
+    const std::string& service, std::chrono::milliseconds stream_duration,
+    time_point begun_by) const
+{
+    const time_point begin = begun_by - stream_duration - max_list_age_;
+    // After a longer gap the observation starts anew.
     const bool is_observed = observed_since_ && *observed_since_ <= begin &&
-                             now <= list_confirmed_at_ + max_list_age_;
+                             begun_by <= list_confirmed_at_ + max_list_age_;
     const auto versions = usages_.find(service);
     if (!is_observed || versions == usages_.end())
         return std::nullopt;
--- a/modules/serving/catalogue/software_version_history.hpp
+++ b/modules/serving/catalogue/software_version_history.hpp
@@ -36,16 +36,26 @@
         none if it never was. */
     std::optional<time_point> list_confirmed_at() const;
 
-    /** Returns the only software version that targets of a service have had for
-        a duration, and that they still have. None if there were several, or if
-        this host has not observed the service for that long.
+    /** Returns the only software version at which a stream of a service can
+        have begun. None if there were several, if this host has not observed
+        the service for long enough, or if the list of targets is not known as
+        of `begun_by` or later: a target may have joined since, and be known to
+        the host that began the stream.
         @param stream_duration  how long a stream may last; the observation must
                                 be longer by the time that other hosts may take
-                                to notice a change */
+                                to notice a change
+        @param begun_by         a time at which the stream had begun */
     std::optional<std::string>
     only_version(const std::string& service,
                  std::chrono::milliseconds stream_duration,
-                 time_point now) const;
+                 time_point begun_by) const;
+
+    /** Returns what only_version() will return if the list turns out not to
+        have changed up to `begun_by`. */
+    std::optional<std::string>
+    expected_version(const std::string& service,
+                     std::chrono::milliseconds stream_duration,
+                     time_point begun_by) const;
 
 private:
     /** The targets of one version of one service. */
--- a/modules/serving/catalogue/software_version_history_test.cpp
+++ b/modules/serving/catalogue/software_version_history_test.cpp
@@ -129,6 +129,24 @@
     BOOST_TEST(observed.only_version() == "v1");
 }
 
+// A target of another version may have joined since.
+BOOST_AUTO_TEST_CASE(a_list_from_before_the_end_of_the_stream_is_not_sufficient)
+{
+    observed_history observed;
+    observed.put("i-1", "v1");
+    observed.observe(std::chrono::seconds(20));
+    const time_point confirmed_at = observed.now;
+    observed.now += std::chrono::milliseconds(1);
+    BOOST_TEST(observed.only_version() == "none");
+    BOOST_TEST(
+        observed.history.expected_version("llm", stream_duration, observed.now)
+            .value() == "v1");
+    observed.history.confirm_list(confirmed_at);
+    BOOST_TEST(observed.only_version() == "none");
+    observed.history.confirm_list(observed.now);
+    BOOST_TEST(observed.only_version() == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(an_older_confirmation_does_not_shorten_the_observation)
 {
     observed_history observed;
