Confirm a replica only if it equals the one of the relay

What callers saw: nothing known. A list of targets that lacks a row counted as complete, so that a version could be inferred from it. Cause: an update from a relay confirmed the replica before the digests were compared. If a row had changed and reverted, the changes did not lead to the relay's rows. Changes read from the store after that did not include the rows either. Change: an update confirms a replica only if the digests are equal. Until they are, this host's own reads take the whole table.

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -249,7 +249,8 @@
                                   boost::asio::yield_context yield)
 {
     const store_position known_position = replicas_.replica(table).as_of();
-    bool is_snapshot = known_position.version == 0;
+    bool& needs_snapshot = needs_snapshot_[static_cast<std::size_t>(table)];
+    bool is_snapshot = known_position.version == 0 || needs_snapshot;
     time_point asked_at = core_.now();
     result<table_changes> changes =
         is_snapshot
@@ -271,14 +272,20 @@
         return make_error_code(platform_error::history_expired);
     const bool has_changed =
         !changes.value().rows.empty() || !changes.value().deleted.empty();
-    // A response without a change was not sent before the end of the wait.
     const bool was_wait_ended =
         !is_snapshot && has_changed && wait > std::chrono::milliseconds(0);
+    // A response without a change was not sent before the end of the wait.
     const time_point as_of = is_snapshot || has_changed
                                  ? asked_at
                                  : std::min(asked_at + wait, core_.now());
-    apply_update({table, is_snapshot, std::move(changes.value())}, as_of,
-                 "store");
+    const bool is_applied = apply_update(
+        {table, is_snapshot, std::move(changes.value()), 0,
+         std::chrono::ceil<std::chrono::milliseconds>(core_.now() - as_of)},
+        "store");
+    if (is_applied && is_snapshot)
+        needs_snapshot = false;
+    if (is_applied && !needs_snapshot)
+        confirm(table, as_of);
     const bool is_config_missing =
         table == fleet_table::configuration && !fleet_.routes();
     if (is_snapshot && is_config_missing)
@@ -289,7 +296,7 @@
 // ========================================================================
 // Applying updates
 
-void state_follower::apply_update(const table_update& update, time_point as_of,
+bool state_follower::apply_update(const table_update& update,
                                   const std::string& source)
 {
     using apply_function =
@@ -300,7 +307,7 @@
     table_replica& replica = replicas_.replica(update.table);
     // A snapshot from a relay that is behind would undo later changes.
     if (update.is_snapshot && update.changes.position() < replica.as_of())
-        return;
+        return false;
     if (update.is_snapshot && replica.as_of().version > 0 &&
         update.changes.era > replica.as_of().era)
         core_.journal().record(
@@ -317,21 +324,23 @@
              {"rows", std::to_string(update.changes.rows.size())},
              {"version", std::to_string(update.changes.version)},
              {"era", std::to_string(update.changes.era)},
-             {"age_ms",
-              std::to_string(std::chrono::ceil<std::chrono::milliseconds>(
-                                 core_.now() - as_of)
-                                 .count())},
+             {"age_ms", std::to_string(update.age.count())},
              {"source", source}});
     const table_changes applied_changes = update.is_snapshot
                                               ? replica.replace(update.changes)
                                               : replica.apply(update.changes);
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
         applied_changes, source);
-    replicas_.mark_current(update.table, as_of);
-    if (update.table != fleet_table::targets)
-        return;
-    fleet_.mark_target_list_received();
-    fleet_.confirm_target_list(as_of);
+    if (update.table == fleet_table::targets)
+        fleet_.mark_target_list_received();
+    return true;
+}
+
+void state_follower::confirm(fleet_table table, time_point as_of)
+{
+    replicas_.mark_current(table, as_of);
+    if (table == fleet_table::targets)
+        fleet_.confirm_target_list(as_of);
 }
 
 void state_follower::apply_configuration(const table_changes& changes,
@@ -420,9 +429,8 @@
             continue;
         }
         replica.advance(position.as_of);
-        replicas_.mark_current(table, as_of - position.age);
-        if (table == fleet_table::targets)
-            fleet_.confirm_target_list(as_of - position.age);
+        needs_snapshot_[static_cast<std::size_t>(table)] = false;
+        confirm(table, as_of - position.age);
     }
     monitor_.record_relay_update(relay.host, as_of - min_age);
     if (is_behind && !is_pulling_)
@@ -462,15 +470,25 @@
                       return;
                   }
                   for (const table_update& update : updates.value())
-                  {
-                      apply_update(update, asked_at - update.age, source);
-                      needs_snapshot_[static_cast<std::size_t>(update.table)] =
-                          replicas_.replica(update.table).digest() !=
-                          update.digest;
-                  }
+                      apply_relay_update(update, asked_at, source);
               });
 }
 
+void state_follower::apply_relay_update(const table_update& update,
+                                        time_point asked_at,
+                                        const std::string& source)
+{
+    apply_update(update, source);
+    const table_replica& replica = replicas_.replica(update.table);
+    const bool is_ahead = update.changes.position() < replica.as_of();
+    if (is_ahead)
+        return;
+    const bool is_equal = replica.digest() == update.digest;
+    needs_snapshot_[static_cast<std::size_t>(update.table)] = !is_equal;
+    if (is_equal)
+        confirm(update.table, asked_at - update.age);
+}
+
 void state_follower::serve_peer(http_exchange& exchange,
                                 boost::asio::yield_context yield)
 {
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -75,11 +75,14 @@
     std::chrono::milliseconds min_target_read_interval() const;
 
     /** Applies changes to a replica.
-        @param as_of  the time as of which the replica then is complete: not
-                      when the update was processed, as the process may have
-                      stood still since it asked for it */
-    void apply_update(const table_update& update, time_point as_of,
-                      const std::string& source);
+        @returns false for a snapshot that is older than the replica */
+    bool apply_update(const table_update& update, const std::string& source);
+    void apply_relay_update(const table_update& update, time_point asked_at,
+                            const std::string& source);
+    /** Records that a replica is complete as of a time. This is not the time at
+        which a response was processed, as the process may have stood still
+        since the response was sent. */
+    void confirm(fleet_table table, time_point as_of);
     void apply_configuration(const table_changes& changes,
                              const std::string& source);
     void apply_targets(const table_changes& changes, const std::string& source);
@@ -99,8 +102,8 @@
     std::unique_ptr<http_server> peer_server_;
     bool is_relay_ = false;
     bool is_pulling_ = false;
-    /** Tables to be fetched whole, because the changes received from a relay
-       did not lead to the same digest. */
+    /** Tables to be read whole, because the changes received from a relay did
+        not lead to the same digest. Until then the replica may lack rows. */
     std::array<bool, fleet_table_count> needs_snapshot_{};
     /** When the target rows were last asked for; zero after a failure. */
     time_point targets_read_at_{};
--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -32,6 +32,7 @@
     {
         asked_at[table] = core_.now();
         ++reads[table];
+        ++snapshots[table];
         const table_changes all = tables[table];
         sleep_for(core_.context(), response_time, yield);
         if (is_cut_off)
@@ -72,11 +73,20 @@
         table.rows.push_back({key, value, last_version_, table.era});
     }
 
+    /** Counts commits to other tables. */
+    void advance_to(row_version version)
+    {
+        last_version_ = version;
+        for (auto& [name, changes] : tables)
+            changes.version = version;
+    }
+
     std::map<std::string, table_changes> tables;
     /** When each table was last asked for, and when the store read it. */
     std::map<std::string, time_point> asked_at;
     std::map<std::string, time_point> read_at;
     std::map<std::string, int> reads;
+    std::map<std::string, int> snapshots;
     bool is_cut_off = false;
 
 private:
@@ -364,6 +374,28 @@
     BOOST_TEST((confirmed_at() <= relay.asked_at - relay.age));
 }
 
+// Rows that this host lacks may have another version.
+BOOST_AUTO_TEST_CASE(
+    an_update_that_does_not_lead_to_the_same_list_is_not_current)
+{
+    relay.put("i-1", "v1");
+    relay.put("i-2", "v2");
+    relay.digest_error = 1;
+    start(false);
+    run(3 * response_time);
+    const time_point confirmed_before = confirmed_at();
+    follower.apply_positions(relay.record(), relay.positions(), core.now());
+    run(3 * response_time);
+    BOOST_REQUIRE(fleet.catalogue().targets().count("i-2") == 1U);
+    BOOST_TEST((confirmed_at() == confirmed_before));
+    feed.advance_to(relay.positions()[1].as_of.version + 1);
+    // The changes since then would not include these rows.
+    const int snapshots_before = feed.snapshots["targets"];
+    run(milliseconds(1300));
+    BOOST_TEST(feed.snapshots["targets"] == snapshots_before + 1);
+    BOOST_TEST((confirmed_at() > confirmed_before));
+}
+
 // ========================================================================
 // Requests that wait for a new list
 
