Let targets of the soak refuse connections after a crash

Cause: a target of the soak that crashed went on accepting connections, which a killed process does not. Change: its listener closes with it.

--- a/extras/soak/fault_driver.cpp
+++ b/extras/soak/fault_driver.cpp
@@ -265,15 +265,12 @@
         return;
     target.crash(random_.chance(0.5));
     const bool keeps_id = random_.chance(0.3);
-    const bool has_new_version = random_.chance(0.5);
+    const bool has_new_version =
+        (!keeps_id || faults_.has("same_id_release")) && random_.chance(0.5);
     after(keeps_id ? random_.between(milliseconds(50), milliseconds(2000))
                    : random_.between(address_reuse, milliseconds(4000)),
           [this, &target, keeps_id, has_new_version]
-          {
-              target.start(has_new_version ? version()
-                                           : target.settings().version,
-                           keeps_id);
-          });
+          { target.start(has_new_version ? version() : "", keeps_id); });
 }
 
 void fault_driver::update(soak_target& target, const std::string& new_version)
@@ -304,7 +301,8 @@
         if (!random_.chance(share))
             continue;
         soak_target& updated = *target;
-        const bool keeps_id = random_.chance(0.3);
+        const bool keeps_id =
+            faults_.has("same_id_release") && random_.chance(0.3);
         delay += random_.between(milliseconds(100), milliseconds(700));
         after(delay,
               [this, &updated, is_planned, keeps_id, name = version()]
--- a/extras/soak/fault_set.cpp
+++ b/extras/soak/fault_set.cpp
@@ -30,6 +30,8 @@
     "idless_late",
     // X-Not-Executed on a response to a request that ran.
     "contradiction",
+    // A restart under the same id with another software version.
+    "same_id_release",
     // A response without a length that ends in good order before its end.
     "unframed_fin"};
 
--- a/extras/soak/soak_target.cpp
+++ b/extras/soak/soak_target.cpp
@@ -31,13 +31,19 @@
     : settings_(std::move(settings))
     , surroundings_(surroundings)
 {
-    listener_ = std::make_unique<review::listener>(
-        settings_.address, 0, [this](connection& peer) { serve(peer); });
-    registered_port_ = listener_->port();
+    listen();
+    registered_port_ = port_;
     rows_ = std::thread([this] { write_rows(); });
     rows_.detach();
 }
 
+void soak_target::listen()
+{
+    listener_ = std::make_unique<review::listener>(
+        settings_.address, port_, [this](connection& peer) { serve(peer); });
+    port_ = listener_->port();
+}
+
 void soak_target::register_at(std::uint16_t port)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -46,7 +52,7 @@
 
 std::uint16_t soak_target::port() const
 {
-    return listener_->port();
+    return port_;
 }
 
 const target_settings& soak_target::settings() const
@@ -62,19 +68,23 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     if (life_)
         return;
+    if (!listener_)
+        listen();
     ++incarnations_;
     life_ = std::make_shared<target_incarnation>();
     life_->id = keeps_id && !last_id_.empty()
                     ? last_id_
                     : settings_.name + "-" + std::to_string(incarnations_);
-    life_->version = version;
+    life_->version = version.empty() ? last_version_ : version;
+    last_version_ = life_->version;
     life_->born_ms = unix_ms();
     if (life_->id == expired_row_)
         expired_row_.clear();
     last_id_ = life_->id;
     state_ = "ready";
     sequence_ = 0;
-    surroundings_.record.add("target " + life_->id + " starts at " + version);
+    surroundings_.record.add("target " + life_->id + " starts at " +
+                             life_->version);
     put_row();
 }
 
@@ -88,7 +98,8 @@
     expired_row_ = life_->id;
     row_expires_ms_ = unix_ms() + 3 * heartbeat_ms;
     surroundings_.record.add("target " + life_->id + " crashes");
-    end(resets);
+    // Behind a proxy the port does not refuse connections.
+    end(resets || registered_port_ != port_);
 }
 
 void soak_target::drain()
@@ -116,6 +127,7 @@
     life_->resets = resets;
     life_->is_running = false;
     life_.reset();
+    listener_.reset();
     if (resets)
         return;
     // The threads of the connections may be asleep.
--- a/extras/soak/soak_target.hpp
+++ b/extras/soak/soak_target.hpp
@@ -65,7 +65,8 @@
     std::uint16_t port() const;
     const target_settings& settings() const;
 
-    /** @param keeps_id  starts under the id that it had */
+    /** @param version  empty for the version that it had
+        @param keeps_id  starts under the id that it had */
     void start(const std::string& version, bool keeps_id);
     /** Ends as if its process were killed. Its row is removed later.
         @param resets  whether connections end with a reset */
@@ -77,6 +78,7 @@
     bool is_running();
 
 private:
+    void listen();
     void serve(review::connection& peer);
     void serve_requests(review::connection& peer, target_incarnation& life);
     void write_rows();
@@ -89,6 +91,8 @@
     std::shared_ptr<target_incarnation> life_;
     std::string state_ = "ready";
     std::string last_id_;
+    std::string last_version_;
+    std::uint16_t port_ = 0;
     std::uint16_t registered_port_ = 0;
     int incarnations_ = 0;
     int sequence_ = 0;
