Add pauses, isolation and large bodies to the soak

Cause: hosts that stand still, hosts cut off from the store, and requests larger than the kernel buffers were not part of the soak. Change: three further faults.

--- a/extras/soak/fault_driver.cpp
+++ b/extras/soak/fault_driver.cpp
@@ -32,6 +32,9 @@
     using self = fault_driver;
     static const std::vector<fault> table{
         {"stop", 12, &self::stop_host},
+        {"stutter", 6, &self::stutter_host},
+        {"stop_all", 2, &self::stop_all_hosts},
+        {"isolate", 2, &self::isolate_host},
         {"kill", 5, &self::kill_host},
         {"kill_all", 1, &self::kill_all_hosts},
         {"term", 4, &self::terminate_host},
@@ -125,6 +128,56 @@
           [&host] { host.signal(SIGCONT); });
 }
 
+void fault_driver::stutter_host()
+{
+    soak_host& host = any_host();
+    milliseconds start{0};
+    for (int pause = 0; pause < 20; ++pause)
+    {
+        const milliseconds end =
+            start + random_.between(milliseconds(10), milliseconds(120));
+        after(start, [&host] { host.signal(SIGSTOP); });
+        after(end, [&host] { host.signal(SIGCONT); });
+        start = end + random_.between(milliseconds(10), milliseconds(60));
+    }
+}
+
+void fault_driver::stop_all_hosts()
+{
+    // Perhaps all but one.
+    const soak_host* const spared = random_.chance(0.5) ? &any_host() : nullptr;
+    for (const std::unique_ptr<soak_host>& host : fleet_.hosts)
+    {
+        if (host.get() == spared)
+            continue;
+        host->signal(SIGSTOP);
+        after(random_.between(milliseconds(100), milliseconds(3000)),
+              [&host] { host->signal(SIGCONT); });
+    }
+}
+
+void fault_driver::isolate_host()
+{
+    // One host knows the list of targets from before a release, and the hosts
+    // that know the release are killed.
+    soak_host& host = any_host();
+    host.store_proxy().silence_connections(true, true);
+    host.store_proxy().block(true);
+    after(milliseconds(5000), [&host] { host.store_proxy().block(false); });
+    after(milliseconds(400), [this] { release(); });
+    const milliseconds killed_at =
+        random_.between(milliseconds(700), milliseconds(2500));
+    for (const std::unique_ptr<soak_host>& other : fleet_.hosts)
+    {
+        if (other.get() == &host)
+            continue;
+        after(killed_at, [&other] { other->kill(); });
+        after(killed_at +
+                  random_.between(milliseconds(500), milliseconds(3000)),
+              [&other] { other->start(); });
+    }
+}
+
 void fault_driver::kill_host()
 {
     soak_host& host = any_host();
--- a/extras/soak/fault_driver.hpp
+++ b/extras/soak/fault_driver.hpp
@@ -54,6 +54,9 @@
     void step();
 
     void stop_host();
+    void stutter_host();
+    void stop_all_hosts();
+    void isolate_host();
     void kill_host();
     void kill_all_hosts();
     void terminate_host();
--- a/extras/soak/fault_set.cpp
+++ b/extras/soak/fault_set.cpp
@@ -14,15 +14,15 @@
 const std::vector<std::string> default_names{
     // Targets, for one request.
     "reset", "cut", "refuse", "idless_refusal", "late_copy", "own_error",
-    "own_503", "early", "silence", "pause", "close", "unframed",
+    "own_promise", "early", "silence", "pause", "close", "unframed",
     // Targets as a whole.
     "crash", "drain", "release",
     // Processes of the system.
-    "stop", "kill", "kill_all", "term", "hup",
+    "stop", "stutter", "stop_all", "kill", "kill_all", "isolate", "term", "hup",
     // The platform.
     "config", "target_proxy", "store_proxy",
     // Callers.
-    "leave"};
+    "leave", "large"};
 
 /** Beyond what PROTOCOL.md says of targets, or not decided by it. */
 const std::vector<std::string> extra_names{
--- a/extras/soak/soak_caller.cpp
+++ b/extras/soak/soak_caller.cpp
@@ -112,7 +112,8 @@
 std::string soak_caller::message(const request& current)
 {
     // The largest fill the buffers of the kernel.
-    const int size_limit = random_.chance(0.02)  ? 3000000
+    const bool is_large = faults_.has("large") && random_.chance(0.05);
+    const int size_limit = is_large              ? 3000000
                            : random_.chance(0.1) ? 120000
                                                  : 600;
     const std::string body(
--- a/extras/soak/soak_run.cpp
+++ b/extras/soak/soak_run.cpp
@@ -108,7 +108,8 @@
     settings.service = is_desk ? "desk" : "assistant";
     settings.address = network_ + std::to_string(first_target + number);
     settings.availability_zone = zone_of(number);
-    settings.version = random_.chance(0.7) ? "v1" : "v0";
+    const bool is_old = options_.seed % 2 == 0 && random_.chance(0.3);
+    settings.version = is_old ? "v0" : "v1";
     settings.seed = options_.seed;
     if (options_.has_engines && !is_desk)
         settings.stage = number % 3 == 1 ? "prefill" : "decode";
--- a/extras/soak/target_exchange.cpp
+++ b/extras/soak/target_exchange.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds body_timeout{10000};
 constexpr milliseconds wait_step{20};
 constexpr milliseconds max_silence{20000};
+constexpr std::size_t large_body_bytes = 500000;
 
 std::string as_chunk(const std::string& bytes)
 {
@@ -52,7 +53,7 @@
         {"idless_refusal", 10, true, true, &self::refuse_without_id},
         {"late_copy", 60, false, true, &self::answer_twice},
         {"own_error", 20, true, true, &self::fail_after_run},
-        {"own_503", 10, true, true, &self::fail_as_unavailable},
+        {"own_promise", 10, true, true, &self::fail_as_not_run},
         {"early", 30, false, true, &self::answer_early},
         {"silence", 15, true, true, &self::stay_silent},
         {"pause", 40, true, true, &self::pause},
@@ -66,6 +67,11 @@
 
 target_exchange::action target_exchange::choose()
 {
+    const bool may_be_early = surroundings_.faults.has("early") &&
+                              !is_stream() &&
+                              head_.content_length() > large_body_bytes;
+    if (may_be_early && random_.chance(0.5))
+        return &target_exchange::answer_early;
     int draw = random_.between(0, 999);
     for (const behaviour& candidate : behaviours())
     {
@@ -241,13 +247,15 @@
                                response_fields(), "failed"));
 }
 
-bool target_exchange::fail_as_unavailable()
+bool target_exchange::fail_as_not_run()
 {
     if (!read_body())
         return false;
     run();
+    const int statuses[] = {503, 429, 408};
     return wait(random_.between(milliseconds(5), milliseconds(200))) &&
-           peer_.write(message(503, response_fields(), "failed"));
+           peer_.write(message(statuses[random_.between(0, 2)],
+                               response_fields(), "failed"));
 }
 
 bool target_exchange::answer_early()
--- a/extras/soak/target_exchange.hpp
+++ b/extras/soak/target_exchange.hpp
@@ -77,7 +77,7 @@
     bool refuse_without_id();
     bool answer_twice();
     bool fail_after_run();
-    bool fail_as_unavailable();
+    bool fail_as_not_run();
     bool answer_early();
     bool stay_silent();
     bool pause();
