Let a target of a new version join while one host is isolated

Cause: the report of a host out of step during a release was not played. Change: a target of a new version joins while a host has no store.

--- a/extras/soak/fault_driver.cpp
+++ b/extras/soak/fault_driver.cpp
@@ -24,6 +24,7 @@
     , fleet_(fleet)
     , faults_(faults)
     , has_engines_(has_engines)
+    , max_interval_ms_(random_.between(600, 3000))
 {
 }
 
@@ -60,7 +61,7 @@
         {
             inject_next();
             next_fault_ms_ =
-                fleet_.record.now_ms() + random_.between(100, 1400);
+                fleet_.record.now_ms() + random_.between(100, max_interval_ms_);
         }
         step();
     }
@@ -158,15 +159,18 @@
 
 void fault_driver::isolate_host()
 {
-    // One host knows the list of targets from before a release, and the hosts
-    // that know the release are killed.
+    // One host knows the list of targets from before a target of a release
+    // joined, and the hosts that know it are killed.
     soak_host& host = any_host();
     host.store_proxy().silence_connections(true, true);
     host.store_proxy().block(true);
     after(milliseconds(5000), [&host] { host.store_proxy().block(false); });
-    after(milliseconds(400), [this] { release(); });
+    ++release_;
+    fleet_.record.add(host.name() + " is isolated; release of " + version());
+    after(milliseconds(200), [this, name = version()]
+          { fleet_.targets.back()->start(name, false); });
     const milliseconds killed_at =
-        random_.between(milliseconds(700), milliseconds(2500));
+        random_.between(milliseconds(500), milliseconds(2500));
     for (const std::unique_ptr<soak_host>& other : fleet_.hosts)
     {
         if (other.get() == &host)
--- a/extras/soak/fault_driver.hpp
+++ b/extras/soak/fault_driver.hpp
@@ -83,6 +83,8 @@
     const bool has_engines_;
     std::multimap<std::int64_t, std::function<void()>> tasks_;
     std::int64_t next_fault_ms_ = 0;
+    /** The longest time between two faults. */
+    const int max_interval_ms_;
     int configuration_version_ = 1;
     int release_ = 1;
 };
--- a/extras/soak/protocol_soak.cpp
+++ b/extras/soak/protocol_soak.cpp
@@ -8,6 +8,9 @@
 // faults are injected. The exit status is 1 if a rule was broken.
 
 DEFINE_uint64(seed, 1, "Determines the faults and the requests.");
+DEFINE_int32(
+    quiet, -1,
+    "Seconds of traffic before the first fault; -1 is up to the seed.");
 DEFINE_int32(duration, 60, "Seconds during which faults are injected.");
 DEFINE_int32(processes, 0, "Processes of the system; 0 is up to the seed.");
 DEFINE_int32(targets, 0, "Targets; 0 is up to the seed.");
@@ -36,6 +39,12 @@
     options.program = FLAGS_program;
     options.folder = review::temporary_folder();
     options.seed = FLAGS_seed;
+    // Hosts infer a version only from a list that they have known for long.
+    constexpr int long_quiet_time = 14;
+    options.quiet_time =
+        std::chrono::seconds(FLAGS_quiet >= 0      ? FLAGS_quiet
+                             : FLAGS_seed % 4 == 1 ? long_quiet_time
+                                                   : 0);
     options.duration = std::chrono::seconds(FLAGS_duration);
     options.processes = FLAGS_processes;
     options.targets = FLAGS_targets;
--- a/extras/soak/soak_run.cpp
+++ b/extras/soak/soak_run.cpp
@@ -61,6 +61,7 @@
                              { caller->run(is_over); });
     }
     fault_driver driver(options_.seed, fleet_, faults_, options_.has_engines);
+    driver.recover(options_.quiet_time);
     driver.run(options_.duration);
     driver.recover(settling_time);
     is_over = true;
@@ -85,11 +86,14 @@
     store_.put("op", "config",
                configuration(1, 100, options_.has_engines).dump());
     const int targets =
-        options_.targets > 0 ? options_.targets : random_.between(4, 8);
+        options_.targets > 0 ? options_.targets : random_.between(5, 8);
     const int processes =
         options_.processes > 0 ? options_.processes : random_.between(2, 6);
     for (int number = 0; number < targets; ++number)
-        add_target(number);
+        add_target(number).start("", false);
+    // Joins with a later release.
+    const bool is_desk = targets % 3 == 0;
+    add_target(is_desk ? targets + 1 : targets);
     for (int number = 0; number < processes; ++number)
     {
         fleet_.hosts.push_back(std::make_unique<soak_host>(
@@ -99,7 +103,7 @@
     }
 }
 
-void soak_run::add_target(int number)
+soak_target& soak_run::add_target(int number)
 {
     // Two of three targets serve the streams.
     const bool is_desk = number % 3 == 0;
@@ -122,7 +126,7 @@
             target.settings().address, target.port()));
         target.register_at(fleet_.target_proxies.back()->port());
     }
-    target.start(settings.version, false);
+    return target;
 }
 
 bool soak_run::wait_until_ready()
--- a/extras/soak/soak_run.hpp
+++ b/extras/soak/soak_run.hpp
@@ -14,6 +14,8 @@
     std::string program;
     std::string folder;
     std::uint64_t seed = 1;
+    /** Traffic without faults comes first. */
+    review::milliseconds quiet_time{0};
     review::milliseconds duration{60000};
     /** 0 is up to the seed. */
     int processes = 0;
@@ -36,7 +38,8 @@
 private:
     void start_fleet();
     bool wait_until_ready();
-    void add_target(int number);
+    /** Adds a target that is not started yet. */
+    soak_target& add_target(int number);
     void print_totals();
     /** Prints all accounts of a request. */
     void print(const violation& broken);
--- a/extras/soak/soak_target.cpp
+++ b/extras/soak/soak_target.cpp
@@ -30,6 +30,7 @@
                          const target_surroundings& surroundings)
     : settings_(std::move(settings))
     , surroundings_(surroundings)
+    , last_version_(settings_.version)
 {
     listen();
     registered_port_ = port_;
--- a/extras/soak/soak_target.hpp
+++ b/extras/soak/soak_target.hpp
@@ -87,11 +87,11 @@
 
     const target_settings settings_;
     const target_surroundings surroundings_;
+    std::string last_version_;
     std::mutex mutex_;
     std::shared_ptr<target_incarnation> life_;
     std::string state_ = "ready";
     std::string last_id_;
-    std::string last_version_;
     std::uint16_t port_ = 0;
     std::uint16_t registered_port_ = 0;
     int incarnations_ = 0;
