Believe that a request has not run only if that is proven

What callers saw: requests that may run once ran twice, and requests that had been refused as not run had run.

Cause: a response without X-Request-Id that states that the request was not run was taken for the response to the current request. On a reused connection it can be a late second response to an earlier exchange, while the target runs the current request. The statement also counted on any status, such as 200, 500 and 504 and on a stream. And a late response with the right id, or to a request without an id, was relayed as the response to the request.

Evidence, not_run_claim_test on the decisions before this commit: late_refusal_without_id_does_not_run_a_request_twice: check fixture.runs["r2"] == 1 has failed [2 != 1] late_refusal_without_id_does_not_refuse_a_running_request: check response.value().status == 200U has failed [503 != 200] statement_on_a_response_that_counts_as_run_is_ignored: check fixture.runs["r1"] == 1 has failed [2 != 1] late_prefill_response_is_not_taken_for_the_decoded_one: check response.value().body == events has failed [{"kv-handle":"h1"... request_without_id_gets_no_late_response: check response.value().body == done has failed [late != done]

Change: response_evidence decides alone, for prefill and decode attempts. An identified refusal is believed with its head, as before. One without an id is believed only if it is complete and the first response on a new connection; otherwise it is discarded and the exchange goes on reading. A request without an id, and one that its target has received before, gets a new connection. A statement that contradicts its status is not relayed.

only_marked_responses_count_as_not_run checks the same statements in their new form and more statuses than before.

--- a/modules/gateway/protocol/target_protocol.hpp
+++ b/modules/gateway/protocol/target_protocol.hpp
@@ -58,14 +58,20 @@
     other     ///< another request
 };
 
-/** Properties of a target's response that its head shows. */
+/** What a response states about the run of its request. */
+enum class run_statement
+{
+    none,
+    not_run,      ///< the target has not run the request and never will
+    contradictory ///< not run, with a status that means the opposite
+};
+
+/** Properties of a target's response that its head shows. They hold for the
+    request to which the response belongs; see response_evidence. */
 struct target_response
 {
     response_id id = response_id::missing;
-    /** The response carries the id of the request. */
-    bool echoes_request_id = false;
-    /** The target has not run the request and never will. */
-    bool is_not_run = false;
+    run_statement statement = run_statement::none;
     /** A caller takes the status as a guarantee that the request was not run,
         whether or not the target states that. */
     bool promises_not_run = false;
--- a/modules/gateway/request/response_evidence.cpp
+++ b/modules/gateway/request/response_evidence.cpp
@@ -19,28 +19,53 @@
 
 } // namespace
 
-void response_evidence::begin(bool is_reused_connection)
+void response_evidence::begin(bool is_reused_connection, bool has_request_id)
 {
     *this = {};
     is_reused_connection_ = is_reused_connection;
+    has_request_id_ = has_request_id;
 }
 
 void response_evidence::add(unsigned status, const target_response& response)
 {
+    ++responses_;
     status_ = status;
-    id_ = response.id;
-    states_not_run_ = response.is_not_run;
+    response_ = response;
     is_believed_ = false;
 }
 
-void response_evidence::conclude_not_run()
+bool response_evidence::belongs_to_request() const
 {
-    is_believed_ = true;
+    if (response_.id != response_id::missing)
+        return response_.id == response_id::matching;
+    const bool may_lack_id =
+        !has_request_id_ || response_.statement == run_statement::not_run;
+    return may_lack_id && is_alone_on_connection();
 }
 
-bool response_evidence::states_not_run() const
+bool response_evidence::is_refusal() const
 {
-    return states_not_run_;
+    return response_.statement == run_statement::not_run &&
+           belongs_to_request();
+}
+
+bool response_evidence::conclude_not_run(bool is_complete)
+{
+    // The head names the request; without that, the whole response must be
+    // sound.
+    is_believed_ =
+        is_refusal() && (is_complete || response_.id == response_id::matching);
+    return is_believed_;
+}
+
+bool response_evidence::has_statement() const
+{
+    return response_.statement != run_statement::none;
+}
+
+bool response_evidence::is_alone_on_connection() const
+{
+    return !is_reused_connection_.value_or(true) && responses_ == 1;
 }
 
 std::vector<event_field> response_evidence::fields() const
@@ -49,10 +74,11 @@
         return {};
     std::vector<event_field> event_fields{
         {"connection", connection_text()},
-        {"response_status", status_ ? std::to_string(*status_) : "none"}};
-    if (status_)
+        {"response_status", responses_ > 0 ? std::to_string(status_) : "none"}};
+    if (responses_ > 0)
     {
-        event_fields.push_back({"response_id", std::string(to_text(id_))});
+        event_fields.push_back(
+            {"response_id", std::string(to_text(response_.id))});
         event_fields.push_back({"not_run", std::string(statement_text())});
     }
     return event_fields;
@@ -61,8 +87,8 @@
 std::string response_evidence::labels() const
 {
     return "connection=\"" + connection_text() + "\",response_id=\"" +
-           std::string(to_text(id_)) + "\",status=\"" +
-           (status_ ? status_label(*status_) : "none") + "\",statement=\"" +
+           std::string(to_text(response_.id)) + "\",status=\"" +
+           status_label(status_) + "\",statement=\"" +
            std::string(statement_text()) + "\"";
 }
 
@@ -73,7 +99,7 @@
 
 std::string_view response_evidence::statement_text() const
 {
-    if (!states_not_run_)
+    if (!has_statement())
         return "not_stated";
     return is_believed_ ? "believed" : "not_believed";
 }
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -63,16 +63,24 @@
     return std::max(std::min(timeout, remaining), std::chrono::milliseconds(1));
 }
 
+std::unique_ptr<http_connection> target_exchange::take_idle_connection()
+{
+    const bool is_identified_by_id =
+        !context_.request.id.empty() &&
+        context_.contacted_targets.count(target_->record.id) == 0;
+    if (!is_identified_by_id)
+        return nullptr;
+    return services_.core.connections().take_idle(
+        target_->record.endpoint, context_.matched_route->is_safe_to_retry()
+                                      ? max_idle_time
+                                      : max_idle_time_not_repeatable);
+}
+
 attempt_result target_exchange::connect(boost::asio::yield_context yield)
 {
-    const http_endpoint& endpoint = target_->record.endpoint;
-    http_connection_pool& pool = services_.core.connections();
-    connection_ =
-        pool.take_idle(endpoint, context_.matched_route->is_safe_to_retry()
-                                     ? max_idle_time
-                                     : max_idle_time_not_repeatable);
+    connection_ = take_idle_connection();
     is_reused_connection_ = connection_ != nullptr;
-    evidence_.begin(is_reused_connection_);
+    evidence_.begin(is_reused_connection_, !context_.request.id.empty());
     if (!connection_)
     {
         result<std::unique_ptr<http_connection>> opened =
@@ -127,6 +135,7 @@
     sent_at_ = services_.core.now();
     context_.admissions.use(*target_, sent_at_);
     ++context_.attempts;
+    context_.contacted_targets.insert(target_->record.id);
     context_.last_target = target_->record.id;
     context_.last_software_version = target_->record.software_version;
     const result<void> sent =
@@ -144,7 +153,7 @@
         return attempt_result::silent;
     // A target may respond and close before it has read the whole request.
     if (!sent && sent.error() == http_error::timed_out)
-        return handle_failure(sent.error(), true);
+        return handle_failure(sent.error());
     return read_head(first_byte_timeout, yield);
 }
 
@@ -166,34 +175,43 @@
         if (!head && is_silence(head.error()))
             return attempt_result::silent;
         if (!head)
-            return handle_failure(head.error(), true);
+            return handle_failure(head.error());
         head_ = head.value();
         parsed_response_ = services_.targets.read_response(
             head_, context_.request, services_.core.now());
         evidence_.add(head_.status, parsed_response_);
-        if (parsed_response_.echoes_request_id)
+        if (evidence_.belongs_to_request())
             break;
         const result<void> discarded = discard_response(time_left(), yield);
         if (!discarded)
-            return handle_failure(discarded.error(), true);
+            return handle_failure(discarded.error());
     }
-    if (!parsed_response_.echoes_request_id)
-        return handle_failure(make_error_code(http_error::bad_message), true);
+    if (!evidence_.belongs_to_request())
+        return handle_failure(make_error_code(http_error::bad_message));
     if (parsed_response_.load)
         target_->load = parsed_response_.load;
     // A misdirected request was answered by another target.
     if (!parsed_response_.is_misdirected)
         services_.fleet.apply_notice(*target_, parsed_response_.notice,
                                      sent_at_);
-    if (!parsed_response_.is_not_run)
-        return attempt_result::response_received;
+    if (evidence_.is_refusal())
+        return handle_refusal(yield);
+    count_statement();
+    return attempt_result::response_received;
+}
 
-    evidence_.conclude_not_run();
+attempt_result target_exchange::handle_refusal(boost::asio::yield_context yield)
+{
+    const result<std::string> body = connection_->read_remaining(
+        max_refusal_body_bytes, clamp_to_deadline(refusal_body_timeout), yield);
+    const bool is_proven = evidence_.conclude_not_run(body.has_value());
     count_statement();
+    if (!is_proven)
+        return handle_failure(body.error() == http_error::broken
+                                  ? body.error()
+                                  : make_error_code(http_error::bad_message));
     context_.last_error =
         "refused without running: " + std::to_string(head_.status);
-    const result<std::string> body = connection_->read_remaining(
-        max_refusal_body_bytes, clamp_to_deadline(refusal_body_timeout), yield);
     if (body)
         finish();
     services_.fleet.record_outcome(*target_, exchange_outcome::shed,
@@ -232,7 +250,7 @@
 
 void target_exchange::count_statement()
 {
-    if (evidence_.states_not_run())
+    if (evidence_.has_statement())
         services_.core.metrics()
             .counter_of("hibiscusferry_not_run_statements_total",
                         evidence_.labels())
@@ -296,8 +314,7 @@
            std::chrono::milliseconds(1);
 }
 
-attempt_result target_exchange::handle_failure(std::error_code error,
-                                               bool may_have_run)
+attempt_result target_exchange::handle_failure(std::error_code error)
 {
     if (context_.is_caller_disconnected)
         return attempt_result::caller_disconnected;
@@ -313,8 +330,6 @@
     else if (!is_stale)
         services_.fleet.record_outcome(*target_, exchange_outcome::broken,
                                        context_.request.id);
-    if (!may_have_run)
-        return attempt_result::not_sent;
     return is_deadline_exceeded() ? attempt_result::deadline_exceeded
                                   : attempt_result::unknown;
 }
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -12,7 +12,7 @@
 {
     response_received,   ///< the head of the response has arrived
     not_sent,            ///< no byte of the request was sent
-    not_run,             ///< the target reports that it has not run the request
+    not_run,             ///< the response proves that it has not run
     silent,              ///< no response yet, and may run; see wait()
     unknown,             ///< the request was sent, and may have run
     caller_disconnected, ///< so the connection to the target was closed
@@ -21,8 +21,8 @@
 
 /** One attempt at one target: sends the request and reads the response.
 
-    Responses to other requests that arrive first are discarded. The connection
-    is reused only if the response was read to its end.
+    Responses that arrive first and may belong to other requests are discarded.
+   The connection is reused only if the response was read to its end.
 */
 class target_exchange
 {
@@ -101,6 +101,9 @@
     attempt_result connect(boost::asio::yield_context yield);
     result<std::unique_ptr<http_connection>>
     open_connection(boost::asio::yield_context yield);
+    /** Returns an idle connection on which the id of the request identifies its
+        response, or nullptr. */
+    std::unique_ptr<http_connection> take_idle_connection();
     /** Reads the head of the response unless the request could not be sent. */
     attempt_result finish_send(const result<void>& sent,
                                std::chrono::milliseconds first_byte_timeout,
@@ -115,7 +118,11 @@
         and records the silence. */
     bool is_silence(std::error_code error);
     bool is_deadline_exceeded() const;
-    attempt_result handle_failure(std::error_code error, bool may_have_run);
+    /** Reads the rest of a response that states that the request was not run,
+        and decides whether that is proven. */
+    attempt_result handle_refusal(boost::asio::yield_context yield);
+    /** Handles an error after which the request may have run. */
+    attempt_result handle_failure(std::error_code error);
     std::chrono::milliseconds
     clamp_to_deadline(std::chrono::milliseconds timeout) const;
 
