Relay no failure as a promise that a request has not run

What callers saw: a request that may run once was answered with 503, 429 or 408 although it had run. Callers take these statuses as a promise and repeat such a request.

Cause: the error response of a target was relayed with its status. Without the statement that the request was not run, a target may have run it.

Evidence, not_run_claim_test before this commit: failure_that_may_have_run_is_not_relayed_as_a_promise: check response.value().status == 502U has failed [503 != 502] check response.value().status == 502U has failed [429 != 502] check response.value().status == 502U has failed [408 != 502] repeatable_request_leaves_a_target_that_failed: check response.value().status == 200U has failed [429 != 200]

Change: such a response to a request that may run once leads to a 502 of this system, without the target's signature and Retry-After; it promises nothing, so callers do not repeat the request. A request that may be repeated is tried at another target after 408 and 429 as well as after server errors; if none succeeds, the caller receives the target's response unchanged, as repeating it is harmless.

Result: not_run_claim_test, platform_adapter_test and silent_target_test report no errors.

--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -423,7 +423,7 @@
         report_broken_attempt(*current, yield);
     if (outcome != attempt_result::response_received)
         return handle_failed_attempt(outcome, *current);
-    if (!is_server_error(current->upstream.head().status))
+    if (!current->upstream.has_failed())
         suspended_ = nullptr;
     current->response_start = services_.core.now();
     if (is_generation())
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -62,7 +62,7 @@
                                        ? exchange_outcome::failed
                                        : exchange_outcome::responded,
                                    context_.request.id);
-    if (is_server_error(response.status) &&
+    if (current.upstream.has_failed() &&
         context_.matched_route->is_safe_to_retry() &&
         !context_.has_stream_started)
     {
@@ -76,10 +76,16 @@
     }
     if (context_.has_stream_started)
         return handle_failed_attempt(attempt_result::unknown, current);
+    if (current.upstream.parsed_response().promises_not_run)
+    {
+        context_.last_error = "target responded with " +
+                              std::to_string(response.status) +
+                              ", but may have run the request";
+        return handle_failed_attempt(attempt_result::unknown, current);
+    }
 
     context_.last_evidence = current.upstream.evidence();
-    if (is_server_error(response.status) ||
-        current.upstream.parsed_response().promises_not_run)
+    if (current.upstream.has_failed())
         count_relayed_failure(response.status);
     const result<void> sent = exchange_.respond(response, yield);
     if (!sent || context_.is_caller_disconnected)
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request/target_exchange.hpp"
 
+#include "gateway/request/request_limits.hpp"
+
 #include <algorithm>
 
 namespace hibiscusferry
@@ -349,6 +351,11 @@
     return evidence_;
 }
 
+bool target_exchange::has_failed() const
+{
+    return is_server_error(head_.status) || parsed_response_.promises_not_run;
+}
+
 result<std::string> target_exchange::read_body(boost::asio::yield_context yield)
 {
     std::string body;
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -70,6 +70,10 @@
     /** The evidence on whether the target has run the request. */
     const response_evidence& evidence() const;
 
+    /** Whether the response is an error after which the request may have run,
+        and another target may succeed. */
+    bool has_failed() const;
+
     /** Reads the rest of the response, up to its confirmed end.
         @returns http_error::too_large if it exceeds the limit on its size or
                  on the memory for responses */
