Check that the response of another target continues what the caller has

What callers saw: within one response, events twice, events of another run, or events missing between those of two targets.

Cause: after a break, the events of the next target were sent as they came. A target that does not honour Last-Event-Id begins again; its run is another one. A target was also asked to continue where Last-Event-Id does not tell what the caller has: after an event without an id, after equal ids, without any id, and on idempotent routes, which are not resumable.

Change: stream_progress keeps what the caller has and places each event of a continuation. Events that the caller has are left out, if the last one has the same text; what does not follow is not sent (stream_mismatch), and the target is left as one that broke off. Ids need not be consecutive, but if they were, a gap between two targets is an event that is missing. The first response of a stream is passed on whatever its ids. A caller that resumes does not get again what it named as received.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -270,6 +270,12 @@
                     "A request that was suspected of crashing targets was "
                     "completed, or the suspicion expired.",
                     "")
+HIBISCUSFERRY_EVENT(1429, warning, stream_mismatch,
+                    "A target that was to continue a stream sent an event that "
+                    "does not follow those that the caller has; it was not "
+                    "sent to the caller, and the target was left.",
+                    "Check whether the targets of the service honour "
+                    "Last-Event-Id.")
 
 // 1500-1599 membership and peers
 HIBISCUSFERRY_EVENT(1500, info, host_alive,
--- a/modules/gateway/request/request_context.cpp
+++ b/modules/gateway/request/request_context.cpp
@@ -11,6 +11,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+bool is_resumable_stream(const route* matched_route)
+{
+    return matched_route != nullptr &&
+           matched_route->kind == request_kind::streaming &&
+           matched_route->is_resumable;
+}
+
 } // namespace
 
 bool request_context::has_caller_left()
@@ -23,12 +30,15 @@
 
 bool request_context::is_resumption() const
 {
-    const bool is_resumable_stream =
-        matched_route != nullptr &&
-        matched_route->kind == request_kind::streaming &&
-        matched_route->is_resumable;
-    return is_resumable_stream && (!request.resumed_request_id.empty() ||
-                                   !request.resume_after.empty());
+    return is_resumable_stream(matched_route) &&
+           (!request.resumed_request_id.empty() ||
+            !request.resume_after.empty());
+}
+
+bool request_context::can_continue_elsewhere() const
+{
+    return !has_stream_started ||
+           (is_resumable_stream(matched_route) && progress.can_continue());
 }
 
 std::chrono::milliseconds request_context::elapsed(time_point now) const
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -7,6 +7,7 @@
 #include "gateway/request/response_evidence.hpp"
 #include "gateway/request/response_memory.hpp"
 #include "gateway/state/fleet_state.hpp"
+#include "gateway/streams/stream_progress.hpp"
 #include "gateway/streams/stream_versions.hpp"
 #include <memory>
 #include <optional>
@@ -91,8 +92,8 @@
 
     /** The memory of the buffered part of the response. */
     std::optional<response_memory::reservation> reserved_memory;
-    /** Id of the last event sent to the caller. */
-    std::string last_event_id;
+    /** What the caller has received of its stream. */
+    stream_progress progress;
     bool has_stream_started = false;
     /** Whether the request is sent in order to find out whether it, or a block
         of its prompt, crashes targets. */
@@ -131,6 +132,10 @@
     /** Whether the caller resumes a stream that an earlier request began. */
     bool is_resumption() const;
 
+    /** Whether another target can continue what the caller has received of the
+        response. */
+    bool can_continue_elsewhere() const;
+
     std::chrono::milliseconds elapsed(time_point now) const;
     std::chrono::milliseconds time_left(time_point now) const;
     std::chrono::milliseconds time_to_objective(time_point now) const;
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -91,6 +91,8 @@
                                      : context_.request.id);
     context_.properties =
         context_.routes->configuration().service(context_.service);
+    if (context_.is_resumption())
+        context_.progress = stream_progress(context_.request.resume_after);
     std::chrono::milliseconds limit = context_.matched_route->time_limit;
     if (context_.request.time_left)
         limit = std::min(limit, *context_.request.time_left);
@@ -266,7 +268,7 @@
     generation.time_to_deadline = context_.time_left(now);
     // A probe reaches a single target, which both prefills and decodes.
     generation.may_transfer_kv =
-        context_.last_event_id.empty() && !context_.is_probe;
+        !context_.has_stream_started && !context_.is_probe;
     generation.delays = services_.fleet.delays(context_.service);
     generation.random_value =
         stable_hash(context_.request.id) + context_.attempts;
@@ -382,7 +384,7 @@
     attempt_options options{context_.request, current->target->record};
     options.rank = context_.matched_route->rank;
     options.kv_cache = context_.kv_cache;
-    options.resume_after = context_.last_event_id;
+    options.resume_after = context_.progress.last_event_id();
     const attempt_result outcome = current->upstream.send(
         options, first_byte_timeout(context_.matched_route->is_safe_to_retry()),
         yield);
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -123,7 +123,8 @@
     next_step resume_suspended(boost::asio::yield_context yield);
     void log_silence(target_attempt& current);
     /** Returns whether an attempt so far may have run the request at few enough
-        targets that another one may run it, and there is time for that. */
+        targets that another one may run it, that one could continue the stream
+        if it has begun, and there is time for that. */
     bool may_run_at_another_target() const;
     next_step handle_failed_attempt(attempt_result attempt_outcome,
                                     const target_attempt& current);
@@ -142,9 +143,19 @@
                                     boost::asio::yield_context yield);
     /** Records the version of the target that begins the stream. */
     void record_stream_version(const target_attempt& current);
-    bool forward_event(const server_sent_event& event,
-                       const target_attempt& current,
-                       boost::asio::yield_context yield);
+    /** Sends the head of a stream unless it has been sent.
+        @returns false if the caller has disconnected */
+    bool begin_stream(const target_attempt& current,
+                      boost::asio::yield_context yield);
+    /** Sends an event to the caller, unless the caller has it.
+        @returns http_error::bad_message if the event does not continue what the
+                 caller has, or the error of the connection to the caller */
+    result<void> forward_event(const server_sent_event& event,
+                               const target_attempt& current,
+                               boost::asio::yield_context yield);
+    /** Logs an event that does not continue what the caller has. */
+    void log_mismatch(const server_sent_event& event,
+                      const target_attempt& current);
 
     /** Returns whether a retry is allowed, and if so takes it out of the retry
         budget. */
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -175,10 +175,7 @@
     if (!context_.is_resumption() && !context_.has_stream_started)
         return;
     std::vector<event_field> event_fields = fields();
-    event_fields.push_back(
-        {"after_event", context_.has_stream_started
-                            ? context_.last_event_id
-                            : context_.request.resume_after});
+    event_fields.push_back({"after_event", context_.progress.last_event_id()});
     event_fields.push_back(
         {"began_at_version",
          context_.stream_software_version.value_or("unknown")});
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -28,6 +28,8 @@
     if (is_stream)
     {
         log_resumption();
+        if (context_.has_stream_started)
+            context_.progress.begin_continuation();
         return relay_stream(std::move(current), yield);
     }
     return relay_buffered(*current, yield);
@@ -149,9 +151,11 @@
         for (std::optional<server_sent_event> event = current->parser.next();
              event; event = current->parser.next())
         {
-            if (!forward_event(*event, *current, yield))
-                return handle_stream_failure(
-                    *current, make_error_code(http_error::broken), yield);
+            const result<void> forwarded =
+                forward_event(*event, *current, yield);
+            if (!forwarded)
+                return handle_stream_failure(*current, forwarded.error(),
+                                             yield);
             ++current->events;
             event_due = services_.core.now() + read_timeout;
         }
@@ -194,33 +198,54 @@
                               2 * time_limit);
 }
 
-bool request_forwarder::forward_event(const server_sent_event& event,
-                                      const target_attempt& current,
-                                      boost::asio::yield_context yield)
+bool request_forwarder::begin_stream(const target_attempt& current,
+                                     boost::asio::yield_context yield)
 {
-    if (!context_.has_stream_started)
+    if (context_.has_stream_started)
+        return true;
+    record_stream_version(current);
+    const http_response_head& upstream_head = current.upstream.head();
+    const http_response_head head{
+        upstream_head.status,
+        services_.targets.headers_for_caller(upstream_head.headers)};
+    if (!exchange_.begin_stream(head, yield))
+        return false;
+    context_.has_stream_started = true;
+    context_.time_to_first_event = context_.elapsed(services_.core.now());
+    return true;
+}
+
+result<void> request_forwarder::forward_event(const server_sent_event& event,
+                                              const target_attempt& current,
+                                              boost::asio::yield_context yield)
+{
+    const stream_progress::placement placement = context_.progress.place(event);
+    if (placement == stream_progress::placement::repeated)
+        return outcome::success();
+    if (placement == stream_progress::placement::unknown)
     {
-        record_stream_version(current);
-        const http_response_head& upstream_head = current.upstream.head();
-        const http_response_head head{
-            upstream_head.status,
-            services_.targets.headers_for_caller(upstream_head.headers)};
-        if (!exchange_.begin_stream(head, yield))
-        {
-            context_.is_caller_disconnected = true;
-            return false;
-        }
-        context_.has_stream_started = true;
-        context_.time_to_first_event = context_.elapsed(services_.core.now());
+        log_mismatch(event, current);
+        return make_error_code(http_error::bad_message);
     }
-    if (!exchange_.write_chunk(event.raw, yield))
+    if (!begin_stream(current, yield) ||
+        !exchange_.write_chunk(event.raw, yield))
     {
         context_.is_caller_disconnected = true;
-        return false;
+        return make_error_code(http_error::broken);
     }
-    if (!event.id.empty())
-        context_.last_event_id = event.id;
-    return true;
+    context_.progress.advance(event);
+    return outcome::success();
+}
+
+void request_forwarder::log_mismatch(const server_sent_event& event,
+                                     const target_attempt& current)
+{
+    services_.core.journal().record(
+        event_number::stream_mismatch,
+        {{"request", context_.request.id},
+         {"target", current.target->record.id},
+         {"last_event", context_.progress.last_event_id()},
+         {"event", event.id}});
 }
 
 request_forwarder::next_step
--- a/modules/gateway/request/request_forwarder_silence.cpp
+++ b/modules/gateway/request/request_forwarder_silence.cpp
@@ -11,7 +11,8 @@
 
 bool request_forwarder::may_run_at_another_target() const
 {
-    return context_.possible_run_targets.size() <
+    return context_.can_continue_elsewhere() &&
+           context_.possible_run_targets.size() <
                context_.matched_route->max_targets &&
            context_.time_left(services_.core.now()) >= min_time_to_attempt;
 }
@@ -74,7 +75,7 @@
         event_number::target_silent,
         {{"request", context_.request.id},
          {"target", current.target->record.id},
-         {"last_event", context_.last_event_id},
+         {"last_event", context_.progress.last_event_id()},
          {"elapsed_ms", std::to_string(context_.elapsed(now).count())},
          {"time_left_ms", std::to_string(context_.time_left(now).count())}});
 }
