Complete a resumption that finds no further events

What callers saw: a caller that had all events, but not the last chunk, resumed its stream after the last event and got a 502; the targets that had answered properly counted as broken.

Cause: a response without events was taken for one that was cut. That holds for a new stream only; what remains of a stream may be empty.

Evidence, on the code before: resumption_after_the_last_event_is_complete: check receive(resumption("3")) == "." has failed [502 {"error":"outcome_unknown"}. != .]; check resumed_after.size() == 1U has failed [2 != 1]

Change: a response to a resumption that is complete and has no events, or only those that the caller has, is passed on as a complete stream.

--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -141,6 +141,9 @@
     next_step handle_stream_failure(target_attempt& current,
                                     std::error_code error,
                                     boost::asio::yield_context yield);
+    /** Completes a stream whose target has ended its response. */
+    next_step complete_stream(target_attempt& current,
+                              boost::asio::yield_context yield);
     /** Records the version of the target that begins the stream. */
     void record_stream_version(const target_attempt& current);
     /** Sends the head of a stream unless it has been sent.
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -160,19 +160,27 @@
             event_due = services_.core.now() + read_timeout;
         }
     }
-    // The response ended in the middle of an event, without any event, or
-    // because its target has ended.
-    if (current->parser.is_within_event() || !context_.has_stream_started ||
-        !current->upstream.confirm_end(yield))
+    return complete_stream(*current, yield);
+}
+
+request_forwarder::next_step
+request_forwarder::complete_stream(target_attempt& current,
+                                   boost::asio::yield_context yield)
+{
+    // Only the rest of a stream may be without events.
+    const bool is_empty =
+        !context_.has_stream_started && !context_.is_resumption();
+    if (current.parser.is_within_event() || is_empty ||
+        !current.upstream.confirm_end(yield))
         return handle_stream_failure(
-            *current, make_error_code(http_error::broken), yield);
-    if (!current->parser.remainder().empty() &&
-        !exchange_.write_chunk(current->parser.remainder(), yield))
+            current, make_error_code(http_error::broken), yield);
+    if (!begin_stream(current, yield) ||
+        !exchange_.write_chunk(current.parser.remainder(), yield))
         context_.is_caller_disconnected = true;
-    current->upstream.finish();
-    services_.fleet.record_outcome(
-        *current->target, exchange_outcome::responded, context_.request.id);
-    observe_completion(*current);
+    current.upstream.finish();
+    services_.fleet.record_outcome(*current.target, exchange_outcome::responded,
+                                   context_.request.id);
+    observe_completion(current);
     report_completed_request();
     const result<void> end_result = exchange_.end_stream(yield);
     if (!end_result)
