Read the entries of a table response one by one

What callers saw: hosts stopped following the targets; requests went on to targets that had left.

Cause: a response of the table service was parsed as a whole and rejected if one of its entries had no key, a version that is no number, a number too large or bytes that are no UTF-8. As the entry stays in the store, every further read failed as well.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -476,3 +476,7 @@
                     "seconds before the restore are lost.",
                     "None. Hosts write their rows again, and the lease holder "
                     "is chosen anew after one term.")
+HIBISCUSFERRY_EVENT(1907, warning, table_rows_unreadable,
+                    "A response of the table service holds rows whose keys "
+                    "cannot be read; the other rows remain in use.",
+                    "")
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -270,8 +270,10 @@
     // A response that was delayed beyond the start of a new era.
     if (changes.value().era < replicas_.replica(table).as_of().era)
         return make_error_code(platform_error::history_expired);
-    const bool has_changed =
-        !changes.value().rows.empty() || !changes.value().deleted.empty();
+    log_unreadable_rows(table, changes.value().unreadable);
+    const bool has_changed = !changes.value().rows.empty() ||
+                             !changes.value().deleted.empty() ||
+                             changes.value().unreadable > 0;
     const bool was_wait_ended =
         !is_snapshot && has_changed && wait > std::chrono::milliseconds(0);
     // A response without a change was not sent before the end of the wait.
@@ -293,6 +295,17 @@
     return was_wait_ended;
 }
 
+void state_follower::log_unreadable_rows(fleet_table table, std::size_t rows)
+{
+    std::size_t& most = unreadable_rows_[static_cast<std::size_t>(table)];
+    if (rows <= most)
+        return;
+    most = rows;
+    core_.journal().record(event_number::table_rows_unreadable,
+                           {{"table", std::string(to_text(table))},
+                            {"rows", std::to_string(rows)}});
+}
+
 // ========================================================================
 // Applying updates
 
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -83,6 +83,8 @@
         which a response was processed, as the process may have stood still
         since the response was sent. */
     void confirm(fleet_table table, time_point as_of);
+    /** Logs that rows were left out, unless as many were before. */
+    void log_unreadable_rows(fleet_table table, std::size_t rows);
     void apply_configuration(const table_changes& changes,
                              const std::string& source);
     void apply_targets(const table_changes& changes, const std::string& source);
@@ -107,6 +109,9 @@
     std::array<bool, fleet_table_count> needs_snapshot_{};
     /** When the target rows were last asked for; zero after a failure. */
     time_point targets_read_at_{};
+    /** The largest number of rows of each table that were left out of a
+        response of the table service. */
+    std::array<std::size_t, fleet_table_count> unreadable_rows_{};
     bool is_serving_ = true;
     bool is_stopping_ = false;
     std::optional<time_point> own_row_written_at_;
--- a/modules/storage/table_store/table_feed.hpp
+++ b/modules/storage/table_store/table_feed.hpp
@@ -22,6 +22,8 @@
     row_version version = 0;
     /** The era to which all versions belong. */
     std::uint64_t era = 0;
+    /** Number of rows left out, because their keys cannot be read. */
+    std::size_t unreadable = 0;
 
     store_position position() const
     {
