Pass over targets whose addresses are those of hosts

What callers saw: no response until their deadline. A request that a host sent to its own listener came back as a new one and was sent there again; with no other target, each request multiplied so until its deadline.

Cause: a row of a target may state any address, also that of a host.

Change: a row with a port on which hosts listen, and with the address of this host or of one in the table of hosts, is unreadable. When that table changes, the rows concerned are applied again.

--- a/modules/gateway/state/host_directory.cpp
+++ b/modules/gateway/state/host_directory.cpp
@@ -70,6 +70,13 @@
     return match == entries_.end() ? nullptr : &match->second.host;
 }
 
+bool host_directory::has_address(const std::string& address) const
+{
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [&address](const auto& entry)
+                       { return entry.second.host.address == address; });
+}
+
 std::size_t host_directory::serving_host_count() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/modules/gateway/state/host_directory.hpp
+++ b/modules/gateway/state/host_directory.hpp
@@ -46,6 +46,9 @@
     /** The host of that name, or null. */
     const host_record* find(const std::string& host) const;
 
+    /** Whether a host has that address. */
+    bool has_address(const std::string& address) const;
+
     /** The number of hosts that serve callers, over all zones. */
     std::size_t serving_host_count() const;
 
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -386,7 +386,7 @@
     const time_point now = core_.now();
     for (const table_row& row : changes.rows)
     {
-        const result<target_record> record = sources_.records.read_target(row);
+        const result<target_record> record = read_target(row);
         if (record)
         {
             fleet_.apply(fleet_.catalogue().put(record.value()), source);
@@ -403,12 +403,49 @@
         fleet_.apply(fleet_.catalogue().remove(id_of(key), now), source);
 }
 
-void state_follower::apply_hosts(const table_changes&, const std::string&)
+result<target_record> state_follower::read_target(const table_row& row) const
+{
+    const result<target_record> record = sources_.records.read_target(row);
+    if (record && is_listener_of_host(record.value().endpoint))
+        return std::make_error_code(std::errc::address_in_use);
+    return record;
+}
+
+bool state_follower::is_listener_of_host(const http_endpoint& endpoint) const
+{
+    const host_settings& settings = fleet_.settings();
+    // Hosts have different addresses and the same ports.
+    const bool has_listener_port = endpoint.port == settings.callers.port ||
+                                   endpoint.port == settings.readiness.port ||
+                                   endpoint.port == settings.peer_port;
+    return has_listener_port && (endpoint.address == settings.address ||
+                                 endpoint.address == settings.callers.address ||
+                                 directory_.has_address(endpoint.address));
+}
+
+void state_follower::apply_targets_at_hosts(const std::string& source)
+{
+    const target_catalogue& catalogue = fleet_.catalogue();
+    table_changes changes;
+    for (const auto& [key, row] :
+         replicas_.replica(fleet_table::targets).rows())
+    {
+        const result<target_record> record = sources_.records.read_target(row);
+        const bool is_used = catalogue.targets().count(id_of(key)) > 0;
+        if (record && is_used == is_listener_of_host(record.value().endpoint))
+            changes.rows.push_back(row);
+    }
+    apply_targets(changes, source);
+}
+
+void state_follower::apply_hosts(const table_changes&,
+                                 const std::string& source)
 {
     directory_.set_rows(replicas_.replica(fleet_table::hosts).rows(),
                         core_.now());
     fleet_.set_live_hosts(
         std::max<std::size_t>(directory_.serving_host_count(), 1));
+    apply_targets_at_hosts(source);
 }
 
 // ========================================================================
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -90,6 +90,14 @@
     void apply_targets(const table_changes& changes, const std::string& source);
     void apply_hosts(const table_changes& changes, const std::string& source);
 
+    /** Parses the row of a target, which has to be another machine's than one
+        of the hosts: what a host sends to itself comes back. */
+    result<target_record> read_target(const table_row& row) const;
+    bool is_listener_of_host(const http_endpoint& endpoint) const;
+    /** Applies the rows of targets whose addresses are, or were, those of
+        hosts. */
+    void apply_targets_at_hosts(const std::string& source);
+
     void pull(const host_record& relay);
     void serve_peer(http_exchange& exchange, boost::asio::yield_context yield);
     void maintain_own_row();
