Pass over rows of hosts that name no host

What callers saw: refusals, as hosts shared limits with hosts that do not exist, and a host that sent its reports to another port or address than that of the relay.

Cause: the port of a row was cut to 16 bits, an address could be any text, and a row of any key replaced the entry of the host that it named.

Evidence, before the change, a row with port 65536 beside two hosts: odd_rows_of_hosts_are_passed_over: check host->follower.directory().serving_host_count() == 2U has failed [3 != 2]

Change: the port has to be one, the address that of a single host, the capacity not negative, and the key that of the host.

Result: odd_row_test passes.

--- a/modules/gateway/state/host_directory.cpp
+++ b/modules/gateway/state/host_directory.cpp
@@ -1,6 +1,8 @@
 #include "gateway/state/host_directory.hpp"
 
 #include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <tuple>
 
@@ -13,8 +15,34 @@
 /** Much longer than a restart, so that a restart does not delete the row. */
 constexpr std::chrono::seconds report_timeout{20};
 
+std::string host_of_key(const std::string& key)
+{
+    return key.substr(key.find('/') + 1);
+}
+
+/** Whether a number is a port, and not a larger number that ends like one. */
+bool is_port(const nlohmann::json& number)
+{
+    return number.is_number_unsigned() && number.get<std::uint64_t>() > 0 &&
+           number.get<std::uint64_t>() <=
+               std::numeric_limits<std::uint16_t>::max();
+}
+
 } // namespace
 
+bool is_host_address(const std::string& text)
+{
+    boost::system::error_code error;
+    const boost::asio::ip::address address =
+        boost::asio::ip::make_address(text, error);
+    const bool is_mapped = address.is_v6() && address.to_v6().is_v4_mapped();
+    const bool is_broadcast =
+        address.is_v4() &&
+        address.to_v4() == boost::asio::ip::address_v4::broadcast();
+    return !error && !is_mapped && !is_broadcast && !address.is_unspecified() &&
+           !address.is_multicast();
+}
+
 std::string host_record::text() const
 {
     return nlohmann::json({{"host", host},
@@ -31,12 +59,17 @@
     try
     {
         const nlohmann::json object = nlohmann::json::parse(text);
-        return host_record{object.at("host").get<std::string>(),
+        host_record record{object.at("host").get<std::string>(),
                            object.at("zone").get<std::string>(),
                            object.at("address").get<std::string>(),
-                           object.at("port").get<std::uint16_t>(),
+                           0,
                            object.at("processor_share").get<double>(),
                            object.at("serving").get<bool>()};
+        if (!is_port(object.at("port")) || !is_host_address(record.address) ||
+            record.processor_cores < 0)
+            return std::make_error_code(std::errc::bad_message);
+        record.port = object.at("port").get<std::uint16_t>();
+        return record;
     }
     catch (const nlohmann::json::exception&)
     {
@@ -51,7 +84,8 @@
     for (const auto& [key, row] : rows)
     {
         const result<host_record> host = host_record::parse(row.value);
-        if (!host)
+        // A row of another key would replace that of the host.
+        if (!host || host.value().host != host_of_key(key))
             continue;
         const auto previous = entries_.find(host.value().host);
         const bool is_unchanged = previous != entries_.end() &&
--- a/modules/gateway/state/host_directory.hpp
+++ b/modules/gateway/state/host_directory.hpp
@@ -13,6 +13,10 @@
 namespace hibiscusferry
 {
 
+/** Whether a text is an IP address of a single host: neither unspecified nor of
+    a group of hosts. */
+bool is_host_address(const std::string& text);
+
 /** An entry host as described by its row. */
 struct host_record
 {
