--- a/extras/soak/soak_caller.cpp
+++ b/extras/soak/soak_caller.cpp
@@ -111,24 +111,23 @@
 
 std::string soak_caller::message(const request& current)
 {
-    // The largest fill the buffers of the kernel.
-    const bool is_large = faults_.has("large") && random_.chance(0.05);
-    const int size_limit = is_large              ? 3000000
-                           : random_.chance(0.1) ? 120000
-                                                 : 600;
-    const std::string body(
-        static_cast<std::size_t>(random_.between(0, size_limit)), 'b');
+    // The largest do not fit into the buffers of the kernel.
+    const bool is_large = faults_.has("large") && random_.chance(0.03);
+    const int size = is_large              ? random_.between(3500000, 4100000)
+                     : random_.chance(0.1) ? random_.between(1000, 120000)
+                                           : random_.between(0, 600);
+    const std::string body(static_cast<std::size_t>(size), 'b');
     const bool is_chunked = !body.empty() && random_.chance(0.2);
-    char size[24];
-    std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+    char chunk_size[24];
+    std::snprintf(chunk_size, sizeof chunk_size, "%zx\r\n", body.size());
     return "POST " + std::string(current.type->prefix) +
            "2f HTTP/1.1\r\nHost: " + route_host() +
            "\r\nX-Request-Id: " + current.id +
            "\r\nX-Deadline-Ms: " + std::to_string(current.time_left.count()) +
            "\r\nX-Soak-Bytes: " + std::to_string(current.response_bytes) +
            "\r\n" + current.fields + current.resumption +
-           (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" + (size + body) +
-                             "\r\n0\r\n\r\n"
+           (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" +
+                             (chunk_size + body) + "\r\n0\r\n\r\n"
                        : "Content-Length: " + std::to_string(body.size()) +
                              "\r\n\r\n" + body);
 }
