Count an order as refused only after an explicit refusal

An engine that was ordered to change its stage could be taken for one that was not: each status other than 200 and 202 counted as a refusal, also 500, 502 and 504, after which the order may be carried out, and so did a late response to an earlier request on the same connection. The engine then stayed in use.

Orders use the same reading of the statement that nothing was run now. An order whose outcome is unknown is treated like one without a response, and orders are sent over new connections, as nothing in a response identifies its order.

only_an_explicit_refusal_of_an_order_is_believed with the former reading: 11 failures (429, 503, 204, 404, 408, 500, 502, 504 and the responses that name a request). Now platform_adapter_test, http_test and not_run_claim_test report no errors. Not played through a whole fleet.

--- a/modules/gateway/protocol/target_protocol.hpp
+++ b/modules/gateway/protocol/target_protocol.hpp
@@ -109,7 +109,8 @@
 {
     accepted,
     already_applied,
-    refused ///< the order count or the incarnation of the engine has changed
+    refused, ///< the order count or the incarnation of the engine has changed
+    unknown  ///< the order may be carried out
 };
 
 /** The protocol between this system and targets. */
@@ -145,7 +146,8 @@
     read_status(const std::string& body) const = 0;
 
     virtual http_request write_order(const stage_order& order) const = 0;
-    virtual stage_order_result read_order_response(unsigned status) const = 0;
+    virtual stage_order_result
+    read_order_response(const http_response_head& head) const = 0;
 };
 
 } // namespace hibiscusferry
--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -236,27 +236,30 @@
     target->ordered_stage = stage;
     const time_point order_sent_at = services_.core.now();
     target->request_limit.record_request(order_sent_at);
-    const result<http_response> response =
-        http_call(services_.core.connections(), target->record.endpoint,
-                  services_.targets.write_order(order), order_timeout,
-                  max_engine_response_bytes, yield);
+    const result<http_response> response = http_call_on_new_connection(
+        services_.core.connections(), target->record.endpoint,
+        services_.targets.write_order(order), order_timeout,
+        max_engine_response_bytes, yield);
     fields.push_back({"answer", response
                                     ? std::to_string(response.value().status)
                                     : response.error().message()});
-    if (!response)
+    if (response)
+        services_.fleet.apply_notice(
+            *target,
+            services_.targets.read_notice(response.value().status,
+                                          response.value().headers),
+            order_sent_at);
+    const stage_order_result order_result =
+        response ? services_.targets.read_order_response(
+                       {response.value().status, response.value().headers})
+                 : stage_order_result::unknown;
+    if (order_result == stage_order_result::unknown)
     {
         services_.core.journal().record(event_number::order_overdue, fields);
         target->stage_change_until = services_.core.now() + late_order_timeout;
         return;
     }
-    services_.fleet.apply_notice(
-        *target,
-        services_.targets.read_notice(response.value().status,
-                                      response.value().headers),
-        order_sent_at);
-    const bool is_refused =
-        services_.targets.read_order_response(response.value().status) ==
-        stage_order_result::refused;
+    const bool is_refused = order_result == stage_order_result::refused;
     services_.core.journal().record(is_refused ? event_number::order_refused
                                                : event_number::order_settled,
                                     fields);
--- a/modules/http/client/http_call.cpp
+++ b/modules/http/client/http_call.cpp
@@ -16,16 +16,14 @@
     return std::max(remaining, std::chrono::milliseconds(1));
 }
 
-} // namespace
-
-result<http_response>
-http_call(http_connection_pool& pool, const http_endpoint& endpoint,
-          const http_request& request, std::chrono::milliseconds timeout,
-          std::size_t max_body_bytes, boost::asio::yield_context yield)
+/** Sends a request over an opened connection, and returns the connection to the
+    pool after a complete response. */
+result<http_response> exchange(http_connection_pool& pool,
+                               result<std::unique_ptr<http_connection>> opened,
+                               const http_request& request, time_point deadline,
+                               std::size_t max_body_bytes,
+                               boost::asio::yield_context yield)
 {
-    const time_point deadline = boot_clock::now() + timeout;
-    result<std::unique_ptr<http_connection>> opened =
-        pool.take(endpoint, timeout, yield);
     if (!opened)
         return opened.error();
     std::unique_ptr<http_connection> connection = std::move(opened.value());
@@ -48,6 +46,28 @@
                          std::move(body.value())};
 }
 
+} // namespace
+
+result<http_response>
+http_call(http_connection_pool& pool, const http_endpoint& endpoint,
+          const http_request& request, std::chrono::milliseconds timeout,
+          std::size_t max_body_bytes, boost::asio::yield_context yield)
+{
+    const time_point deadline = boot_clock::now() + timeout;
+    return exchange(pool, pool.take(endpoint, timeout, yield), request,
+                    deadline, max_body_bytes, yield);
+}
+
+result<http_response> http_call_on_new_connection(
+    http_connection_pool& pool, const http_endpoint& endpoint,
+    const http_request& request, std::chrono::milliseconds timeout,
+    std::size_t max_body_bytes, boost::asio::yield_context yield)
+{
+    const time_point deadline = boot_clock::now() + timeout;
+    return exchange(pool, pool.open(endpoint, timeout, yield), request,
+                    deadline, max_body_bytes, yield);
+}
+
 void http_call(boost::asio::io_context& context, http_connection_pool& pool,
                const http_endpoint& endpoint, const http_request& request,
                std::chrono::milliseconds timeout, std::size_t max_body_bytes,
--- a/modules/http/client/http_call.hpp
+++ b/modules/http/client/http_call.hpp
@@ -23,6 +23,13 @@
           const http_request& request, std::chrono::milliseconds timeout,
           std::size_t max_body_bytes, boost::asio::yield_context yield);
 
+/** Sends a request over a new connection. A late response to an earlier request
+    cannot arrive there, so the response needs nothing that identifies it. */
+result<http_response> http_call_on_new_connection(
+    http_connection_pool& pool, const http_endpoint& endpoint,
+    const http_request& request, std::chrono::milliseconds timeout,
+    std::size_t max_body_bytes, boost::asio::yield_context yield);
+
 /** Sends a request and passes the result to a handler.
 
     For callers that are not coroutines. The handler is called exactly once,
--- a/modules/http/client/http_call_test.cpp
+++ b/modules/http/client/http_call_test.cpp
@@ -142,4 +142,40 @@
     BOOST_TEST(outcome.elapsed.count() <= (call_timeout + margin).count());
 }
 
+// A late second response to the call before must not be taken for this one.
+BOOST_AUTO_TEST_CASE(a_call_on_a_new_connection_gets_no_late_response)
+{
+    boost::asio::io_context context;
+    int requests = 0;
+    const std::unique_ptr<http_server> server = std::move(
+        http_server::listen(
+            context, {"127.0.0.1", 0}, {},
+            [&requests](http_exchange& exchange, yield_context yield) {
+                exchange.respond({200, {}, std::to_string(++requests)}, yield)
+                    .value();
+            })
+            .value());
+    http_connection_pool pool(context);
+    std::size_t connections = 0;
+    start_task(context,
+               [&](yield_context yield)
+               {
+                   const http_request request;
+                   BOOST_TEST(http_call(pool, server->endpoint(), request,
+                                        call_timeout, max_body_bytes, yield)
+                                  .value()
+                                  .body == "1");
+                   BOOST_TEST(http_call_on_new_connection(
+                                  pool, server->endpoint(), request,
+                                  call_timeout, max_body_bytes, yield)
+                                  .value()
+                                  .body == "2");
+                   connections = server->open_connections();
+                   context.stop();
+               });
+    context.run_for(std::chrono::seconds(2));
+    BOOST_TEST(connections == 2U);
+    BOOST_TEST(pool.idle_connections() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
