Limit the numbers of messages of other hosts

Cause: ages were taken as they came. One of 2^62 ms overflows a time of the process's clock, so that a replica can count as current for ever and its host stops reading the table; a version that is negative or no integer was converted to another one; a sum of delays that is no number spoiled the load of a target.

Found by reading. Before the change, decode_updates() accepted age_ms 1.5, 1e300 and 2^63, and versions -1 and 1e300.

Change: an age is at most that of a replica that was never read, and other numbers have to be non-negative integers. Loads are limited before they are rounded.

Result: sharing_test passes, with odd_numbers_of_another_host_have_no_effect and numbers_beyond_any_load_are_limited.

--- a/modules/sharing/message/sharing_message.cpp
+++ b/modules/sharing/message/sharing_message.cpp
@@ -15,6 +15,8 @@
 constexpr double requests_unit = 0.1;
 constexpr double tokens_unit = 16;
 constexpr double exchanges_unit = 0.1;
+/** Far beyond any load, and exact as a double. */
+constexpr double max_units = 1e15;
 /** Bound on the magnitude of the sum of delays at a target. */
 constexpr double max_delays_ms = 1e9;
 /** The key of a target and the members of its load. */
@@ -29,7 +31,7 @@
 std::uint64_t to_units(double value, double unit)
 {
     return static_cast<std::uint64_t>(
-        std::llround(std::max(value, 0.0) / unit));
+        std::llround(std::clamp(value / unit, 0.0, max_units)));
 }
 
 /** The non-negative integer at an index; throws if there is none. */
@@ -154,7 +156,7 @@
         numbers.push_back(position.as_of.era);
         numbers.push_back(position.as_of.version);
         numbers.push_back(position.digest);
-        numbers.push_back(position.age.count());
+        numbers.push_back(std::max<std::int64_t>(position.age.count(), 0));
     }
     return numbers;
 }
@@ -183,8 +185,10 @@
             static_cast<double>(number_at(numbers, offset + 5));
         load.exchanges = static_cast<double>(number_at(numbers, offset + 6)) *
                          exchanges_unit;
-        load.delays_ms = std::clamp(numbers.at(offset + 7).get<double>(),
-                                    -max_delays_ms, max_delays_ms);
+        const double delays_ms = numbers.at(offset + 7).get<double>();
+        if (!std::isfinite(delays_ms))
+            throw std::invalid_argument("not a sum of delays");
+        load.delays_ms = std::clamp(delays_ms, -max_delays_ms, max_delays_ms);
         for (std::size_t rank = 0; rank < urgent_rank_count; ++rank)
             load.urgent_prefill_tokens[rank] =
                 static_cast<double>(number_at(numbers, offset + 8 + rank)) *
@@ -202,8 +206,7 @@
         positions[table].as_of = {number_at(numbers, first),
                                   number_at(numbers, first + 1)};
         positions[table].digest = number_at(numbers, first + 2);
-        positions[table].age =
-            std::chrono::milliseconds(number_at(numbers, first + 3));
+        positions[table].age = to_replica_age(number_at(numbers, first + 3));
     }
     return positions;
 }
--- a/modules/sharing/message/sharing_message_test.cpp
+++ b/modules/sharing/message/sharing_message_test.cpp
@@ -83,6 +83,32 @@
         {reinterpret_cast<const char*>(negative.data()), negative.size()}));
 }
 
+BOOST_AUTO_TEST_CASE(numbers_beyond_any_load_are_limited)
+{
+    sharing_message message = example();
+    in_flight_load& load = message.load.loads.at(4000000000U);
+    load.requests = 1e300;
+    load.pending_prefill_tokens = std::numeric_limits<double>::infinity();
+    load.kv_tokens = -1e300;
+    message.positions[1].age = std::chrono::milliseconds::max();
+    message.positions[2].age = std::chrono::milliseconds::min();
+    const sharing_message decoded =
+        decode_message(encode_message(message)).value();
+    const in_flight_load& limited = decoded.load.loads.at(4000000000U);
+    BOOST_TEST(limited.requests == 1e14, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(limited.pending_prefill_tokens < 1e17);
+    BOOST_TEST(limited.kv_tokens == 0);
+    BOOST_TEST(decoded.positions[1].age.count() == 1000000);
+    BOOST_TEST(decoded.positions[2].age.count() == 0);
+
+    const double not_a_number = std::numeric_limits<double>::quiet_NaN();
+    nlohmann::json fields = nlohmann::json::from_cbor(encode_message(message));
+    fields.at(7).at(7) = not_a_number;
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(fields);
+    BOOST_TEST(!decode_message(
+        {reinterpret_cast<const char*>(bytes.data()), bytes.size()}));
+}
+
 // Guards against the exhaustion of the stack by a single message.
 BOOST_AUTO_TEST_CASE(deeply_nested_bytes_are_rejected)
 {
--- a/modules/sharing/replication/fleet_replicas.cpp
+++ b/modules/sharing/replication/fleet_replicas.cpp
@@ -2,6 +2,7 @@
 
 #include "sharing/message/nested_cbor.hpp"
 #include <algorithm>
+#include <stdexcept>
 
 namespace hibiscusferry
 {
@@ -30,6 +31,12 @@
     return names[index_of(table)];
 }
 
+std::chrono::milliseconds to_replica_age(std::uint64_t milliseconds)
+{
+    return std::chrono::milliseconds(
+        std::min<std::uint64_t>(milliseconds, age_if_never_read.count()));
+}
+
 // ========================================================================
 // Encoding
 
@@ -41,14 +48,15 @@
         nlohmann::json rows = nlohmann::json::array();
         for (const table_row& row : update.changes.rows)
             rows.push_back({row.key, row.value, row.version});
-        tables.push_back({{"table", index_of(update.table)},
-                          {"whole", update.is_snapshot},
-                          {"era", update.changes.era},
-                          {"version", update.changes.version},
-                          {"digest", update.digest},
-                          {"age_ms", update.age.count()},
-                          {"rows", std::move(rows)},
-                          {"deleted", update.changes.deleted}});
+        tables.push_back(
+            {{"table", index_of(update.table)},
+             {"whole", update.is_snapshot},
+             {"era", update.changes.era},
+             {"version", update.changes.version},
+             {"digest", update.digest},
+             {"age_ms", std::max<std::int64_t>(update.age.count(), 0)},
+             {"rows", std::move(rows)},
+             {"deleted", update.changes.deleted}});
     }
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(tables);
     return {bytes.begin(), bytes.end()};
@@ -57,20 +65,32 @@
 namespace
 {
 
+/** A member that is a non-negative integer; throws for any other value. */
+std::uint64_t number_of(const nlohmann::json& object, const char* name)
+{
+    const nlohmann::json& number = object.at(name);
+    if (!number.is_number_unsigned())
+        throw std::invalid_argument("not a non-negative integer");
+    return number.get<std::uint64_t>();
+}
+
 table_update decode_table_update(const nlohmann::json& object)
 {
     table_update update;
-    update.table = all_fleet_tables.at(object.at("table").get<std::size_t>());
+    update.table = all_fleet_tables.at(number_of(object, "table"));
     update.is_snapshot = object.at("whole").get<bool>();
-    update.changes.era = object.at("era").get<std::uint64_t>();
-    update.changes.version = object.at("version").get<row_version>();
-    update.digest = object.at("digest").get<std::uint64_t>();
-    update.age =
-        std::chrono::milliseconds(object.at("age_ms").get<std::int64_t>());
+    update.changes.era = number_of(object, "era");
+    update.changes.version = number_of(object, "version");
+    update.digest = number_of(object, "digest");
+    update.age = to_replica_age(number_of(object, "age_ms"));
     for (const nlohmann::json& row : object.at("rows"))
+    {
+        if (!row.at(2).is_number_unsigned())
+            throw std::invalid_argument("not the version of a row");
         update.changes.rows.push_back({row.at(0).get<std::string>(),
                                        row.at(1).get<std::string>(),
                                        row.at(2).get<row_version>()});
+    }
     update.changes.deleted =
         object.at("deleted").get<std::vector<std::string>>();
     return update;
--- a/modules/sharing/replication/fleet_replicas.hpp
+++ b/modules/sharing/replication/fleet_replicas.hpp
@@ -54,6 +54,10 @@
     std::chrono::milliseconds age{0};
 };
 
+/** Converts an age that another host has stated. Any longer age is as long as
+    that of a replica that was never current. */
+std::chrono::milliseconds to_replica_age(std::uint64_t milliseconds);
+
 /** Encodes updates as CBOR for another host. */
 std::string encode_updates(const std::vector<table_update>& updates);
 
--- a/modules/sharing/replication/fleet_replicas_test.cpp
+++ b/modules/sharing/replication/fleet_replicas_test.cpp
@@ -1,6 +1,7 @@
 #include "sharing/sharing.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace hibiscusferry;
 
@@ -31,6 +32,47 @@
     BOOST_TEST(replicas.age(fleet_table::targets, at(5300)).count() == 300);
 }
 
+// Guards against a replica that counts as current for ever.
+BOOST_AUTO_TEST_CASE(odd_numbers_of_another_host_have_no_effect)
+{
+    const auto decoded = [](const nlohmann::json& age_ms,
+                            const nlohmann::json& version,
+                            const nlohmann::json& row_version)
+    {
+        const std::vector<std::uint8_t> bytes =
+            nlohmann::json::to_cbor(nlohmann::json::array(
+                {{{"table", 1},
+                  {"whole", true},
+                  {"era", 0},
+                  {"version", version},
+                  {"digest", 0},
+                  {"age_ms", age_ms},
+                  {"rows", nlohmann::json::array({nlohmann::json::array(
+                               {"k", "v", row_version})})},
+                  {"deleted", nlohmann::json::array()}}}));
+        return decode_updates({bytes.begin(), bytes.end()});
+    };
+    BOOST_TEST(decoded(5U, 7U, 7U).value().front().age.count() == 5);
+    for (const std::uint64_t age_ms :
+         {std::uint64_t{1} << 62, std::uint64_t{1} << 63, UINT64_MAX})
+    {
+        const time_point now = at(5000);
+        fleet_replicas replicas(content_hash);
+        replicas.mark_current(fleet_table::targets,
+                              now -
+                                  decoded(age_ms, 7U, 7U).value().front().age);
+        BOOST_TEST(replicas.age(fleet_table::targets, now).count() > 100000);
+    }
+    for (const nlohmann::json& odd :
+         {nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json(1e300),
+          nlohmann::json("1"), nlohmann::json(nullptr)})
+    {
+        BOOST_TEST(!decoded(odd, 7U, 7U));
+        BOOST_TEST(!decoded(5U, odd, 7U));
+        BOOST_TEST(!decoded(5U, 7U, odd));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(updates_hold_only_new_changes_and_survive_encoding)
 {
     fleet_replicas replicas(content_hash);
