Remove a target at once when its row becomes unreadable

What callers saw: after an outage of the table service, requests still went to a target whose row no longer named a server to use.

Cause: such a row counted as missing. A missing row may have expired during the outage, so its target is kept for a grace period; an unreadable one was written.

Change: mark_unreadable() removes the target. A row that is mended adds it again.

Result: a_row_that_became_unreadable_has_no_grace_period (new; the former function returned no change there).

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -396,7 +396,7 @@
                                {{"row", row.key},
                                 {"version", std::to_string(row.version)},
                                 {"problem", record.error().message()}});
-        fleet_.apply(fleet_.catalogue().mark_unreadable(id_of(row.key), now),
+        fleet_.apply(fleet_.catalogue().mark_unreadable(id_of(row.key)),
                      source);
     }
     for (const std::string& key : changes.deleted)
--- a/modules/serving/catalogue/target_catalogue.cpp
+++ b/modules/serving/catalogue/target_catalogue.cpp
@@ -90,9 +90,12 @@
 }
 
 std::vector<target_change>
-target_catalogue::mark_unreadable(const std::string& id, time_point now)
+target_catalogue::mark_unreadable(const std::string& id)
 {
-    return remove(id, now);
+    std::vector<target_change> changes;
+    removal_times_.erase(id);
+    erase_target(id, changes);
+    return changes;
 }
 
 std::vector<target_change>
--- a/modules/serving/catalogue/target_catalogue.hpp
+++ b/modules/serving/catalogue/target_catalogue.hpp
@@ -58,9 +58,9 @@
     /** Applies the removal of a row. */
     std::vector<target_change> remove(const std::string& id, time_point now);
 
-    /** Treats a row that cannot be parsed as a target as removed. */
-    std::vector<target_change> mark_unreadable(const std::string& id,
-                                               time_point now);
+    /** Removes a target whose row cannot be parsed. The row exists, so unlike a
+        missing one it has not expired during an outage. */
+    std::vector<target_change> mark_unreadable(const std::string& id);
 
     /** Applies a consistent snapshot of all rows; targets without a row in it
         are treated as removed. */
--- a/modules/serving/catalogue/target_catalogue_test.cpp
+++ b/modules/serving/catalogue/target_catalogue_test.cpp
@@ -52,6 +52,26 @@
     BOOST_TEST(catalogue.targets().count("back") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_row_that_became_unreadable_has_no_grace_period)
+{
+    target_catalogue catalogue(grace_period);
+    catalogue.put(make_record("odd"));
+    catalogue.put(make_record("missing"));
+    catalogue.store_lost();
+    catalogue.store_recovered(at_ms(1000));
+    BOOST_TEST(catalogue.remove("odd", at_ms(1100)).empty());
+    BOOST_TEST(catalogue.remove("missing", at_ms(1100)).empty());
+    const std::vector<target_change> changes = catalogue.mark_unreadable("odd");
+    BOOST_REQUIRE(changes.size() == 1U);
+    BOOST_TEST((changes[0].type == target_change::kind::removed));
+    BOOST_TEST(catalogue.targets().count("odd") == 0U);
+    BOOST_TEST(catalogue.targets().count("missing") == 1U);
+    BOOST_TEST(catalogue.mark_unreadable("odd").empty());
+    BOOST_TEST(catalogue.put(make_record("odd")).size() == 1U);
+    BOOST_TEST(catalogue.tick(at_ms(60000)).size() == 1U);
+    BOOST_TEST(catalogue.targets().count("odd") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_software_version_is_reported)
 {
     target_catalogue catalogue(grace_period);
