Do not take a reset after a failed write for the end of a response

What callers saw: half of a body, signed and with status 200. A target that responds before it has read a long request, without a length, and resets the connection in the middle of its response. Cause: the write of the request fails because of the reset, and this consumes the error of the socket. The bytes that had arrived and an end of file are left to read, which completes a response without a length. A simulated socket need not behave so; a real one does. Change: http_connection counts such an end as a broken connection. Responses of known length are complete as before.

--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -149,11 +149,15 @@
     std::unique_ptr<request_serializer> serializer;
     bool is_reusable = true;
     bool is_head_request = false;
+    bool has_write_failed = false;
     int interim_responses = 0;
     std::optional<std::chrono::seconds> keep_alive_timeout;
 
     void begin_response();
     bool is_interim_response() const;
+    /** Whether the response has ended with its connection, which may have been
+        reset. */
+    bool has_ambiguous_end() const;
 };
 
 void http_connection::implementation::begin_response()
@@ -171,6 +175,12 @@
            beast_http::status_class::informational;
 }
 
+bool http_connection::implementation::has_ambiguous_end() const
+{
+    // A write that fails because of a reset consumes the error of the socket.
+    return has_write_failed && parser->need_eof() && parser->is_done();
+}
+
 http_connection::http_connection(std::unique_ptr<implementation> state)
     : implementation_(std::move(state))
 {
@@ -215,6 +225,7 @@
     message.prepare_payload();
 
     implementation_->is_head_request = request.method == "HEAD";
+    implementation_->has_write_failed = false;
     implementation_->interim_responses = 0;
     implementation_->begin_response();
     implementation_->message = std::move(message);
@@ -238,6 +249,7 @@
         return make_error_code(http_error::timed_out);
     implementation_->serializer = nullptr;
     implementation_->message = {};
+    implementation_->has_write_failed = static_cast<bool>(error);
     if (error)
         return limit.to_error(error);
     return outcome::success();
@@ -308,6 +320,8 @@
             return limit.to_error(error);
         chunk.resize(chunk.size() - parser.get().body().size);
     }
+    if (chunk.empty() && implementation_->has_ambiguous_end())
+        return make_error_code(http_error::broken);
     if (parser.is_done())
         implementation_->is_reusable =
             parser.keep_alive() && implementation_->buffer.size() == 0;
