Keep the interval between polls of the targets exact

Cause: since a request may wait for a new list, a relay looked every 50 ms whether to read the targets, so that its polls came up to 50 ms late. Change: it sleeps until the next poll if that comes sooner. Result: gateway_test passes.

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -181,16 +181,25 @@
     return ages[static_cast<std::size_t>(table)];
 }
 
-bool state_follower::is_store_read_due(fleet_table table) const
+std::chrono::nanoseconds
+state_follower::time_to_store_read(fleet_table table) const
 {
     const time_point now = core_.now();
-    if (table == fleet_table::targets && fleet_.target_list().is_awaited())
-        return now >= targets_read_at_ + min_target_read_interval();
-    const bool is_polled =
-        is_relay_ || replicas_.age(table, now) > max_age(table);
-    const bool is_too_soon = table == fleet_table::targets &&
-                             now < targets_read_at_ + target_poll_interval();
-    return is_polled && !is_too_soon;
+    const bool is_target_table = table == fleet_table::targets;
+    const bool is_awaited =
+        is_target_table && fleet_.target_list().is_awaited();
+    const bool is_due =
+        is_relay_ || is_awaited || replicas_.age(table, now) > max_age(table);
+    if (!is_due)
+        return due_check_period;
+    if (!is_target_table)
+        return std::chrono::nanoseconds(0);
+    const time_point next_read_at =
+        targets_read_at_ +
+        (is_awaited ? min_target_read_interval() : target_poll_interval());
+    // A request may begin to wait in the meantime.
+    return std::min<std::chrono::nanoseconds>(next_read_at - now,
+                                              due_check_period);
 }
 
 void state_follower::follow(fleet_table table, boost::asio::yield_context yield)
@@ -198,9 +207,10 @@
     bool was_wait_ended = false;
     while (!is_stopping_)
     {
-        if (!is_store_read_due(table))
+        const std::chrono::nanoseconds time_to_read = time_to_store_read(table);
+        if (time_to_read > std::chrono::nanoseconds(0))
         {
-            sleep_for(core_.context(), due_check_period, yield);
+            sleep_for(core_.context(), time_to_read, yield);
             continue;
         }
         if (table == fleet_table::targets)
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -67,7 +67,9 @@
         @returns whether a change has ended the wait */
     result<bool> read(fleet_table table, std::chrono::milliseconds wait,
                       boost::asio::yield_context yield);
-    bool is_store_read_due(fleet_table table) const;
+    /** Time until this host should read the table, or check again whether it
+        should; not positive if it should now. */
+    std::chrono::nanoseconds time_to_store_read(fleet_table table) const;
     std::string store_table(fleet_table table) const;
     std::chrono::milliseconds max_age(fleet_table table) const;
     std::chrono::milliseconds max_wait(fleet_table table) const;
