Record the version of a stream for each request that takes it up

What callers saw: a stream that was broken off twice was refused with unknown_stream_version at its second resumption, and so was one that had broken before its first event, though targets of every version were there. Cause: a resumption recorded no version, neither under its own id nor, if the version had been inferred, under the id of the first request. A request that names an earlier one, but no event, counted as the resumption of a stream whose version must be known. Evidence: stream_version_test on the code before: "a_second_resumption_may_name_the_first_resumption: check response.value().status == 200U has failed [503 != 200]", and the same in a_version_that_was_inferred_is_recorded_for_the_first_request and a_stream_that_broke_before_its_first_event_begins_anew. Without a record, and without an event at the caller, a stream may begin at any version. Result: stream_version_test passes.

--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -129,7 +129,8 @@
         that causes work for others. */
     bool has_caller_left();
 
-    /** Whether the caller resumes a stream that an earlier request began. */
+    /** Whether the caller resumes a stream, or repeats an earlier request of
+        which it has received no event. */
     bool is_resumption() const;
 
     /** Whether another target can continue what the caller has received of the
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -172,7 +172,10 @@
 
 void request_forwarder::log_resumption()
 {
-    if (!context_.is_resumption() && !context_.has_stream_started)
+    // A request that resumes a stream before its first event begins it.
+    const bool is_resumption =
+        context_.is_resumption() && context_.stream_software_version;
+    if (!is_resumption && !context_.has_stream_started)
         return;
     std::vector<event_field> event_fields = fields();
     event_fields.push_back({"after_event", context_.progress.last_event_id()});
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -192,9 +192,8 @@
 
 void request_forwarder::record_stream_version(const target_attempt& current)
 {
-    if (context_.is_resumption())
-        return;
-    context_.stream_software_version = current.software_version;
+    if (!context_.stream_software_version)
+        context_.stream_software_version = current.software_version;
     if (!context_.matched_route->is_resumable)
         return;
     // The caller may resume the stream until its own time limit, which may be
@@ -204,6 +203,11 @@
         context_.request.time_left.value_or(std::chrono::milliseconds(0)));
     services_.versions.record(context_.request.id, current.software_version,
                               2 * time_limit);
+    // The next resumption names this request or the first one.
+    const bool is_first_recorded = context_.stream_version_source == "recorded";
+    if (!is_first_recorded)
+        services_.versions.record(context_.request.resumed_request_id,
+                                  current.software_version, 2 * time_limit);
 }
 
 bool request_forwarder::begin_stream(const target_attempt& current,
--- a/modules/gateway/request/request_forwarder_resumptions.cpp
+++ b/modules/gateway/request/request_forwarder_resumptions.cpp
@@ -39,14 +39,20 @@
             std::min(stream_versions::max_find_time,
                      context_.time_left(services_.core.now())),
             yield);
-    context_.stream_version_source =
-        version ? "recorded" : infer_stream_version(begun_by, version, yield);
+    if (version)
+        context_.stream_version_source = "recorded";
+    else if (context_.request.resume_after.empty())
+        context_.stream_version_source = "not_begun";
+    else
+        context_.stream_version_source =
+            infer_stream_version(begun_by, version, yield);
     context_.stream_software_version = version;
     services_.core.metrics()
         .counter_of("hibiscusferry_stream_resumptions_total",
                     "version=\"" + context_.stream_version_source + "\"")
         .add();
-    if (version || context_.is_caller_disconnected)
+    const bool has_begun = !context_.request.resume_after.empty();
+    if (version || !has_begun || context_.is_caller_disconnected)
         return true;
     refuse(refusal_cause::unknown_stream_version,
            context_.stream_version_source == "unconfirmed" ? other_host_backlog
--- a/modules/gateway/streams/stream_versions.hpp
+++ b/modules/gateway/streams/stream_versions.hpp
@@ -22,7 +22,8 @@
     /** Records the version of a stream. To be called before the first event is
         forwarded to the caller, so that the record precedes any request to
         resume the stream. Does not wait.
-        @param request_id  the id of the caller's request; must not be empty
+        @param request_id  the id of the caller's request; an empty one is not
+                           recorded
         @param version     may be empty
         @param lifetime    how long the stream may be resumed */
     virtual void record(const std::string& request_id,
