Infer no version across a change of time limit

What callers saw: nothing known. A stream could be taken up at another software version after a release, if its time limit had been longer before, or if the caller had more time than the route gives. Cause: the only version was that of the last seconds according to the time limit of the route at the host that resumes. A stream may have begun under the limit of an earlier configuration. Evidence: stream_version_test on the code before: "an_unknown_stream_is_refused_after_a_change_of_time_limit: check response.value().status == 503U has failed [200 != 503]", and the same in an_unknown_stream_is_refused_for_a_caller_with_a_longer_time_limit. Change: the time covers the limits of all configurations with which a stream may still run, and the time that the caller has left. Result: stream_version_test passes.

--- a/modules/gateway/request/request_forwarder_resumptions.cpp
+++ b/modules/gateway/request/request_forwarder_resumptions.cpp
@@ -68,8 +68,11 @@
 {
     const software_version_history& versions =
         services_.fleet.software_versions();
-    const std::chrono::milliseconds duration =
-        context_.matched_route->time_limit;
+    // Another host, or the caller, may have had a longer time limit.
+    const std::chrono::milliseconds duration = std::max(
+        services_.fleet.longest_time_limit(context_.request.host,
+                                           context_.request.message.path()),
+        context_.request.time_left.value_or(std::chrono::milliseconds(0)));
     if (!versions.expected_version(context_.service, duration, begun_by))
         return "unknown";
     const time_point now = services_.core.now();
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/state/fleet_state.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace hibiscusferry
@@ -74,9 +75,51 @@
           routes_ ? std::to_string(routes_->configuration().version) : "none"},
          {"routes", std::to_string(configuration.routes.size())},
          {"source", source}});
+    retire_routes();
     routes_ = std::make_shared<const route_table>(std::move(configuration));
 }
 
+void fleet_state::retire_routes()
+{
+    const time_point now = core_.now();
+    former_routes_.erase(
+        std::remove_if(former_routes_.begin(), former_routes_.end(),
+                       [now](const former_routes& former)
+                       { return former.last_stream_ends_at < now; }),
+        former_routes_.end());
+    if (!routes_)
+        return;
+    std::chrono::milliseconds time_limit{0};
+    for (const route& entry : routes_->configuration().routes)
+    {
+        if (entry.is_resumable)
+            time_limit = std::max(time_limit, entry.time_limit);
+    }
+    former_routes_.push_back(
+        {routes_, now + settings_.max_configuration_delay + time_limit});
+}
+
+std::chrono::milliseconds
+fleet_state::longest_time_limit(std::string_view host,
+                                std::string_view path) const
+{
+    std::chrono::milliseconds longest{0};
+    const auto add = [&](const route_table& routes)
+    {
+        const route* const match = routes.find(host, path);
+        if (match != nullptr)
+            longest = std::max(longest, match->time_limit);
+    };
+    if (routes_)
+        add(*routes_);
+    for (const former_routes& former : former_routes_)
+    {
+        if (core_.now() <= former.last_stream_ends_at)
+            add(*former.routes);
+    }
+    return longest;
+}
+
 target_registry& fleet_state::registry()
 {
     return registry_;
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace hibiscusferry
 {
@@ -38,6 +40,11 @@
     void update_configuration(fleet_configuration configuration,
                               const std::string& source);
 
+    /** The longest time limit that a path may have had at any host when a
+        stream that may still be resumed began; zero if no route matches. */
+    std::chrono::milliseconds longest_time_limit(std::string_view host,
+                                                 std::string_view path) const;
+
     // =================================================================
     // Targets
 
@@ -114,12 +121,23 @@
     void set_live_hosts(std::size_t hosts);
 
 private:
+    /** Routes that were in force. */
+    struct former_routes
+    {
+        std::shared_ptr<const route_table> routes;
+        /** When the last stream that began with them has ended. */
+        time_point last_stream_ends_at;
+    };
+
+    /** Keeps the routes in force, which are about to be replaced. */
+    void retire_routes();
     void log_request_limit(const target_view& target,
                            const std::string& source);
 
     process_core& core_;
     host_settings settings_;
     std::shared_ptr<const route_table> routes_;
+    std::vector<former_routes> former_routes_;
     target_catalogue catalogue_;
     target_registry registry_;
     software_version_history software_versions_;
