Observe the versions anew after the store was restored

What callers saw: nothing known. Cause: a store that came back from a copy has lost the rows of targets that joined last. A host that had not seen them before took its list for complete, while streams had begun there. Evidence: state_follower_test on the code before: "a_restored_store_starts_the_observation_of_versions_anew: check known_version() == "none" has failed [v1 != none]". Change: a new era of the targets starts the observation of versions anew. Result: gateway_test passes.

--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -146,6 +146,11 @@
     target_list_.confirm(as_of);
 }
 
+void fleet_state::mark_target_list_restored()
+{
+    software_versions_.restart_observation();
+}
+
 target_list_confirmation& fleet_state::target_list()
 {
     return target_list_;
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -58,6 +58,10 @@
     /** Records that the list of targets was complete at a time. */
     void confirm_target_list(time_point as_of);
 
+    /** Records that the table service has lost some of the rows of targets that
+        it had. */
+    void mark_target_list_restored();
+
     /** Lets requests wait for a confirmation of the list of targets. */
     target_list_confirmation& target_list();
 
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -332,8 +332,10 @@
     // A snapshot from a relay that is behind would undo later changes.
     if (update.is_snapshot && update.changes.position() < replica.as_of())
         return false;
-    if (update.is_snapshot && replica.as_of().version > 0 &&
-        update.changes.era > replica.as_of().era)
+    const bool is_restored = update.is_snapshot &&
+                             replica.as_of().version > 0 &&
+                             update.changes.era > replica.as_of().era;
+    if (is_restored)
         core_.journal().record(
             event_number::store_restored,
             {{"table", std::string(to_text(update.table))},
@@ -341,6 +343,8 @@
              {"version", std::to_string(update.changes.version)},
              {"version_before", std::to_string(replica.as_of().version)},
              {"source", source}});
+    if (is_restored && update.table == fleet_table::targets)
+        fleet_.mark_target_list_restored();
     if (update.is_snapshot)
         core_.journal().record(
             event_number::snapshot_taken,
--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -81,6 +81,13 @@
             changes.version = version;
     }
 
+    /** Enters a new era. */
+    void restore()
+    {
+        for (auto& [name, changes] : tables)
+            ++changes.era;
+    }
+
     std::map<std::string, table_changes> tables;
     /** When each table was last asked for, and when the store read it. */
     std::map<std::string, time_point> asked_at;
@@ -298,6 +305,15 @@
                    });
     }
 
+    /** The only version of a stream that has just begun when the list was last
+        confirmed. */
+    std::string known_version() const
+    {
+        return fleet.software_versions()
+            .only_version("llm", milliseconds(0), confirmed_at())
+            .value_or("none");
+    }
+
     time_point confirmed_at() const
     {
         return fleet.software_versions().list_confirmed_at().value();
@@ -396,6 +412,20 @@
     BOOST_TEST((confirmed_at() > confirmed_before));
 }
 
+// Another host may know a target whose row the store has lost.
+BOOST_AUTO_TEST_CASE(a_restored_store_starts_the_observation_of_versions_anew)
+{
+    start();
+    run(milliseconds(2600));
+    BOOST_TEST(known_version() == "v1");
+    feed.restore();
+    run(milliseconds(1000));
+    BOOST_REQUIRE(follower.replicas().era() == 1U);
+    BOOST_TEST(known_version() == "none");
+    run(milliseconds(2500));
+    BOOST_TEST(known_version() == "v1");
+}
+
 // ========================================================================
 // Requests that wait for a new list
 
--- a/modules/serving/catalogue/software_version_history.cpp
+++ b/modules/serving/catalogue/software_version_history.cpp
@@ -46,6 +46,12 @@
     list_confirmed_at_ = std::max(list_confirmed_at_, as_of);
 }
 
+void software_version_history::restart_observation()
+{
+    observed_since_.reset();
+    list_confirmed_at_ = {};
+}
+
 std::optional<time_point> software_version_history::list_confirmed_at() const
 {
     return observed_since_ ? std::optional(list_confirmed_at_) : std::nullopt;
--- a/modules/serving/catalogue/software_version_history.hpp
+++ b/modules/serving/catalogue/software_version_history.hpp
@@ -32,6 +32,9 @@
     /** Records that the list of targets was complete at a time. */
     void confirm_list(time_point as_of);
 
+    /** Starts the observation anew: targets may be missing from the list. */
+    void restart_observation();
+
     /** The time as of which the list of targets was last known to be complete;
         none if it never was. */
     std::optional<time_point> list_confirmed_at() const;
