Test that a restored store brings back no old configuration

Cause: whether a configuration can go back within one run of a process was only tested for a store that loses nothing. Change: a test with a store that comes back from a copy. Result: gateway_test passes; no fault found.

--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -426,6 +426,23 @@
     BOOST_TEST(known_version() == "v1");
 }
 
+BOOST_AUTO_TEST_CASE(a_restored_store_does_not_bring_back_an_old_configuration)
+{
+    start();
+    run(milliseconds(300));
+    feed.put("operator/configuration", "7");
+    run(milliseconds(300));
+    BOOST_REQUIRE(fleet.routes()->configuration().version == 7U);
+    feed.tables["operator"].rows.pop_back();
+    feed.restore();
+    run(milliseconds(1500));
+    BOOST_REQUIRE(follower.replicas().era() == 1U);
+    BOOST_TEST(fleet.routes()->configuration().version == 7U);
+    feed.put("operator/configuration", "8");
+    run(milliseconds(300));
+    BOOST_TEST(fleet.routes()->configuration().version == 8U);
+}
+
 // ========================================================================
 // Requests that wait for a new list
 
