Send no body in the response to a HEAD request

What callers saw: the bytes of the body where the next response on the connection was expected.

Cause: the server wrote the body, or the chunks, of each response, whatever the method of the request.

Evidence, on the code before: response_to_head_request_has_no_body: check connection->is_reusable() has failed; critical check head has failed (the head of the next response).

Measured: http_test: no errors detected.

--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -93,7 +93,13 @@
 
     boost::system::error_code error;
     connection_.stream.expires_after(connection_.limits.write_timeout);
-    beast_http::async_write(connection_.stream, message, yield[error]);
+    beast_http::response_serializer<beast_http::string_body> serializer(
+        message);
+    if (is_head_request())
+        beast_http::async_write_header(connection_.stream, serializer,
+                                       yield[error]);
+    else
+        beast_http::async_write(connection_.stream, serializer, yield[error]);
     is_complete_ = !error;
     return check_write(error);
 }
@@ -124,7 +130,7 @@
 result<void> server_exchange::write_chunk(std::string_view chunk,
                                           boost::asio::yield_context yield)
 {
-    if (chunk.empty())
+    if (chunk.empty() || is_head_request())
         return outcome::success();
     boost::system::error_code error;
     connection_.stream.expires_after(connection_.limits.write_timeout);
@@ -139,8 +145,9 @@
 {
     boost::system::error_code error;
     connection_.stream.expires_after(connection_.limits.write_timeout);
-    boost::asio::async_write(connection_.stream, beast_http::make_chunk_last(),
-                             yield[error]);
+    if (!is_head_request())
+        boost::asio::async_write(connection_.stream,
+                                 beast_http::make_chunk_last(), yield[error]);
     is_complete_ = !error;
     return check_write(error);
 }
@@ -196,6 +203,11 @@
     return write_error_;
 }
 
+bool server_exchange::is_head_request() const
+{
+    return request_.method == "HEAD";
+}
+
 bool server_exchange::is_complete() const
 {
     return is_complete_;
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -188,6 +188,35 @@
                     });
 }
 
+// The bytes of a body would be taken for the next response.
+BOOST_AUTO_TEST_CASE(response_to_head_request_has_no_body)
+{
+    run_with_server(
+        {},
+        [](boost::asio::io_context& context, const http_endpoint& endpoint,
+           yield_context yield)
+        {
+            const std::unique_ptr<http_connection> connection = std::move(
+                http_connection::connect(context, endpoint, call_timeout, yield)
+                    .value());
+            for (const char* path : {"/stream", "/echo", "/stream"})
+            {
+                http_request head_request{"HEAD", path};
+                head_request.body = "body";
+                connection->send(head_request, call_timeout, yield).value();
+                const result<http_response_head> head =
+                    connection->read_head(call_timeout, yield);
+                BOOST_REQUIRE(head);
+                BOOST_TEST(head.value().status == 200U);
+                BOOST_TEST(
+                    connection->read_some(call_timeout, yield).value().empty());
+                BOOST_TEST(connection->is_reusable());
+                sleep_for(context, std::chrono::milliseconds(20), yield);
+                BOOST_TEST(connection->is_open_and_idle());
+            }
+        });
+}
+
 // connect_failed tells callers that nothing was sent, so that they may retry
 // a request that is not idempotent.
 BOOST_AUTO_TEST_CASE(missing_listener_is_reported_as_connect_failed)
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -87,6 +87,8 @@
     };
 
     result<void> check_write(const boost::system::error_code& error);
+    /** The response to such a request has no body. */
+    bool is_head_request() const;
 
     server_connection& connection_;
     http_request request_;
