Do not complete a stream whose continuation only repeats events

What callers saw: by review, a stream of which the rest was missing ended as complete, when the target that was to continue it began again and ended before the last event that the caller had. Cause: events that the caller has are left out, and a continuation without further events was taken for the empty rest of a complete stream. Change: a response that repeats events has to reach the last one before it may end; otherwise it is broken as any other that does not continue the stream. Result: continuation_that_only_repeats_events_is_not_complete, before the change: check receive("/resume/x") == events(1, 3) + "!" has failed.

--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -171,7 +171,7 @@
     const bool is_empty =
         !context_.has_stream_started && !context_.is_resumption();
     if (current.parser.is_within_event() || is_empty ||
-        !current.upstream.confirm_end(yield))
+        !context_.progress.may_end() || !current.upstream.confirm_end(yield))
         return handle_stream_failure(
             current, make_error_code(http_error::broken), yield);
     if (!begin_stream(current, yield) ||
--- a/modules/gateway/streams/stream_progress.cpp
+++ b/modules/gateway/streams/stream_progress.cpp
@@ -80,6 +80,11 @@
                                                  : placement::unknown;
 }
 
+bool stream_progress::may_end() const
+{
+    return !has_repeated_ || has_followed_;
+}
+
 bool stream_progress::is_after_gap(std::uint64_t id) const
 {
     // A single id does not show what the ids count.
--- a/modules/gateway/streams/stream_progress.hpp
+++ b/modules/gateway/streams/stream_progress.hpp
@@ -49,6 +49,10 @@
     /** Places the next event of the response. */
     placement place(const server_sent_event& event);
 
+    /** Whether the response of a target may end here: not if it has repeated
+        events that the caller has, but not reached the last one. */
+    bool may_end() const;
+
     /** Records that an event was sent to the caller. */
     void advance(const server_sent_event& event);
 
