Do not join a resumption at a target that begins again

What callers saw: by review, a caller that resumed its stream at a target that does not honour Last-Event-Id got the rest of another run. Cause: events up to the position of the caller were left out and the following ones sent. A target that begins again runs the request anew, and its text need not follow what the caller has; here it cannot be compared. Change: such a target is left as one that broke off, as within a response, and another one may be tried.

--- a/modules/gateway/streams/stream_progress.cpp
+++ b/modules/gateway/streams/stream_progress.cpp
@@ -64,7 +64,7 @@
 {
     const std::optional<std::uint64_t> number = number_of(event.id);
     if (kind_ == response_kind::resumption)
-        return number && number <= highest_id_ ? placement::repeated
+        return number && number <= highest_id_ ? placement::unknown
                                                : placement::next;
     if (!number)
         return placement::unknown;
