Limit the reads for waiting resumptions to a share of what the store takes

Cause: while resumptions wait for a new list of targets, a host read the table at an interval of 1 ms for each host of the fleet, which is a share of the rate of one deployment, and without that bound after a read that was refused. Change: the interval follows from the read calls per second in the settings, and holds after a failed read.

--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -23,6 +23,8 @@
     http_endpoint readiness;
     /** The address of the table service. */
     http_endpoint table_service;
+    /** Read calls per second that the table service takes from all hosts. */
+    double table_reads_per_second = 2000;
     /** CPU capacity of the host, in cores. */
     double processor_cores = 1;
     /** Memory limit of the process. */
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -19,10 +19,9 @@
     because they change with every heartbeat. */
 constexpr int target_poll_percent = 42;
 constexpr int max_target_age_percent = 58;
-/** Interval between reads of the target rows while requests wait for them. It
-    grows with the number of hosts, so that all hosts together read the table at
-    most a thousand times a second. */
-constexpr std::chrono::milliseconds target_read_interval_per_host{1};
+/** Percentage of the reads that the table service takes from all hosts, to
+   which reads of the target rows are limited while requests wait for them. */
+constexpr double awaited_read_percent = 50;
 /** The host table rarely changes, and no guarantee depends on how fast a change
     is seen. */
 constexpr std::chrono::milliseconds host_table_wait{3000};
@@ -224,7 +223,10 @@
         if (!read_result)
         {
             monitor_.record_failure(read_result.error());
-            if (table == fleet_table::targets)
+            // Reads for waiting requests stay bounded, also while the table
+            // service refuses them.
+            const bool is_bounded = fleet_.target_list().is_awaited();
+            if (table == fleet_table::targets && !is_bounded)
                 targets_read_at_ = {};
             sleep_for(core_.context(), retry_interval, yield);
             continue;
@@ -236,9 +238,12 @@
 
 std::chrono::milliseconds state_follower::min_target_read_interval() const
 {
-    return std::max<std::chrono::milliseconds>(
-        due_check_period, target_read_interval_per_host *
-                              static_cast<std::int64_t>(fleet_.live_hosts()));
+    const double reads_per_second =
+        fleet_.settings().table_reads_per_second * awaited_read_percent / 100;
+    const std::chrono::duration<double> interval(
+        static_cast<double>(fleet_.live_hosts()) / reads_per_second);
+    return std::max(due_check_period,
+                    std::chrono::ceil<std::chrono::milliseconds>(interval));
 }
 
 std::chrono::milliseconds state_follower::target_poll_interval() const
