--- a/modules/gateway/state/host_directory.cpp
+++ b/modules/gateway/state/host_directory.cpp
@@ -95,6 +95,9 @@
             is_unchanged ? previous->second.received_at : now};
     }
     entries_ = std::move(entries);
+    addresses_.clear();
+    for (const auto& [host, entry] : entries_)
+        addresses_.insert(entry.host.address);
     ++revision_;
 }
 
@@ -104,11 +107,9 @@
     return match == entries_.end() ? nullptr : &match->second.host;
 }
 
-bool host_directory::has_address(const std::string& address) const
+const std::set<std::string>& host_directory::addresses() const
 {
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [&address](const auto& entry)
-                       { return entry.second.host.address == address; });
+    return addresses_;
 }
 
 std::size_t host_directory::serving_host_count() const
--- a/modules/gateway/state/host_directory.hpp
+++ b/modules/gateway/state/host_directory.hpp
@@ -50,8 +50,8 @@
     /** The host of that name, or null. */
     const host_record* find(const std::string& host) const;
 
-    /** Whether a host has that address. */
-    bool has_address(const std::string& address) const;
+    /** The addresses of all hosts. */
+    const std::set<std::string>& addresses() const;
 
     /** The number of hosts that serve callers, over all zones. */
     std::size_t serving_host_count() const;
@@ -90,6 +90,7 @@
 
     /** By the name of the host. */
     std::map<std::string, host_entry> entries_;
+    std::set<std::string> addresses_;
     std::uint64_t revision_ = 0;
 };
 
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -437,9 +437,10 @@
     const bool has_listener_port = endpoint.port == settings.callers.port ||
                                    endpoint.port == settings.readiness.port ||
                                    endpoint.port == settings.peer_port;
-    return has_listener_port && (endpoint.address == settings.address ||
-                                 endpoint.address == settings.callers.address ||
-                                 directory_.has_address(endpoint.address));
+    return has_listener_port &&
+           (endpoint.address == settings.address ||
+            endpoint.address == settings.callers.address ||
+            directory_.addresses().count(endpoint.address) > 0);
 }
 
 void state_follower::apply_targets_at_hosts(const std::string& source)
@@ -460,11 +461,13 @@
 void state_follower::apply_hosts(const table_changes&,
                                  const std::string& source)
 {
+    const std::set<std::string> former_addresses = directory_.addresses();
     directory_.set_rows(replicas_.replica(fleet_table::hosts).rows(),
                         core_.now());
     fleet_.set_live_hosts(
         std::max<std::size_t>(directory_.serving_host_count(), 1));
-    apply_targets_at_hosts(source);
+    if (directory_.addresses() != former_addresses)
+        apply_targets_at_hosts(source);
 }
 
 // ========================================================================
