Take only a refused connection for the end of a target

Cause: whether a response without a length is complete was decided by a new connection to its target. One that could not be established in time counted like a refused one, so that the whole response of a target that was too busy to accept was not passed on (found by review). Change: http_connection tells a refused connection from others that fail. Calls report both as connect_failed, as before. Result: unframed_body_of_a_busy_target_is_complete, before the change: check receive("/once/x") == "whole body." has failed [502 {"error":"outcome_unknown"}. != whole body.].

--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -394,10 +394,10 @@
     // The connection is not lost: the next request to the target needs a new
     // one in any case.
     result<std::unique_ptr<http_connection>> opened = open_connection(yield);
-    if (!opened)
-        return false;
-    services_.core.connections().release(std::move(opened.value()));
-    return true;
+    if (opened)
+        services_.core.connections().release(std::move(opened.value()));
+    // A target that is busy accepts no connection in time.
+    return opened || opened.error() != http_error::connection_refused;
 }
 
 bool target_exchange::reserve_memory(std::size_t bytes)
--- a/modules/http/client/http_call.cpp
+++ b/modules/http/client/http_call.cpp
@@ -25,7 +25,9 @@
                                boost::asio::yield_context yield)
 {
     if (!opened)
-        return opened.error();
+        return opened.error() == http_error::connection_refused
+                   ? make_error_code(http_error::connect_failed)
+                   : opened.error();
     std::unique_ptr<http_connection> connection = std::move(opened.value());
 
     const result<void> sent =
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -202,6 +202,8 @@
     boost::system::error_code error;
     state->stream.expires_after(timeout);
     state->stream.async_connect(address.value(), yield[error]);
+    if (error == boost::asio::error::connection_refused)
+        return make_error_code(http_error::connection_refused);
     if (error)
         return make_error_code(http_error::connect_failed);
     set_socket_options(state->stream.socket());
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -25,9 +25,10 @@
 public:
     /** Opens a connection.
 
-        @returns the connection, or http_error::connect_failed if it could
-                 not be established within the timeout; nothing has been
-                 sent in that case
+        @returns the connection, http_error::connection_refused if nothing
+                 listens at the endpoint, or http_error::connect_failed if it
+                 could not be established for another reason or within the
+                 timeout; nothing has been sent in these cases
     */
     static result<std::unique_ptr<http_connection>>
     connect(boost::asio::io_context& context, const http_endpoint& endpoint,
--- a/modules/http/errors/http_error.cpp
+++ b/modules/http/errors/http_error.cpp
@@ -34,6 +34,8 @@
             return "address is invalid or not available";
         case http_error::not_open:
             return "no exchange is in progress";
+        case http_error::connection_refused:
+            return "connection refused";
         }
         return "unknown http error";
     }
--- a/modules/http/errors/http_error.hpp
+++ b/modules/http/errors/http_error.hpp
@@ -15,7 +15,8 @@
     bad_message,        ///< the received bytes are not a valid HTTP message
     too_large,          ///< the header or body exceeds its size limit
     bad_address,        ///< not an IP address, or not available to listen on
-    not_open            ///< no exchange is in progress
+    not_open,           ///< no exchange is in progress
+    connection_refused  ///< nothing listens at the address; nothing was sent
 };
 
 const std::error_category& http_error_category();
