Reset the connections of soak targets that end behind a proxy

Cause: a proxy goes on accepting for a target that has ended, which no process does; an abrupt end behind it looked like that of a running one. Change: the proxy resets what it forwarded.

--- a/extras/soak/soak_target.cpp
+++ b/extras/soak/soak_target.cpp
@@ -99,8 +99,7 @@
     expired_row_ = life_->id;
     row_expires_ms_ = unix_ms() + 3 * heartbeat_ms;
     surroundings_.record.add("target " + life_->id + " crashes");
-    // Behind a proxy the port does not refuse connections.
-    end(resets || registered_port_ != port_);
+    end(resets);
 }
 
 void soak_target::drain()
@@ -116,7 +115,7 @@
 void soak_target::leave()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!life_)
+    if (!life_ || state_ != "draining")
         return;
     surroundings_.store.remove("servers", life_->id);
     surroundings_.record.add("target " + life_->id + " has left");
@@ -125,11 +124,14 @@
 
 void soak_target::end(bool resets)
 {
-    life_->resets = resets;
+    // Behind a proxy the port does not refuse connections afterwards, so that
+    // nothing would tell the end of the process from that of a response.
+    const bool is_reset = resets || registered_port_ != port_;
+    life_->resets = is_reset;
     life_->is_running = false;
     life_.reset();
     listener_.reset();
-    if (resets)
+    if (is_reset)
         return;
     // The threads of the connections may be asleep.
     for (const int descriptor : descriptors_)
--- a/extras/soak/target_exchange.cpp
+++ b/extras/soak/target_exchange.cpp
@@ -71,7 +71,10 @@
                               !is_stream() &&
                               head_.content_length() > large_body_bytes;
     if (may_be_early && random_.chance(0.5))
+    {
+        surroundings_.ledger.note(id_, "meets early at " + life_.id);
         return &target_exchange::answer_early;
+    }
     int draw = random_.between(0, 999);
     for (const behaviour& candidate : behaviours())
     {
@@ -330,12 +333,14 @@
 
 bool target_exchange::contradict()
 {
+    response_plan plan;
+    plan.fields = "X-Not-Executed: 1\r\n";
     if (!read_body())
         return false;
+    if (random_.chance(0.5))
+        return respond(plan);
     run();
-    return peer_.write(message(random_.chance(0.5) ? 200 : 504,
-                               "X-Not-Executed: 1\r\n" + response_fields(),
-                               body_text()));
+    return peer_.write(message(504, plan.fields + response_fields(), "failed"));
 }
 
 // ========================================================================
