--- a/modules/sharing/message/sharing_message.cpp
+++ b/modules/sharing/message/sharing_message.cpp
@@ -3,6 +3,7 @@
 #include "sharing/message/nested_cbor.hpp"
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <stdexcept>
 
 namespace hibiscusferry
@@ -118,7 +119,8 @@
         for (const step_observations& step : steps)
         {
             for (const double sum : to_array(step))
-                numbers.push_back(static_cast<float>(sum));
+                numbers.push_back(static_cast<float>(
+                    std::min<double>(sum, std::numeric_limits<float>::max())));
         }
         services.push_back(std::move(numbers));
     }
