--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -239,7 +239,8 @@
 std::chrono::milliseconds state_follower::min_target_read_interval() const
 {
     const double reads_per_second =
-        fleet_.settings().table_reads_per_second * awaited_read_percent / 100;
+        std::max(1.0, fleet_.settings().table_reads_per_second *
+                          awaited_read_percent / 100);
     const std::chrono::duration<double> interval(
         static_cast<double>(fleet_.live_hosts()) / reads_per_second);
     return std::max(due_check_period,
@@ -248,14 +249,18 @@
 
 std::chrono::milliseconds state_follower::target_poll_interval() const
 {
-    return target_poll_percent * fleet_.settings().target_drain_time / 100;
+    return std::max<std::chrono::milliseconds>(
+        due_check_period,
+        target_poll_percent * fleet_.settings().target_drain_time / 100);
 }
 
 std::chrono::milliseconds state_follower::max_wait(fleet_table table) const
 {
     const std::array<std::chrono::milliseconds, fleet_table_count> waits{
-        configuration_wait_percent * fleet_.settings().max_configuration_delay /
-            100,
+        std::max<std::chrono::milliseconds>(
+            due_check_period, configuration_wait_percent *
+                                  fleet_.settings().max_configuration_delay /
+                                  100),
         std::chrono::milliseconds(0), host_table_wait};
     return waits[static_cast<std::size_t>(table)];
 }
