Drop the disconnect handler when the request handler ends

What callers saw: nothing measured; found by reading the code. After a request handler has thrown, its state is destroyed, but the handler it had set for a disconnect could still be called while the response 500 was written.

Change: the server drops that handler when the request handler ends in any way. As it may be dropped while it runs, it is moved out of its place before it is called.

disconnect_handler_is_dropped_when_the_request_handler_ends, before the change: check state_of_watch.expired() has failed (twice: after an exception and after a return without a response) After it: http_test, 26 test cases, no errors detected.

--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -183,11 +183,21 @@
         {
             if (error || watch->exchange == nullptr || !watch->handler)
                 return;
-            if (watch->exchange->is_client_disconnected())
-                watch->handler();
+            if (!watch->exchange->is_client_disconnected())
+                return;
+            // It may be dropped while it runs.
+            const std::function<void()> moved_handler =
+                std::move(watch->handler);
+            moved_handler();
         });
 }
 
+void server_exchange::drop_disconnect_handler()
+{
+    if (watch_)
+        watch_->handler = nullptr;
+}
+
 void server_exchange::close_after_response()
 {
     keeps_alive_ = false;
--- a/modules/http/server/http_exchange.hpp
+++ b/modules/http/server/http_exchange.hpp
@@ -61,7 +61,7 @@
     virtual bool is_client_disconnected() = 0;
 
     /** Sets a handler that is called once if the client closes the connection
-        before the exchange ends.
+        before the request handler ends.
 
         The handler is never called from within this function. Once the client
         has sent its next request, a disconnect is no longer detected.
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -38,6 +38,28 @@
     std::size_t& count_;
 };
 
+/** Drops the disconnect handler of an exchange when its request handler ends,
+    including by an exception. */
+class request_handler_scope
+{
+public:
+    explicit request_handler_scope(server_exchange& exchange)
+        : exchange_(exchange)
+    {
+    }
+
+    ~request_handler_scope()
+    {
+        exchange_.drop_disconnect_handler();
+    }
+
+    request_handler_scope(const request_handler_scope&) = delete;
+    request_handler_scope& operator=(const request_handler_scope&) = delete;
+
+private:
+    server_exchange& exchange_;
+};
+
 /** Keeps a connection in the server's set, and removes it and shuts it down
     when its coroutine ends, including by an exception. */
 class registered_connection
@@ -232,6 +254,7 @@
 bool http_server::implementation::call_handler(server_exchange& exchange,
                                                boost::asio::yield_context yield)
 {
+    const request_handler_scope scope(exchange);
     try
     {
         on_request(exchange, yield);
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -490,6 +490,46 @@
         });
 }
 
+// A disconnect may come while the error response is written. By then the state
+// of the handler has been destroyed.
+BOOST_AUTO_TEST_CASE(
+    disconnect_handler_is_dropped_when_the_request_handler_ends)
+{
+    boost::asio::io_context context;
+    std::weak_ptr<int> state_of_watch;
+    const http_server::handler handler =
+        [&state_of_watch](http_exchange& exchange, yield_context)
+    {
+        const std::shared_ptr<int> state = std::make_shared<int>(0);
+        state_of_watch = state;
+        exchange.on_client_disconnect([state] { ++*state; });
+        if (exchange.request().path() == "/throw")
+            throw std::runtime_error("expected");
+    };
+    run_with_handler(
+        context, {}, handler,
+        [&](http_server& server, yield_context yield)
+        {
+            std::vector<std::string> causes;
+            server.on_exchange_failure(
+                [&](const exchange_failure& failure)
+                {
+                    causes.emplace_back(to_text(failure.cause));
+                    BOOST_TEST(state_of_watch.expired());
+                });
+            for (const char* path : {"/throw", "/return"})
+            {
+                raw_client client(context, server, yield);
+                client.send("GET " + std::string(path) + " HTTP/1.1\r\n\r\n");
+                const std::string response = client.receive();
+                BOOST_TEST(response.empty() == !has_status(response, "500"));
+            }
+            const std::vector<std::string> expected{"handler_exception",
+                                                    "response_incomplete"};
+            BOOST_TEST(causes == expected, boost::test_tools::per_element());
+        });
+}
+
 BOOST_AUTO_TEST_CASE(query_values_are_decoded)
 {
     const std::string text = "a b/c?&=%ü";
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -67,6 +67,10 @@
     void on_client_disconnect(std::function<void()> handler) override;
     void close_after_response() override;
 
+    /** Drops the handler of on_client_disconnect(), which must not outlive the
+        state of the request handler. */
+    void drop_disconnect_handler();
+
     /** Returns true if the complete response has been written. */
     bool is_complete() const;
 
