Check the lease after the connection of an order is open

What callers saw: nothing measured; found by reading the code. An order goes over a new connection. The lease was checked and the fencing number taken before that was opened, which may take 1.5 s, so a host that lost its lease meanwhile wrote an order with an old number.

Change: the connection is opened first. Then the lease, the withdrawal and the refusals of the engine are checked again, the number is taken, and the order is written; nothing is waited for in between. If no order may be written, the engine no longer counts as changing its stage. http_call_on_new_connection is replaced by a call over an open connection; its test opens a new one and checks the same.

--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -209,43 +209,66 @@
                });
 }
 
+bool stage_controller::may_order(const target_view& target) const
+{
+    return !target.is_withdrawn &&
+           services_.core.now() >= target.refuses_until && can_issue_orders();
+}
+
 void stage_controller::send_order(const service_properties& service,
                                   const std::shared_ptr<target_view>& target,
                                   target_role stage,
                                   boost::asio::yield_context yield)
 {
     const result<engine_status> status = query_status(*target, yield);
-    const bool is_leaving_or_refusing =
-        target->is_withdrawn || services_.core.now() < target->refuses_until;
-    if (!status || is_leaving_or_refusing || status.value().is_changing_stage ||
-        status.value().stage == stage || !can_issue_orders())
+    if (!status || status.value().is_changing_stage ||
+        status.value().stage == stage || !may_order(*target))
         return;
 
+    const std::chrono::milliseconds change_duration =
+        service.engine->stage_change_duration + stage_report_lag;
+    // The engine counts as unavailable until its row shows the new stage.
+    target->stage_change_until = services_.core.now() + change_duration;
+    target->ordered_stage = stage;
+    result<std::unique_ptr<http_connection>> connection =
+        services_.core.connections().open(target->record.endpoint,
+                                          order_timeout, yield);
+    // The lease may have been lost while the connection was opened.
+    if (!connection || !may_order(*target))
+    {
+        target->stage_change_until = {};
+        target->ordered_stage.reset();
+        return;
+    }
     const stage_order order{
         target->record, stage, services_.fleet.settings().host,
         lease_.fencing_number(), status.value().order_count};
+    target->stage_change_until = services_.core.now() + change_duration;
+    write_order(order, *target, std::move(connection.value()), yield);
+}
+
+void stage_controller::write_order(const stage_order& order,
+                                   target_view& target,
+                                   std::unique_ptr<http_connection> connection,
+                                   boost::asio::yield_context yield)
+{
     std::vector<event_field> fields{
-        {"target", target->record.id},
+        {"target", order.target.id},
         {"fencing_number", std::to_string(order.fencing_number)},
         {"expected_orders", std::to_string(order.expected_order_count)}};
     services_.core.journal().record(event_number::order_sent, fields);
-    // The engine counts as unavailable until its row shows the new stage.
-    target->stage_change_until = services_.core.now() +
-                                 service.engine->stage_change_duration +
-                                 stage_report_lag;
-    target->ordered_stage = stage;
     const time_point order_sent_at = services_.core.now();
-    target->request_limit.record_request(order_sent_at);
-    const result<http_response> response = http_call_on_new_connection(
-        services_.core.connections(), target->record.endpoint,
-        services_.targets.write_order(order), order_timeout,
-        max_engine_response_bytes, yield);
+    target.request_limit.record_request(order_sent_at);
+    const result<http_response> response =
+        http_call(services_.core.connections(), std::move(connection),
+                  services_.targets.write_order(order), order_timeout,
+                  max_engine_response_bytes, yield);
     fields.push_back({"answer", response
                                     ? std::to_string(response.value().status)
                                     : response.error().message()});
     if (response)
         services_.fleet.apply_notice(
-            *target,
+            target,
             services_.targets.read_notice(response.value().status,
                                           response.value().headers),
             order_sent_at);
@@ -256,7 +279,7 @@
     if (order_result == stage_order_result::unknown)
     {
         services_.core.journal().record(event_number::order_overdue, fields);
-        target->stage_change_until = services_.core.now() + late_order_timeout;
+        target.stage_change_until = services_.core.now() + late_order_timeout;
         return;
     }
     const bool is_refused = order_result == stage_order_result::refused;
@@ -265,8 +288,8 @@
                                     fields);
     if (is_refused)
     {
-        target->stage_change_until = {};
-        target->ordered_stage.reset();
+        target.stage_change_until = {};
+        target.ordered_stage.reset();
     }
 }
 
--- a/modules/gateway/stages/stage_controller.hpp
+++ b/modules/gateway/stages/stage_controller.hpp
@@ -40,6 +40,13 @@
     void send_order(const service_properties& service,
                     const std::shared_ptr<target_view>& target,
                     target_role stage, boost::asio::yield_context yield);
+    /** Whether an order may be written to an engine now. */
+    bool may_order(const target_view& target) const;
+    /** Writes an order without waiting for anything before, and waits for its
+        response. */
+    void write_order(const stage_order& order, target_view& target,
+                     std::unique_ptr<http_connection> connection,
+                     boost::asio::yield_context yield);
     result<engine_status> query_status(target_view& engine,
                                        boost::asio::yield_context yield);
 
--- a/modules/http/client/http_call.cpp
+++ b/modules/http/client/http_call.cpp
@@ -19,17 +19,11 @@
 /** Sends a request over an opened connection, and returns the connection to the
     pool after a complete response. */
 result<http_response> exchange(http_connection_pool& pool,
-                               result<std::unique_ptr<http_connection>> opened,
+                               std::unique_ptr<http_connection> connection,
                                const http_request& request, time_point deadline,
                                std::size_t max_body_bytes,
                                boost::asio::yield_context yield)
 {
-    if (!opened)
-        return opened.error() == http_error::connection_refused
-                   ? make_error_code(http_error::connect_failed)
-                   : opened.error();
-    std::unique_ptr<http_connection> connection = std::move(opened.value());
-
     const result<void> sent =
         connection->send(request, remaining_time(deadline), yield);
     if (!sent)
@@ -56,18 +50,25 @@
           std::size_t max_body_bytes, boost::asio::yield_context yield)
 {
     const time_point deadline = boot_clock::now() + timeout;
-    return exchange(pool, pool.take(endpoint, timeout, yield), request,
-                    deadline, max_body_bytes, yield);
+    result<std::unique_ptr<http_connection>> connection =
+        pool.take(endpoint, timeout, yield);
+    if (!connection)
+        return connection.error() == http_error::connection_refused
+                   ? make_error_code(http_error::connect_failed)
+                   : connection.error();
+    return exchange(pool, std::move(connection.value()), request, deadline,
+                    max_body_bytes, yield);
 }
 
-result<http_response> http_call_on_new_connection(
-    http_connection_pool& pool, const http_endpoint& endpoint,
-    const http_request& request, std::chrono::milliseconds timeout,
-    std::size_t max_body_bytes, boost::asio::yield_context yield)
+result<http_response> http_call(http_connection_pool& pool,
+                                std::unique_ptr<http_connection> connection,
+                                const http_request& request,
+                                std::chrono::milliseconds timeout,
+                                std::size_t max_body_bytes,
+                                boost::asio::yield_context yield)
 {
-    const time_point deadline = boot_clock::now() + timeout;
-    return exchange(pool, pool.open(endpoint, timeout, yield), request,
-                    deadline, max_body_bytes, yield);
+    return exchange(pool, std::move(connection), request,
+                    boot_clock::now() + timeout, max_body_bytes, yield);
 }
 
 void http_call(boost::asio::io_context& context, http_connection_pool& pool,
--- a/modules/http/client/http_call.hpp
+++ b/modules/http/client/http_call.hpp
@@ -23,12 +23,15 @@
           const http_request& request, std::chrono::milliseconds timeout,
           std::size_t max_body_bytes, boost::asio::yield_context yield);
 
-/** Sends a request over a new connection. A late response to an earlier request
-    cannot arrive there, so the response needs nothing that identifies it. */
-result<http_response> http_call_on_new_connection(
-    http_connection_pool& pool, const http_endpoint& endpoint,
-    const http_request& request, std::chrono::milliseconds timeout,
-    std::size_t max_body_bytes, boost::asio::yield_context yield);
+/** Sends a request over an open connection, and waits for nothing before that.
+    A late response to an earlier request cannot arrive on a new connection, so
+    there the response needs nothing that identifies it. */
+result<http_response> http_call(http_connection_pool& pool,
+                                std::unique_ptr<http_connection> connection,
+                                const http_request& request,
+                                std::chrono::milliseconds timeout,
+                                std::size_t max_body_bytes,
+                                boost::asio::yield_context yield);
 
 /** Sends a request and passes the result to a handler.
 
--- a/modules/http/client/http_call_test.cpp
+++ b/modules/http/client/http_call_test.cpp
@@ -157,22 +157,24 @@
             .value());
     http_connection_pool pool(context);
     std::size_t connections = 0;
-    start_task(context,
-               [&](yield_context yield)
-               {
-                   const http_request request;
-                   BOOST_TEST(http_call(pool, server->endpoint(), request,
-                                        call_timeout, max_body_bytes, yield)
-                                  .value()
-                                  .body == "1");
-                   BOOST_TEST(http_call_on_new_connection(
-                                  pool, server->endpoint(), request,
-                                  call_timeout, max_body_bytes, yield)
-                                  .value()
-                                  .body == "2");
-                   connections = server->open_connections();
-                   context.stop();
-               });
+    start_task(
+        context,
+        [&](yield_context yield)
+        {
+            const http_request request;
+            BOOST_TEST(http_call(pool, server->endpoint(), request,
+                                 call_timeout, max_body_bytes, yield)
+                           .value()
+                           .body == "1");
+            std::unique_ptr<http_connection> connection = std::move(
+                pool.open(server->endpoint(), call_timeout, yield).value());
+            BOOST_TEST(http_call(pool, std::move(connection), request,
+                                 call_timeout, max_body_bytes, yield)
+                           .value()
+                           .body == "2");
+            connections = server->open_connections();
+            context.stop();
+        });
     context.run_for(std::chrono::seconds(2));
     BOOST_TEST(connections == 2U);
     BOOST_TEST(pool.idle_connections() == 2U);
