Give the targets of the test of the follower an address

Cause: three cases of state_follower_test failed (4 checks) since rows with the address of a host's listener are passed over: their targets had an empty address and port 0, like the listeners of the host in the test. Change: the targets have an address of their own. No check is changed.

--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -170,6 +170,7 @@
         target_record record;
         record.id = row.key.substr(row.key.find('/') + 1);
         record.service = "llm";
+        record.endpoint = {"192.0.2.1", 8080};
         record.software_version = row.value;
         return record;
     }
