--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -22,6 +22,7 @@
 #include "gateway/process/request_intake.hpp"
 #include "gateway/process/settings_watch.hpp"
 #include "gateway/protocol/caller_protocol.hpp"
+#include "gateway/protocol/duty_protocol.hpp"
 #include "gateway/protocol/fleet_records.hpp"
 #include "gateway/protocol/host_settings.hpp"
 #include "gateway/protocol/target_protocol.hpp"
--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -5,11 +5,27 @@
 #include "serving/serving.hpp"
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 
 namespace hibiscusferry
 {
 
+/** Settings of the duties that one host at a time performs for the fleet. */
+struct duty_settings
+{
+    /** The address of the service that receives the calls. */
+    http_endpoint receiver;
+    /** Calls per second that the receiver takes from all hosts together. */
+    double calls_per_second = 1;
+    bool reports_usage = false;
+    bool orders_targets = false;
+    /** The length of the windows whose usage is reported. */
+    std::chrono::milliseconds usage_window{5000};
+    /** Time after the end of a window at which its report is due. */
+    std::chrono::milliseconds usage_report_delay{10000};
+};
+
 /** Settings of a gateway process: its host, addresses and time limits. */
 struct host_settings
 {
@@ -44,6 +60,14 @@
     /** After a store outage, the time within which targets rewrite rows that
         expired during the outage. */
     std::chrono::milliseconds outage_grace{2000};
+    /** Time after which a key that was taken away must not be accepted any
+        more, even by a host that has lost contact with the store; none if only
+        hosts in contact have to reject it. */
+    std::optional<std::chrono::milliseconds> key_revocation_time;
+    /** The maximum number of descriptors of the process. */
+    std::size_t max_descriptors = 4096;
+    /** Set only if the fleet has duties. */
+    std::optional<duty_settings> duties;
 };
 
 /** The source of the settings of the process. Settings may change at any time;
--- a/modules/serving/model/fleet_configuration.hpp
+++ b/modules/serving/model/fleet_configuration.hpp
@@ -1,8 +1,10 @@
 #ifndef HIBISCUSFERRY_SERVING_MODEL_FLEET_CONFIGURATION_HPP
 #define HIBISCUSFERRY_SERVING_MODEL_FLEET_CONFIGURATION_HPP
 
+#include "serving/model/workspace_directory.hpp"
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,6 +54,8 @@
     unsigned max_targets = 1;
     /** Whether a broken stream may be resumed on another target. */
     bool is_resumable = false;
+    /** Whether requests need no key of a workspace. */
+    bool is_open = false;
     std::vector<weighted_service> services;
 
     /** Whether a request that a target may already have executed may be sent
@@ -73,6 +77,22 @@
     std::chrono::milliseconds stage_change_duration{0};
 };
 
+/** How many targets of a service may be ordered, and at what price. */
+struct autoscale_properties
+{
+    /** Limits for each availability zone, for ordinary and reclaimable targets
+        together. */
+    unsigned min_targets = 0;
+    unsigned max_targets = 0;
+    /** Time from an order until the new target serves requests. */
+    std::chrono::milliseconds boot_time{0};
+    /** Price of a reclaimable target as a fraction of that of an ordinary one;
+        none if the service has no reclaimable targets. */
+    std::optional<double> reclaimable_price;
+    /** Price of a second of an ordinary target, by availability zone. */
+    std::map<std::string, double> zone_prices;
+};
+
 struct service_properties
 {
     std::string name;
@@ -80,6 +100,8 @@
     unsigned connection_limit = 0;
     /** Set only for services whose targets are model engines. */
     std::optional<engine_properties> engine;
+    /** Set only for services whose targets may be ordered. */
+    std::optional<autoscale_properties> autoscale;
 };
 
 /** Limits on the size of a caller's request and the time to send it. */
@@ -98,6 +120,8 @@
     std::vector<route> routes;
     std::vector<service_properties> services;
     caller_limits limits;
+    /** The workspaces whose callers are served; none if callers need no key. */
+    std::optional<workspace_directory> workspaces;
     /** Log messages for the entries that were ignored because they are
         invalid. */
     std::vector<std::string> problems;
--- a/modules/serving/model/target_record.cpp
+++ b/modules/serving/model/target_record.cpp
@@ -12,6 +12,7 @@
           record.endpoint.text(), std::to_string(record.slots),
           std::to_string(static_cast<int>(record.stage)),
           std::to_string(record.is_draining),
+          std::to_string(record.is_reclaimable),
           std::to_string(record.started_at.count())})
         text += separator + field;
     return stable_hash(text);
--- a/modules/serving/model/target_record.hpp
+++ b/modules/serving/model/target_record.hpp
@@ -26,6 +26,8 @@
     /** target_role::mixed for application servers. */
     target_role stage = target_role::mixed;
     bool is_draining = false;
+    /** Whether the platform may take the target away at short notice. */
+    bool is_reclaimable = false;
     /** Start time on the target's own wall clock; distinguishes incarnations
         that use the same id. */
     std::chrono::milliseconds started_at{0};
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -12,6 +12,7 @@
 #include "serving/model/prompt_info.cpp"
 #include "serving/model/route_table.cpp"
 #include "serving/model/target_record.cpp"
+#include "serving/model/workspace_directory.cpp"
 #include "serving/scheduling/decode_engine_selector.cpp"
 #include "serving/scheduling/engine_scheduler.cpp"
 #include "serving/scheduling/generation_request.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -27,6 +27,7 @@
 #include "serving/model/prompt_info.hpp"
 #include "serving/model/route_table.hpp"
 #include "serving/model/target_record.hpp"
+#include "serving/model/workspace_directory.hpp"
 #include "serving/scheduling/decode_engine_selector.hpp"
 #include "serving/scheduling/engine_scheduler.hpp"
 #include "serving/scheduling/generation_request.hpp"
