Rename the usage of a window

Cause: another module has a type of the same name; programs that include both did not compile. Change: window_usage. No change of behaviour.

--- a/modules/gateway/protocol/duty_protocol.hpp
+++ b/modules/gateway/protocol/duty_protocol.hpp
@@ -19,7 +19,7 @@
 };
 
 /** The requests that targets began to run within one window of time. */
-struct usage_report
+struct window_usage
 {
     /** The number of the window, counted from the start of 1970. */
     std::uint64_t window = 0;
@@ -57,7 +57,7 @@
     virtual ~duty_protocol() = default;
 
     /** The body of a report. Equal reports have equal bodies. */
-    virtual std::string encode_report(const usage_report& report) const = 0;
+    virtual std::string encode_report(const window_usage& report) const = 0;
 
     /** @param body  a body that encode_report() returned */
     virtual http_request
