Authenticate callers by the keys of workspaces

Cause: nothing read the key of a request. Requests without a valid key ran, keys went on to targets, and a key that had been taken away was served for good. Change: the workspace of a caller is found once, when its request arrives. Targets see its name and never the key. A host that cannot tell whether a key is still valid refuses with 503, and leaves the rotation before; credential_check decides by the time of the store's own answer. A configuration that cannot be read no longer counts as confirmed. Without workspaces nothing changes.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -98,6 +98,7 @@
                           {
                               update_limits();
                               log_readiness_change();
+                              update_configuration_age();
                           });
     services_.core.repeat(unprocessed_log_period,
                           [this] { log_unprocessed(); });
@@ -163,10 +164,24 @@
     unprocessed_ = {};
 }
 
+void gateway_service::update_configuration_age()
+{
+    const std::optional<time_point> confirmed_at =
+        services_.fleet.configuration_confirmed_at();
+    if (!confirmed_at)
+        return;
+    const std::chrono::duration<double> age =
+        services_.core.now() - *confirmed_at;
+    services_.core.metrics()
+        .gauge_of("hibiscusferry_configuration_age_seconds")
+        .set(age.count());
+}
+
 bool gateway_service::is_ready() const
 {
     return !is_draining_ && services_.fleet.routes() != nullptr &&
-           services_.fleet.has_target_list();
+           services_.fleet.has_target_list() &&
+           !services_.fleet.will_refuse_credentials(services_.core.now());
 }
 
 void gateway_service::log_readiness_change()
@@ -179,7 +194,11 @@
         {{"ready", was_ready_ ? "yes" : "no"},
          {"draining", is_draining_ ? "yes" : "no"},
          {"has_configuration", services_.fleet.routes() ? "yes" : "no"},
-         {"knows_targets", services_.fleet.has_target_list() ? "yes" : "no"}});
+         {"knows_targets", services_.fleet.has_target_list() ? "yes" : "no"},
+         {"verifies_keys",
+          services_.fleet.will_refuse_credentials(services_.core.now())
+              ? "no"
+              : "yes"}});
 }
 
 void gateway_service::record_failure(const exchange_failure& failure)
--- a/modules/gateway/process/gateway_service.hpp
+++ b/modules/gateway/process/gateway_service.hpp
@@ -30,6 +30,7 @@
 private:
     http_server_limits limits() const;
     void update_limits();
+    void update_configuration_age();
     void serve(http_exchange& exchange, boost::asio::yield_context yield);
     /** Refuses a request that this host is too busy to process. */
     void refuse_unprocessed(http_exchange& exchange,
--- a/modules/gateway/protocol/caller_protocol.cpp
+++ b/modules/gateway/protocol/caller_protocol.cpp
@@ -7,7 +7,7 @@
 
 std::string_view to_text(refusal_cause reason)
 {
-    constexpr std::array<std::string_view, 15> names{"no_configuration",
+    constexpr std::array<std::string_view, 17> names{"no_configuration",
                                                      "no_route",
                                                      "bad_request",
                                                      "no_target",
@@ -21,7 +21,9 @@
                                                      "host_overloaded",
                                                      "prompt_suspected",
                                                      "target_limit",
-                                                     "request_suspected"};
+                                                     "request_suspected",
+                                                     "unknown_credentials",
+                                                     "credentials_unverified"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -19,6 +19,9 @@
     /** The credentials of the caller; empty if it states none. Its address does
         not identify it, since it may send its next request from another one. */
     std::string caller;
+    /** The key that the caller presents; empty if it presents none, several, or
+        an unusable one. */
+    std::string key;
     /** The request to forward, without hop-by-hop headers and without headers
         that only this system may set. */
     http_request message;
@@ -52,7 +55,9 @@
     host_overloaded,        ///< this host is too busy to process the request
     prompt_suspected,       ///< targets crashed under a block of the prompt
     target_limit,           ///< the limits that targets state are used up
-    request_suspected       ///< targets crashed under the same request
+    request_suspected,      ///< targets crashed under the same request
+    unknown_credentials,    ///< no workspace has the key of the request
+    credentials_unverified  ///< this host cannot be sure that the key is valid
 };
 
 /** Returns the name under which a cause is reported to callers, in the log and
@@ -77,6 +82,12 @@
     virtual gateway_request read(const http_request& message) const = 0;
 
     virtual http_response write(const refusal& response) const = 0;
+
+    /** Replaces the credentials of a request, and any workspace that it names,
+        by the workspace that targets are told.
+        @param workspace_name  empty to tell them none */
+    virtual void set_workspace(gateway_request& request,
+                               const std::string& workspace_name) const = 0;
 };
 
 } // namespace hibiscusferry
--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -68,6 +68,12 @@
     std::size_t max_descriptors = 4096;
     /** Set only if the fleet has duties. */
     std::optional<duty_settings> duties;
+
+    /** The bounds on the age of the configuration by which keys are checked. */
+    credential_bounds credentials() const
+    {
+        return {key_revocation_time, max_configuration_delay};
+    }
 };
 
 /** The source of the settings of the process. Settings may change at any time;
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -54,6 +54,11 @@
     std::shared_ptr<const route_table> routes;
     const route* matched_route = nullptr;
     std::string service;
+    /** The workspace of the caller; empty if callers need no key, or on an open
+        route. */
+    std::string workspace;
+    /** The rank of the route, or of the workspace if it has one. */
+    unsigned rank = 0;
     const service_properties* properties = nullptr;
 
     time_point arrived_at{};
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -82,6 +82,9 @@
         fail_request(refusal_cause::no_route, yield);
         return false;
     }
+    context_.rank = context_.matched_route->rank;
+    if (context_.routes->configuration().workspaces && !authenticate(yield))
+        return false;
     const bool has_first_id = context_.is_resumption() &&
                               !context_.request.resumed_request_id.empty();
     // The service that began the stream, if the traffic is split.
@@ -109,6 +112,39 @@
     return true;
 }
 
+bool request_forwarder::authenticate(boost::asio::yield_context yield)
+{
+    const std::string& key = context_.request.key;
+    const workspace* const caller =
+        key.empty() ? nullptr
+                    : context_.routes->configuration().workspaces->find(key);
+    const credential_result credentials = check_credentials(
+        caller != nullptr, services_.fleet.configuration_confirmed_at(),
+        context_.arrived_at, services_.fleet.settings().credentials());
+    const bool is_accepted = credentials == credential_result::accepted;
+    if (is_accepted)
+    {
+        context_.workspace = caller->name;
+        context_.rank = caller->rank.value_or(context_.rank);
+    }
+    services_.callers.set_workspace(context_.request, context_.workspace);
+    if (is_accepted || context_.matched_route->is_open)
+        return true;
+    if (credentials == credential_result::unverified)
+    {
+        refuse(refusal_cause::credentials_unverified, no_target_backlog, yield);
+        return false;
+    }
+    services_.core.metrics()
+        .counter_of(
+            "hibiscusferry_refusals_total",
+            "reason=\"" +
+                std::string(to_text(refusal_cause::unknown_credentials)) + "\"")
+        .add();
+    fail_request(refusal_cause::unknown_credentials, yield);
+    return false;
+}
+
 void request_forwarder::run(boost::asio::yield_context yield)
 {
     if (!find_stream_version(yield))
@@ -258,7 +294,7 @@
     generation.prompt = &*context_.request.prompt;
     generation.prefilled_by =
         context_.kv_cache ? context_.kv_cache_engine : nullptr;
-    generation.rank = context_.matched_route->rank;
+    generation.rank = context_.rank;
     generation.latency_objective = context_.matched_route->latency_objective;
     // After a first attempt, a request that misses its latency objective is
     // served rather than refused.
@@ -299,8 +335,7 @@
         }
         const std::shared_ptr<target_view> limited =
             context_.admissions.acquire(
-                assigned, context_.matched_route->rank,
-                services_.fleet.live_hosts(),
+                assigned, context_.rank, services_.fleet.live_hosts(),
                 std::generate_canonical<double, 32>(random_), now);
         if (!limited)
         {
@@ -332,8 +367,8 @@
     for (const std::shared_ptr<target_view>& target : context_.limited)
     {
         rate += target->request_limit.rate(now).value_or(0);
-        demand = std::max(demand, target->request_limit.demand(
-                                      context_.matched_route->rank, now));
+        demand =
+            std::max(demand, target->request_limit.demand(context_.rank, now));
     }
     if (rate <= 0)
         return no_target_backlog;
@@ -382,7 +417,7 @@
     std::unique_ptr<target_attempt> current =
         std::make_unique<target_attempt>(services_, context_, assignment);
     attempt_options options{context_.request, current->target->record};
-    options.rank = context_.matched_route->rank;
+    options.rank = context_.rank;
     options.kv_cache = context_.kv_cache;
     options.resume_after = context_.progress.last_event_id();
     const attempt_result outcome = current->upstream.send(
@@ -440,12 +475,12 @@
     const std::shared_ptr<target_view> prefill_engine =
         assignment.prefill_engine;
     const double tokens = context_.request.prompt->prompt_tokens;
-    const target_load_guard work(
-        prefill_engine, assignment.pending_prefill_tokens, tokens,
-        services_.core.time(), context_.matched_route->rank);
+    const target_load_guard work(prefill_engine,
+                                 assignment.pending_prefill_tokens, tokens,
+                                 services_.core.time(), context_.rank);
     target_exchange upstream(services_, context_, prefill_engine);
     attempt_options options{context_.request, prefill_engine->record};
-    options.rank = context_.matched_route->rank;
+    options.rank = context_.rank;
     options.prefill_only = true;
     if (assignment.prefix_source)
         options.source_engine = assignment.prefix_source->record.endpoint;
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -45,6 +45,12 @@
     };
 
     bool admit(boost::asio::yield_context yield);
+    /** Finds the workspace of the caller, and hides its key from targets.
+        Refuses the request if its route needs a key and it has no valid one. A
+        request is authenticated once: it goes on if its key is taken away
+        later, because only requests sent after that have to be rejected.
+        @returns whether the request may go on */
+    bool authenticate(boost::asio::yield_context yield);
     void run(boost::asio::yield_context yield);
     /** Finds the software version at which a stream that the caller resumes may
         continue; refuses the request if it cannot be found.
--- a/modules/gateway/request/request_forwarder_completion.cpp
+++ b/modules/gateway/request/request_forwarder_completion.cpp
@@ -81,7 +81,8 @@
     }
     const bool may_have_run = !context_.possible_run_targets.empty();
     const bool is_caller_error = reason == refusal_cause::no_route ||
-                                 reason == refusal_cause::bad_request;
+                                 reason == refusal_cause::bad_request ||
+                                 reason == refusal_cause::unknown_credentials;
     if (!may_have_run && !is_caller_error)
     {
         refuse(reason, no_target_backlog, yield);
@@ -196,8 +197,9 @@
             {"version",
              std::to_string(context_.routes->configuration().version)});
         event_fields.push_back({"service", context_.service});
-        event_fields.push_back(
-            {"rank", std::to_string(context_.matched_route->rank)});
+        if (!context_.workspace.empty())
+            event_fields.push_back({"workspace", context_.workspace});
+        event_fields.push_back({"rank", std::to_string(context_.rank)});
     }
     event_fields.push_back({"offers", std::to_string(context_.attempts)});
     if (context_.read_delay.count() > 0)
--- a/modules/gateway/request/target_attempt.hpp
+++ b/modules/gateway/request/target_attempt.hpp
@@ -22,8 +22,7 @@
         , start(services.core.now())
         , work(target,
                is_transferred ? 0 : the_assignment.pending_prefill_tokens,
-               tokens_of(context), services.core.time(),
-               context.matched_route->rank)
+               tokens_of(context), services.core.time(), context.rank)
         , upstream(services, context, target)
     {
     }
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -75,10 +75,38 @@
           routes_ ? std::to_string(routes_->configuration().version) : "none"},
          {"routes", std::to_string(configuration.routes.size())},
          {"source", source}});
+    if (configuration.workspaces)
+    {
+        core_.metrics()
+            .gauge_of("hibiscusferry_workspaces")
+            .set(static_cast<double>(
+                configuration.workspaces->workspaces().size()));
+        core_.metrics()
+            .gauge_of("hibiscusferry_workspace_keys")
+            .set(static_cast<double>(configuration.workspaces->key_count()));
+    }
     retire_routes();
     routes_ = std::make_shared<const route_table>(std::move(configuration));
 }
 
+void fleet_state::confirm_configuration(time_point as_of)
+{
+    if (!configuration_confirmed_at_ || as_of > *configuration_confirmed_at_)
+        configuration_confirmed_at_ = as_of;
+}
+
+std::optional<time_point> fleet_state::configuration_confirmed_at() const
+{
+    return configuration_confirmed_at_;
+}
+
+bool fleet_state::will_refuse_credentials(time_point now) const
+{
+    return routes_ && routes_->configuration().workspaces &&
+           will_be_unverified(configuration_confirmed_at_, now,
+                              settings_.credentials());
+}
+
 void fleet_state::retire_routes()
 {
     const time_point now = core_.now();
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -40,6 +40,17 @@
     void update_configuration(fleet_configuration configuration,
                               const std::string& source);
 
+    /** Records that the configuration in force was the newest one at a time. */
+    void confirm_configuration(time_point as_of);
+
+    /** The latest time at which the configuration in force is known to have
+        been the newest one; none if it never was. */
+    std::optional<time_point> configuration_confirmed_at() const;
+
+    /** Whether requests with valid keys will soon be refused, because this host
+        cannot tell whether the keys are still valid. */
+    bool will_refuse_credentials(time_point now) const;
+
     /** The longest time limit that a path may have had at any host when a
         stream that may still be resumed began; zero if no route matches. */
     std::chrono::milliseconds longest_time_limit(std::string_view host,
@@ -141,6 +152,7 @@
     process_core& core_;
     host_settings settings_;
     std::shared_ptr<const route_table> routes_;
+    std::optional<time_point> configuration_confirmed_at_;
     std::vector<former_routes> former_routes_;
     target_catalogue catalogue_;
     target_registry registry_;
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -297,10 +297,11 @@
                              changes.value().unreadable > 0;
     const bool was_wait_ended =
         !is_snapshot && has_changed && wait > std::chrono::milliseconds(0);
-    // A response without a change was not sent before the end of the wait.
-    const time_point as_of = is_snapshot || has_changed
-                                 ? asked_at
-                                 : std::min(asked_at + wait, core_.now());
+    // A response without a change was not sent before the end of the wait. One
+    // that arrives earlier all the same shows only when it was asked for.
+    const bool has_waited =
+        !is_snapshot && !has_changed && core_.now() >= asked_at + wait;
+    const time_point as_of = has_waited ? asked_at + wait : asked_at;
     const bool is_applied = apply_update(
         {table, is_snapshot, std::move(changes.value()), 0,
          std::chrono::ceil<std::chrono::milliseconds>(core_.now() - as_of)},
@@ -377,6 +378,9 @@
 void state_follower::confirm(fleet_table table, time_point as_of)
 {
     replicas_.mark_current(table, as_of);
+    // Keys may have been taken away in a version that this host cannot read.
+    if (table == fleet_table::configuration && is_configuration_readable_)
+        fleet_.confirm_configuration(as_of);
     if (table == fleet_table::targets)
         fleet_.confirm_target_list(as_of);
 }
@@ -391,6 +395,7 @@
             continue;
         result<fleet_configuration> configuration =
             sources_.records.read_configuration(row.value);
+        is_configuration_readable_ = configuration.has_value();
         if (configuration)
         {
             fleet_.update_configuration(std::move(configuration.value()),
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -113,6 +113,8 @@
     host_directory directory_;
     std::unique_ptr<http_server> peer_server_;
     bool is_relay_ = false;
+    /** Whether the newest configuration could be parsed. */
+    bool is_configuration_readable_ = true;
     bool is_pulling_ = false;
     /** Tables to be read whole, because the changes received from a relay did
         not lead to the same digest. Until then the replica may lack rows. */
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/catalogue/software_version_history.cpp"
 #include "serving/catalogue/target_catalogue.cpp"
+#include "serving/credentials/credential_check.cpp"
 #include "serving/estimation/duration_model.cpp"
 #include "serving/estimation/engine_performance.cpp"
 #include "serving/health/observed_health.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -15,6 +15,7 @@
 
 #include "serving/catalogue/software_version_history.hpp"
 #include "serving/catalogue/target_catalogue.hpp"
+#include "serving/credentials/credential_check.hpp"
 #include "serving/estimation/duration_model.hpp"
 #include "serving/estimation/engine_performance.hpp"
 #include "serving/health/observed_health.hpp"
