Report usage and order targets under one authority

Cause: nothing reported the usage of workspaces or ordered targets. Change: fleet_authority holds the lease that stage_controller held alone. Hosts count requests by windows of an agreed time; the holder merges them, records the report in a row and sends what the row holds. capacity_planner decides how many targets of each kind a zone needs; capacity_service orders them. Only where the settings name these duties.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -63,8 +63,27 @@
         std::make_unique<crash_directory>(
             core, settings.host, follower_ref.directory(), datagrams_ref);
     crash_directory& crashes_ref = *crashes;
-    const gateway_services dependencies{
+    std::unique_ptr<fleet_authority> authority =
+        std::make_unique<fleet_authority>(core, fleet, follower_ref,
+                                          exchange_ref, store);
+    const fleet_authority& authority_ref = *authority;
+    const platform::duty_calls duty_calls;
+    const bool orders_targets =
+        settings.duties && settings.duties->orders_targets;
+    std::unique_ptr<duty_caller> caller;
+    std::unique_ptr<usage_service> usage;
+    if (settings.duties)
+        caller = std::make_unique<duty_caller>(core, fleet, authority_ref,
+                                               duty_calls);
+    if (settings.duties && settings.duties->reports_usage)
+        usage = std::make_unique<usage_service>(
+            usage_service::dependencies{core, fleet, follower_ref, exchange_ref,
+                                        datagrams_ref, store, authority_ref,
+                                        duty_calls},
+            *settings.duties, *caller);
+    gateway_services dependencies{
         core, fleet, callers, targets, *stream_versions, crashes_ref};
+    dependencies.usage = usage.get();
     const bool are_services_added =
         add(metrics_service::name,
             std::make_unique<metrics_service>(core, fleet, log, crashes_ref)) &&
@@ -77,9 +96,14 @@
         add(load_exchange::name, std::move(exchange)) &&
         add(gateway_service::name,
             std::make_unique<gateway_service>(dependencies)) &&
+        add(fleet_authority::name, std::move(authority)) &&
         add(stage_controller::name,
-            std::make_unique<stage_controller>(dependencies, follower_ref,
-                                               exchange_ref, store));
+            std::make_unique<stage_controller>(dependencies, authority_ref)) &&
+        (!usage || add(usage_service::name, std::move(usage))) &&
+        (!orders_targets ||
+         add(capacity_service::name,
+             std::make_unique<capacity_service>(dependencies, authority_ref,
+                                                duty_calls, *caller)));
     const result<void> started = services.start();
     if (!are_services_added || !started)
     {
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -452,6 +452,25 @@
                     "and was ignored.",
                     "")
 
+// 1820-1849 duties of the fleet
+HIBISCUSFERRY_EVENT(1820, info, usage_recorded,
+                    "The usage of a window was merged from the reports of the "
+                    "hosts and written to its row, or another holder had "
+                    "written it.",
+                    "")
+HIBISCUSFERRY_EVENT(1821, info, usage_reported,
+                    "The usage of a window was reported.", "")
+HIBISCUSFERRY_EVENT(1822, warning, usage_report_failed,
+                    "A report of usage was not accepted; it is sent again, "
+                    "unchanged.",
+                    "")
+HIBISCUSFERRY_EVENT(1823, info, capacity_ordered,
+                    "A number of targets was ordered for a service in an "
+                    "availability zone.",
+                    "")
+HIBISCUSFERRY_EVENT(1824, warning, capacity_order_failed,
+                    "An order for targets was not accepted.", "")
+
 // 1900-1999 platform adapters
 HIBISCUSFERRY_EVENT(
     1900, alarm, store_lost,
--- /dev/null
+++ b/modules/gateway/authority/fleet_authority.cpp
@@ -0,0 +1,149 @@
+#include "gateway/authority/fleet_authority.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds lease_tick_period{100};
+constexpr std::chrono::milliseconds lease_store_timeout{1000};
+
+/** The lease once covered the stages of engines only. Its name stays, so that
+    hosts of both versions compete for the same lease during an upgrade. */
+constexpr char lease_name[] = "stages";
+
+lease_settings authority_lease()
+{
+    lease_settings settings;
+    settings.watch_period = std::chrono::milliseconds(2000);
+    return settings;
+}
+
+process_identity identity_of(process_core& core)
+{
+    return {core.settings().host, core.id()};
+}
+
+} // namespace
+
+fleet_authority::fleet_authority(process_core& core, fleet_state& fleet,
+                                 state_follower& follower,
+                                 load_exchange& exchange, table_store& store)
+    : core_(core)
+    , fleet_(fleet)
+    , follower_(follower)
+    , exchange_(exchange)
+    , store_(store)
+    , lease_(core.settings().region, lease_name, identity_of(core),
+             authority_lease(), core.identifiers())
+{
+}
+
+result<void> fleet_authority::start()
+{
+    core_.repeat(lease_tick_period, [this] { tick(); });
+    return outcome::success();
+}
+
+void fleet_authority::drain(std::function<void()> finished)
+{
+    perform(lease_.release(core_.now()));
+    finished();
+}
+
+void fleet_authority::stop()
+{
+    is_stopping_ = true;
+}
+
+void fleet_authority::tick()
+{
+    if (is_stopping_ || !fleet_.has_target_list())
+        return;
+    // Relays are known to be live, and they read the store anyway.
+    lease_.set_live_hosts(exchange_.relays());
+    perform(lease_.store_era_seen(follower_.replicas().era(), core_.now()));
+    perform(lease_.tick(core_.now()));
+}
+
+void fleet_authority::perform(const lease_actions& actions)
+{
+    if (actions.change == lease_change::acquired)
+    {
+        acquired_at_ = core_.now();
+        ++term_;
+        core_.journal().record(
+            event_number::lease_acquired,
+            {{"lease", lease_.key()},
+             {"fencing_number", std::to_string(lease_.fencing_number())}});
+    }
+    if (actions.change == lease_change::lost)
+        core_.journal().record(event_number::lease_lost,
+                               {{"lease", lease_.key()}});
+    if (actions.change == lease_change::released)
+        core_.journal().record(event_number::lease_released,
+                               {{"lease", lease_.key()}});
+    if (actions.commit)
+    {
+        const std::string write_id = actions.commit->write_id;
+        store_.commit(
+            *actions.commit, lease_store_timeout,
+            [this, write_id](const result<commit_receipt>& receipt)
+            {
+                if (!receipt)
+                    follower_.monitor().record_failure(receipt.error());
+                perform(lease_.commit_finished(write_id, receipt, core_.now()));
+            });
+    }
+    if (actions.read)
+        store_.read(lease_.key(), lease_store_timeout,
+                    [this](const result<table_row>& row)
+                    { perform(lease_.row_read(row, core_.now())); });
+}
+
+bool fleet_authority::may_act(time_point now) const
+{
+    return !is_stopping_ && lease_.may_act(now);
+}
+
+bool fleet_authority::may_begin_duties(time_point now) const
+{
+    if (!may_act(now) || !acquired_at_)
+        return false;
+    return lease_.is_first_holder() || lease_.acquired_after_release() ||
+           now >= *acquired_at_ + delivery_margin;
+}
+
+std::optional<time_point> fleet_authority::acquired_at() const
+{
+    return lease_.is_holder() ? acquired_at_ : std::nullopt;
+}
+
+bool fleet_authority::is_first_holder() const
+{
+    return lease_.is_first_holder();
+}
+
+std::uint64_t fleet_authority::fencing_number() const
+{
+    return lease_.fencing_number();
+}
+
+row_condition fleet_authority::replacement_condition() const
+{
+    return {fence_key(core_.settings().region, lease_name),
+            lease_.fence_version()};
+}
+
+std::string fleet_authority::holder() const
+{
+    return lease_.observed_holder().host;
+}
+
+std::uint64_t fleet_authority::term() const
+{
+    return term_;
+}
+
+} // namespace hibiscusferry
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -13,10 +13,16 @@
 #ifndef HIBISCUSFERRY_GATEWAY_GATEWAY_HPP
 #define HIBISCUSFERRY_GATEWAY_GATEWAY_HPP
 
+#include "gateway/authority/fleet_authority.hpp"
 #include "gateway/crashes/crash_directory.hpp"
 #include "gateway/crashes/quarantine_page.hpp"
 #include "gateway/crashes/request_fingerprint.hpp"
 #include "gateway/crashes/request_quarantine.hpp"
+#include "gateway/duties/capacity_service.hpp"
+#include "gateway/duties/duty_caller.hpp"
+#include "gateway/duties/usage_recorder.hpp"
+#include "gateway/duties/usage_reporter.hpp"
+#include "gateway/duties/usage_service.hpp"
 #include "gateway/process/gateway_service.hpp"
 #include "gateway/process/metrics_service.hpp"
 #include "gateway/process/request_intake.hpp"
--- a/modules/gateway/protocol/duty_protocol.hpp
+++ b/modules/gateway/protocol/duty_protocol.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace hibiscusferry
 {
@@ -50,6 +51,9 @@
     rejected     ///< the receiver does not accept the call in this form
 };
 
+/** "accepted", "unavailable", "busy" or "rejected". */
+std::string_view to_text(duty_result outcome);
+
 /** The protocol between the holder of a duty and the receiver of its calls. */
 class duty_protocol
 {
--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_GATEWAY_REQUEST_REQUEST_CONTEXT_HPP
 
 #include "gateway/crashes/request_quarantine.hpp"
+#include "gateway/duties/usage_recorder.hpp"
 #include "gateway/protocol/caller_protocol.hpp"
 #include "gateway/protocol/target_protocol.hpp"
 #include "gateway/request/response_evidence.hpp"
@@ -30,6 +31,8 @@
     /** The memory of the responses that the process buffers. */
     std::shared_ptr<response_memory> memory =
         std::make_shared<response_memory>();
+    /** Null if usage is not reported. */
+    usage_recorder* usage = nullptr;
 };
 
 /** The duration of the prefill or the decode step of a request. */
@@ -100,6 +103,8 @@
     /** What the caller has received of its stream. */
     stream_progress progress;
     bool has_stream_started = false;
+    /** Whether the request has been counted as one that began to run. */
+    bool is_usage_recorded = false;
     /** Whether the request is sent in order to find out whether it, or a block
         of its prompt, crashes targets. */
     bool is_probe = false;
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -164,6 +164,12 @@
         scheduling_failure reason = scheduling_failure::no_target;
         if (has_time)
             assignment_ = schedule_within_limits(reason);
+        // Once for each request, whatever happens to it later.
+        if (has_time && context_.attempts == 0 && !suspended_)
+            services_.fleet.refusals(context_.service)
+                .add(!assignment_.decode_engine &&
+                         reason == scheduling_failure::busy,
+                     services_.core.now());
         if (has_time && assignment_.decode_engine)
             step = attempt(assignment_, yield);
         else if (!suspended_)
@@ -455,6 +461,14 @@
             return suspend(std::move(current));
         outcome = current->upstream.wait(timeout, yield);
     }
+    const bool may_have_run = outcome == attempt_result::response_received ||
+                              outcome == attempt_result::unknown ||
+                              outcome == attempt_result::deadline_exceeded ||
+                              outcome == attempt_result::caller_disconnected;
+    const bool was_sent = current->upstream.sent_at() != time_point{};
+    if (may_have_run && was_sent &&
+        context_.matched_route->kind != request_kind::streaming)
+        record_usage(current->upstream.sent_at());
     if (outcome == attempt_result::unknown &&
         current->upstream.is_connection_broken())
         report_broken_attempt(*current, yield);
@@ -468,6 +482,14 @@
     return relay_response(std::move(current), yield);
 }
 
+void request_forwarder::record_usage(time_point began_at)
+{
+    if (services_.usage == nullptr || context_.is_usage_recorded)
+        return;
+    context_.is_usage_recorded = true;
+    services_.usage->record_start(context_.workspace, began_at);
+}
+
 request_forwarder::next_step
 request_forwarder::attempt_prefill(const engine_assignment& assignment,
                                    boost::asio::yield_context yield)
--- a/modules/gateway/request/request_forwarder.hpp
+++ b/modules/gateway/request/request_forwarder.hpp
@@ -116,6 +116,10 @@
     next_step complete_attempt(std::unique_ptr<target_attempt> current,
                                attempt_result outcome,
                                boost::asio::yield_context yield);
+    /** Counts a request of a workspace that began to run, once. Streams begin
+        with their first event; other requests when the attempt was sent that
+        has run, or may have. */
+    void record_usage(time_point began_at);
     void observe_response_start(const target_attempt& current);
     /** Returns whether the request may be sent to another target while it stays
         at a silent one, and one that is not suspected can take it. */
--- a/modules/gateway/request/request_forwarder_responses.cpp
+++ b/modules/gateway/request/request_forwarder_responses.cpp
@@ -216,6 +216,7 @@
     if (context_.has_stream_started)
         return true;
     record_stream_version(current);
+    record_usage(services_.core.now());
     const http_response_head& upstream_head = current.upstream.head();
     const http_response_head head{
         upstream_head.status,
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -407,6 +407,11 @@
         services_.fleet.settings().memory_bytes / 100 * response_pool_percent);
 }
 
+time_point target_exchange::sent_at() const
+{
+    return sent_at_;
+}
+
 void target_exchange::finish()
 {
     context_.active_connection = nullptr;
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -96,6 +96,9 @@
         @returns false if the process buffers too much */
     bool reserve_memory(std::size_t bytes);
 
+    /** When the request was sent; the epoch if it was not. */
+    time_point sent_at() const;
+
     /** Returns the connection to the pool if it can be reused. To be called as
         soon as the response was read to its end, so that other requests can use
         the connection at once. */
--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -6,28 +6,16 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds lease_tick_period{100};
-constexpr std::chrono::milliseconds lease_store_timeout{1000};
 constexpr std::chrono::milliseconds status_timeout{600};
 constexpr std::chrono::milliseconds order_timeout{1500};
 constexpr std::size_t max_engine_response_bytes = 64U << 10;
 /** Interval between evaluations of the stage plan. */
 constexpr std::chrono::milliseconds plan_period{500};
-/** Added to the minimum interval between orders of successive lease holders: an
-    order may take this long to reach its engine. */
-constexpr std::chrono::milliseconds order_delivery_margin{2000};
 /** An order without a response may still be carried out within this time. */
 constexpr std::chrono::milliseconds late_order_timeout{15000};
 /** Delay between a change of stage and its report by the engine. */
 constexpr std::chrono::milliseconds stage_report_lag{2500};
 
-lease_settings stage_lease()
-{
-    lease_settings settings;
-    settings.watch_period = std::chrono::milliseconds(2000);
-    return settings;
-}
-
 std::size_t count_zones(const target_list& targets)
 {
     std::set<std::string> zones;
@@ -51,29 +39,17 @@
     return engines > 0 ? prefill_engines / engines : 0;
 }
 
-process_identity identity_of(process_core& core)
-{
-    return {core.settings().host, core.id()};
-}
-
 } // namespace
 
 stage_controller::stage_controller(const gateway_services& services,
-                                   state_follower& follower,
-                                   load_exchange& exchange, table_store& store)
+                                   const fleet_authority& authority)
     : services_(services)
-    , follower_(follower)
-    , exchange_(exchange)
-    , store_(store)
-    , lease_(services.core.settings().region, "stages",
-             identity_of(services.core), stage_lease(),
-             services.core.identifiers())
+    , authority_(authority)
 {
 }
 
 result<void> stage_controller::start()
 {
-    services_.core.repeat(lease_tick_period, [this] { tick(); });
     services_.core.repeat(plan_period,
                           [this]
                           {
@@ -83,73 +59,20 @@
     return outcome::success();
 }
 
-void stage_controller::drain(std::function<void()> finished)
-{
-    perform(lease_.release(services_.core.now()));
-    finished();
-}
-
 void stage_controller::stop()
 {
     is_stopping_ = true;
 }
 
-void stage_controller::tick()
-{
-    if (is_stopping_ || !services_.fleet.has_target_list())
-        return;
-    // Relays are known to be live, and they read the store anyway.
-    lease_.set_live_hosts(exchange_.relays());
-    perform(lease_.store_era_seen(follower_.replicas().era(),
-                                  services_.core.now()));
-    perform(lease_.tick(services_.core.now()));
-}
-
-void stage_controller::perform(const lease_actions& actions)
-{
-    const time_point now = services_.core.now();
-    if (actions.change == lease_change::acquired)
-    {
-        orders_allowed_from_ =
-            lease_.is_first_holder()
-                ? now
-                : now + services_.fleet.settings().min_order_interval +
-                      order_delivery_margin;
-        services_.core.journal().record(
-            event_number::lease_acquired,
-            {{"lease", lease_.key()},
-             {"fencing_number", std::to_string(lease_.fencing_number())}});
-    }
-    if (actions.change == lease_change::lost)
-        services_.core.journal().record(event_number::lease_lost,
-                                        {{"lease", lease_.key()}});
-    if (actions.change == lease_change::released)
-        services_.core.journal().record(event_number::lease_released,
-                                        {{"lease", lease_.key()}});
-    if (actions.commit)
-    {
-        const std::string write_id = actions.commit->write_id;
-        store_.commit(*actions.commit, lease_store_timeout,
-                      [this, write_id](const result<commit_receipt>& receipt)
-                      {
-                          if (!receipt)
-                              follower_.monitor().record_failure(
-                                  receipt.error());
-                          perform(lease_.commit_finished(write_id, receipt,
-                                                         services_.core.now()));
-                      });
-    }
-    if (actions.read)
-        store_.read(lease_.key(), lease_store_timeout,
-                    [this](const result<table_row>& row)
-                    { perform(lease_.row_read(row, services_.core.now())); });
-}
-
 bool stage_controller::can_issue_orders() const
 {
     const time_point now = services_.core.now();
-    return !is_stopping_ && lease_.may_act(now) && orders_allowed_from_ &&
-           now >= *orders_allowed_from_;
+    const std::optional<time_point> acquired_at = authority_.acquired_at();
+    if (is_stopping_ || !authority_.may_act(now) || !acquired_at)
+        return false;
+    return authority_.is_first_holder() ||
+           now >= *acquired_at + services_.fleet.settings().min_order_interval +
+                      fleet_authority::delivery_margin;
 }
 
 void stage_controller::plan()
@@ -164,7 +87,7 @@
         const target_list& targets =
             services_.fleet.registry().targets_for_service(service.name);
         stage_planner_settings settings;
-        settings.is_already_divided = !lease_.is_first_holder();
+        settings.is_already_divided = !authority_.is_first_holder();
         if (settings.is_already_divided)
             settings.initial_prefill_fraction = prefill_fraction(targets);
         stage_planner& planner =
@@ -242,7 +165,7 @@
     }
     const stage_order order{
         target->record, stage, services_.fleet.settings().host,
-        lease_.fencing_number(), status.value().order_count};
+        authority_.fencing_number(), status.value().order_count};
     target->stage_change_until = services_.core.now() + change_duration;
     write_order(order, *target, std::move(connection.value()), yield);
 }
--- a/modules/gateway/stages/stage_controller.hpp
+++ b/modules/gateway/stages/stage_controller.hpp
@@ -1,16 +1,16 @@
 #ifndef HIBISCUSFERRY_GATEWAY_STAGES_STAGE_CONTROLLER_HPP
 #define HIBISCUSFERRY_GATEWAY_STAGES_STAGE_CONTROLLER_HPP
 
-#include "authority/authority.hpp"
+#include "gateway/authority/fleet_authority.hpp"
 #include "gateway/request/request_context.hpp"
-#include "gateway/sharing/load_exchange.hpp"
 #include <map>
 #include <set>
 
 namespace hibiscusferry
 {
 
-/** Orders engines to change their stage, on the one host that holds the lease.
+/** Orders engines to change their stage, on the one host that holds the
+    authority.
 
     Engines need not check fencing numbers. Therefore a new lease holder waits
     until its predecessor can no longer send an order, and every order carries
@@ -23,16 +23,13 @@
 public:
     static constexpr const char* name = "stage_controller";
 
-    stage_controller(const gateway_services& services, state_follower& follower,
-                     load_exchange& exchange, table_store& store);
+    stage_controller(const gateway_services& services,
+                     const fleet_authority& authority);
 
     result<void> start() override;
-    void drain(std::function<void()> finished) override;
     void stop() override;
 
 private:
-    void tick();
-    void perform(const lease_actions& actions);
     bool can_issue_orders() const;
     void plan();
     void start_order(const service_properties& service,
@@ -51,11 +48,7 @@
                                        boost::asio::yield_context yield);
 
     gateway_services services_;
-    state_follower& follower_;
-    load_exchange& exchange_;
-    table_store& store_;
-    lease_holder lease_;
-    std::optional<time_point> orders_allowed_from_;
+    const fleet_authority& authority_;
     std::map<std::string, stage_planner> planners_;
     /** Engines to which an order is being sent. */
     std::set<std::string> orders_in_progress_;
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -298,6 +298,11 @@
     return performance_[service];
 }
 
+refusal_meter& fleet_state::refusals(const std::string& service)
+{
+    return refusals_[service];
+}
+
 service_observations fleet_state::local_observations(time_point now) const
 {
     service_observations observations;
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -125,6 +125,10 @@
     /** What is known of the speed of a service's engines. */
     engine_performance& performance(const std::string& service);
 
+    /** The requests to a service that this host refuses for lack of capacity.
+     */
+    refusal_meter& refusals(const std::string& service);
+
     /** The observations of this host for all services with engines. */
     service_observations local_observations(time_point now) const;
 
@@ -162,6 +166,7 @@
     std::map<std::string, fleet_retry_budget> budgets_;
     std::map<std::string, service_delays> delays_;
     std::map<std::string, engine_performance> performance_;
+    std::map<std::string, refusal_meter> refusals_;
     std::optional<std::pair<time_point, time_point>> stop_;
     std::size_t live_hosts_;
 };
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -401,6 +401,13 @@
     return implementation_->endpoint;
 }
 
+void http_connection::abort_on_close()
+{
+    boost::system::error_code ignored;
+    implementation_->stream.socket().set_option(
+        boost::asio::socket_base::linger(true, 0), ignored);
+}
+
 void http_connection::close()
 {
     implementation_->is_reusable = false;
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -109,6 +109,10 @@
 
     const http_endpoint& endpoint() const;
 
+    /** Makes the end of the connection discard what has not been delivered yet,
+        instead of delivering it later. */
+    void abort_on_close();
+
     /** Closes the connection. Any operation in progress fails with
         http_error::broken. */
     void close();
--- a/modules/serving/estimation/duration_model.cpp
+++ b/modules/serving/estimation/duration_model.cpp
@@ -9,10 +9,6 @@
 namespace
 {
 
-/** Long enough for hundreds of exchanges, short enough to follow a change of
-    the engines. */
-constexpr std::chrono::duration<double> time_constant{8};
-
 /** Exchanges that are needed before the estimate is used. */
 constexpr double min_exchanges = 3;
 
@@ -39,7 +35,7 @@
 double decay_factor(time_point since, time_point now)
 {
     const std::chrono::duration<double> elapsed = now - since;
-    return std::exp(-std::max(elapsed / time_constant, 0.0));
+    return std::exp(-std::max(elapsed / duration_model::time_constant, 0.0));
 }
 
 linear_duration fit(const step_observations& sums)
--- a/modules/serving/estimation/duration_model.hpp
+++ b/modules/serving/estimation/duration_model.hpp
@@ -36,6 +36,10 @@
 class duration_model
 {
 public:
+    /** The sums decay with this time constant. Long enough for hundreds of
+        exchanges, short enough to follow a change of the engines. */
+    static constexpr std::chrono::duration<double> time_constant{8};
+
     /** Records a finished exchange.
         @param tokens        tokens processed until the end of the step,
                              including those of steps that were ahead of it
--- a/modules/serving/estimation/engine_performance.cpp
+++ b/modules/serving/estimation/engine_performance.cpp
@@ -1,5 +1,7 @@
 #include "serving/estimation/engine_performance.hpp"
 
+#include <algorithm>
+
 namespace hibiscusferry
 {
 
@@ -67,4 +69,19 @@
                         decodes.own_duration_ms / decodes.exchanges};
 }
 
+std::optional<double> engine_performance::busy_engines(unsigned slots,
+                                                       time_point now) const
+{
+    const linear_duration prefill = model(engine_step::prefill).estimate(now);
+    const step_observations prefills = model(engine_step::prefill).total(now);
+    const step_observations streams = model(engine_step::completion).total(now);
+    if (!prefill.is_known || prefills.exchanges < min_generations_for_demand)
+        return std::nullopt;
+    const std::chrono::duration<double, std::milli> period =
+        duration_model::time_constant;
+    return (prefill.ms_per_token * prefills.own_tokens +
+            streams.own_duration_ms / std::max(slots, 1U)) /
+           period.count();
+}
+
 } // namespace hibiscusferry
--- a/modules/serving/estimation/engine_performance.hpp
+++ b/modules/serving/estimation/engine_performance.hpp
@@ -64,6 +64,11 @@
     /** The recent demand; none until enough exchanges were observed. */
     std::optional<stage_demand> demand(time_point now) const;
 
+    /** The recent work of all hosts, in engines that it keeps busy: the
+       prefills of prefill engines, and the slots that streams occupy. None
+       until enough exchanges were observed. */
+    std::optional<double> busy_engines(unsigned slots, time_point now) const;
+
 private:
     const duration_model& model(engine_step step) const;
 
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -1,5 +1,6 @@
 #include "serving/serving.hpp"
 
+#include "serving/capacity/capacity_planner.cpp"
 #include "serving/catalogue/software_version_history.cpp"
 #include "serving/catalogue/target_catalogue.cpp"
 #include "serving/credentials/credential_check.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -13,6 +13,7 @@
 
 #include "foundation/foundation.hpp"
 
+#include "serving/capacity/capacity_planner.hpp"
 #include "serving/catalogue/software_version_history.hpp"
 #include "serving/catalogue/target_catalogue.hpp"
 #include "serving/credentials/credential_check.hpp"
--- a/modules/sharing/sharing.cpp
+++ b/modules/sharing/sharing.cpp
@@ -14,3 +14,7 @@
 #include "sharing/streams/record_host_selector.cpp"
 #include "sharing/streams/stream_version_message.cpp"
 #include "sharing/streams/stream_version_store.cpp"
+#include "sharing/usage/fleet_clock.cpp"
+#include "sharing/usage/usage_collector.cpp"
+#include "sharing/usage/usage_counter.cpp"
+#include "sharing/usage/usage_message.cpp"
--- a/modules/sharing/sharing.hpp
+++ b/modules/sharing/sharing.hpp
@@ -18,6 +18,9 @@
     beginning to respond to. Hosts merge their records, so that each of them
     knows which blocks crash targets.
 
+    Hosts count the requests of workspaces by windows of an agreed time, and
+    send the counts to the one host that merges and reports them.
+
     The classes receive events and the current time as arguments; they perform
     no I/O and read no clock. The module depends on foundation and storage (for
     table rows).
@@ -41,5 +44,9 @@
 #include "sharing/streams/record_host_selector.hpp"
 #include "sharing/streams/stream_version_message.hpp"
 #include "sharing/streams/stream_version_store.hpp"
+#include "sharing/usage/fleet_clock.hpp"
+#include "sharing/usage/usage_collector.hpp"
+#include "sharing/usage/usage_counter.hpp"
+#include "sharing/usage/usage_message.hpp"
 
 #endif
