Correct what a review of keys, usage and capacity found

Cause: a process that starts in a restored era could report a window anew; a successor acted at once after a release; a new holder reported windows before it had their counts, and set the fleet's time by its own clock; a fleet that served nothing shrank; a holder without peers released capacity; configurations with keys went to other hosts; an unreadable configuration confirmed the one before. Change: each of these, with a test where the decision has one. Configurations are kept with digests in place of keys.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -101,9 +101,9 @@
             std::make_unique<stage_controller>(dependencies, authority_ref)) &&
         (!usage || add(usage_service::name, std::move(usage))) &&
         (!orders_targets ||
-         add(capacity_service::name,
-             std::make_unique<capacity_service>(dependencies, authority_ref,
-                                                duty_calls, *caller)));
+         add(capacity_service::name, std::make_unique<capacity_service>(
+                                         dependencies, exchange_ref,
+                                         authority_ref, duty_calls, *caller)));
     const result<void> started = services.start();
     if (!are_services_added || !started)
     {
--- a/modules/gateway/authority/fleet_authority.cpp
+++ b/modules/gateway/authority/fleet_authority.cpp
@@ -111,8 +111,9 @@
 {
     if (!may_act(now) || !acquired_at_)
         return false;
-    return lease_.is_first_holder() || lease_.acquired_after_release() ||
-           now >= *acquired_at_ + delivery_margin;
+    // Also after a release: a call may be on the way when the lease is
+    // released.
+    return lease_.is_first_holder() || now >= *acquired_at_ + delivery_margin;
 }
 
 std::optional<time_point> fleet_authority::acquired_at() const
@@ -138,6 +139,9 @@
 
 std::string fleet_authority::holder() const
 {
+    // Hosts that do not compete for the lease do not follow its row.
+    if (lease_.rank() >= authority_lease().candidates)
+        return {};
     return lease_.observed_holder().host;
 }
 
--- a/modules/gateway/duties/capacity_service.cpp
+++ b/modules/gateway/duties/capacity_service.cpp
@@ -9,14 +9,18 @@
 {
 
 constexpr std::chrono::milliseconds capacity_plan_period{500};
+/** Hosts whose work has to be known before capacity is released. */
+constexpr std::size_t min_reporting_percent = 80;
 
 } // namespace
 
 capacity_service::capacity_service(const gateway_services& services,
+                                   const load_exchange& exchange,
                                    const fleet_authority& authority,
                                    const duty_protocol& protocol,
                                    duty_caller& caller)
     : services_(services)
+    , exchange_(exchange)
     , authority_(authority)
     , protocol_(protocol)
     , caller_(caller)
@@ -79,9 +83,9 @@
         .set(planner.needed_targets());
     for (const capacity_change& change : changes)
     {
-        const bool may_go_on = order(service, change, yield);
+        order(service, change, yield);
         // The planners are made anew in another term.
-        if (!may_go_on || term_ != authority_.term())
+        if (term_ != authority_.term())
             return;
     }
 }
@@ -108,6 +112,9 @@
                                              : zone.ordinary);
     }
     situation.busy_targets = busy_targets(service);
+    situation.is_complete =
+        exchange_.reporting_hosts() * 100 >=
+        services_.fleet.live_hosts() * min_reporting_percent;
     situation.refused_fraction = services_.fleet.refusals(service.name)
                                      .refused_fraction(services_.core.now());
     return situation;
@@ -129,7 +136,7 @@
     return busy > 0 ? std::optional(busy) : std::nullopt;
 }
 
-bool capacity_service::order(const service_properties& service,
+void capacity_service::order(const service_properties& service,
                              const capacity_change& change,
                              boost::asio::yield_context yield)
 {
@@ -155,7 +162,6 @@
     if (is_settled && planner != planners_.end())
         planner->second.record_order(change, outcome == duty_result::accepted,
                                      services_.core.now());
-    return is_settled;
 }
 
 void capacity_service::log(const service_properties& service,
--- a/modules/gateway/duties/capacity_service.hpp
+++ b/modules/gateway/duties/capacity_service.hpp
@@ -18,6 +18,7 @@
 
     /** All parameters must outlive the service. */
     capacity_service(const gateway_services& services,
+                     const load_exchange& exchange,
                      const fleet_authority& authority,
                      const duty_protocol& protocol, duty_caller& caller);
 
@@ -30,13 +31,13 @@
               boost::asio::yield_context yield);
     capacity_situation situation_of(const service_properties& service);
     std::optional<double> busy_targets(const service_properties& service);
-    /** @returns false if the order could not be made */
-    bool order(const service_properties& service, const capacity_change& change,
+    void order(const service_properties& service, const capacity_change& change,
                boost::asio::yield_context yield);
     void log(const service_properties& service, const capacity_change& change,
              const std::string& outcome);
 
     gateway_services services_;
+    const load_exchange& exchange_;
     const fleet_authority& authority_;
     const duty_protocol& protocol_;
     duty_caller& caller_;
--- a/modules/gateway/duties/duty_caller.cpp
+++ b/modules/gateway/duties/duty_caller.cpp
@@ -27,6 +27,7 @@
     , fleet_(fleet)
     , authority_(authority)
     , protocol_(protocol)
+    , settings_(*fleet.settings().duties)
     , tokens_at_(core.now())
 {
 }
@@ -34,8 +35,7 @@
 bool duty_caller::try_take()
 {
     const time_point now = core_.now();
-    const double rate =
-        used_rate_fraction * fleet_.settings().duties->calls_per_second;
+    const double rate = used_rate_fraction * settings_.calls_per_second;
     const std::chrono::duration<double> elapsed = now - tokens_at_;
     tokens_ = std::min(tokens_ + rate * elapsed.count(), std::max(rate, 1.0));
     tokens_at_ = now;
@@ -52,15 +52,15 @@
         return std::nullopt;
     const std::uint64_t term = authority_.term();
     result<std::unique_ptr<http_connection>> connection =
-        core_.connections().open(fleet_.settings().duties->receiver,
-                                 duty_connect_timeout, yield);
+        core_.connections().open(settings_.receiver, duty_connect_timeout,
+                                 yield);
     // The authority may have been lost while the connection was opened.
     if (!connection || !authority_.may_begin_duties(core_.now()) ||
         authority_.term() != term)
         return std::nullopt;
     const http_request request =
         write({fleet_.settings().host, authority_.fencing_number()});
-    connection.value()->abort_on_close();
+    connection.value()->abort_on_close(duty_call_timeout);
     const result<http_response> response =
         http_call(core_.connections(), std::move(connection.value()), request,
                   duty_call_timeout, max_duty_response_bytes, yield);
--- a/modules/gateway/duties/duty_caller.hpp
+++ b/modules/gateway/duties/duty_caller.hpp
@@ -40,6 +40,7 @@
     const fleet_state& fleet_;
     const fleet_authority& authority_;
     const duty_protocol& protocol_;
+    const duty_settings settings_;
     double tokens_ = 1;
     time_point tokens_at_;
 };
--- a/modules/gateway/duties/usage_reporter.cpp
+++ b/modules/gateway/duties/usage_reporter.cpp
@@ -21,6 +21,8 @@
 /** Rows of this many windows are kept, several times as long as a report is
     sent. */
 constexpr std::uint64_t kept_windows = 24;
+/** Time within which hosts send all open windows to a new holder. */
+constexpr std::chrono::milliseconds min_collection_time{4000};
 constexpr std::chrono::milliseconds min_call_backoff{250};
 constexpr std::chrono::milliseconds max_call_backoff{2000};
 constexpr std::chrono::milliseconds store_retry_delay{300};
@@ -77,29 +79,33 @@
         activity_ = activity::reading;
         step next;
         next.reads_rows = true;
+        if (next_window_ > 0)
+            next.after_row = key_of(next_window_ - 1);
         return next;
     }
     // A report that may have been sent in an era that the store has forgotten.
     while (was_reported_before(next_window_, current) &&
            recorded_.count(next_window_) == 0)
         ++next_window_;
-    const step sending = send(current);
-    if (sending.body)
-        return sending;
+    // A receiver that does not respond must not delay the next record.
     return is_ready(next_window_, current) ? record(next_window_, current)
-                                           : step{};
+                                           : send(current);
 }
 
 void usage_reporter::begin_term(const situation& current)
 {
     term_ = current.term;
+    term_began_at_ = current.now;
     has_read_rows_ = false;
     pending_.clear();
     // Older reports would come too late in any case.
-    next_window_ =
-        current.is_first_holder
-            ? window_of(current.agreed_time)
-            : window_of(current.agreed_time - give_up_factor * timing_.due);
+    const std::uint64_t oldest_window =
+        window_of(current.agreed_time - give_up_factor * timing_.due);
+    const bool is_first_term = next_window_ == 0;
+    // Before the first holder nothing was counted.
+    next_window_ = is_first_term && current.is_first_holder
+                       ? window_of(current.agreed_time)
+                       : std::max(next_window_, oldest_window);
 }
 
 bool usage_reporter::was_reported_before(std::uint64_t window,
@@ -116,8 +122,11 @@
     const fleet_time age = current.agreed_time - end_of(window);
     if (age < min_merge_delay)
         return false;
-    return age >= timing_.due * max_merge_delay_percent / 100 ||
-           counts_.missing_hosts(window) == 0;
+    if (counts_.missing_hosts(window) == 0)
+        return true;
+    // A new holder has yet to be sent the counts of the windows before.
+    return age >= timing_.due * max_merge_delay_percent / 100 &&
+           current.now - term_began_at_ >= min_collection_time;
 }
 
 usage_reporter::step usage_reporter::record(std::uint64_t window,
--- a/modules/gateway/duties/usage_reporter.hpp
+++ b/modules/gateway/duties/usage_reporter.hpp
@@ -66,8 +66,10 @@
     /** What has to be done now. */
     struct step
     {
-        /** Read all rows with this prefix, and call rows_read(). */
+        /** Read the rows with row_prefix, and call rows_read(). */
         bool reads_rows = false;
+        /** Read only rows after this one; empty for all. */
+        std::string after_row;
         /** Commit this, and call commit_finished(). */
         std::optional<table_transaction> commit;
         /** Send this body, if the host still holds the authority, and call
@@ -129,6 +131,7 @@
     activity activity_ = activity::idle;
     /** The term for which the rows were read. */
     std::optional<std::uint64_t> term_;
+    time_point term_began_at_{};
     bool has_read_rows_ = false;
     /** The first window that has no row as far as this host knows. */
     std::uint64_t next_window_ = 0;
--- a/modules/gateway/duties/usage_service.cpp
+++ b/modules/gateway/duties/usage_service.cpp
@@ -23,6 +23,10 @@
     recorded yet. */
 constexpr std::chrono::milliseconds final_repeat_period{2000};
 constexpr std::size_t max_pending_reports = 64;
+/** Delay of the timer that shows a pause of the process, and the time after it
+    within which queued messages have been read. */
+constexpr std::chrono::milliseconds max_lag{500};
+constexpr std::chrono::milliseconds lag_recovery_time{500};
 /** Windows are reported for this many times as long as a report may take. */
 constexpr int report_lifetime_factor = 3;
 
@@ -37,6 +41,7 @@
 usage_service::usage_service(const dependencies& services,
                              const duty_settings& settings, duty_caller& caller)
     : services_(services)
+    , settings_(settings)
     , caller_(caller)
     , incarnation_(stable_hash(services.core.id()))
     , clock_(time_of_day(services.core), services.core.now())
@@ -78,8 +83,15 @@
 
 void usage_service::record_start(const std::string& workspace, time_point at)
 {
-    if (!workspace.empty())
-        counter_.count(workspace, clock_.time(at));
+    if (workspace.empty())
+        return;
+    // The window in which a long request began may be final; it is counted in
+    // the present one then, so that no request is lost.
+    const fleet_time began_at = clock_.time(at);
+    const fleet_time now = clock_.time(services_.core.now());
+    const fleet_time window_end = counter_.end_of(counter_.window_of(began_at));
+    counter_.count(workspace,
+                   now < window_end + final_counts_delay ? began_at : now);
 }
 
 // ========================================================================
@@ -112,9 +124,8 @@
     const time_point now = services_.core.now();
     const fleet_time time = clock_.time(now);
     const std::uint64_t current_window = counter_.window_of(time);
-    const duty_settings& duties = *services_.fleet.settings().duties;
     const std::uint64_t oldest_window = counter_.window_of(
-        time - report_lifetime_factor * duties.usage_report_delay);
+        time - report_lifetime_factor * settings_.usage_report_delay);
     counter_.forget_before(oldest_window);
     final_sent_at_.erase(final_sent_at_.begin(),
                          final_sent_at_.lower_bound(oldest_window));
@@ -152,6 +163,11 @@
 // ========================================================================
 // Messages
 
+bool usage_service::is_lagging() const
+{
+    return services_.core.now() - ticked_at_ > max_lag;
+}
+
 bool usage_service::is_collector() const
 {
     return services_.authority.may_act(services_.core.now());
@@ -220,7 +236,10 @@
         }
         return;
     }
-    collector_.apply(report, services_.core.now());
+    // After a pause of the process, reports have waited to be read and say
+    // nothing about the time.
+    const time_point now = services_.core.now();
+    collector_.apply(report, now, !is_lagging() && now >= lagged_until_);
     acknowledge(report);
 }
 
@@ -258,21 +277,27 @@
 {
     const std::uint64_t era = services_.follower.replicas().era();
     const time_point now = services_.core.now();
-    if (era != era_)
-    {
-        if (era_ != 0)
-            era_began_at_ = now;
-        era_ = era;
-    }
+    // A process that starts in a later era does not know when it began.
+    if (era != era_ && (era_ != 0 || era > 1))
+        era_began_at_ = now;
+    era_ = era;
+    lagged_until_ = is_lagging() ? now + lag_recovery_time : lagged_until_;
+    ticked_at_ = now;
     if (!is_collector())
         return;
-    const std::optional<fleet_time> agreed_time = collector_.agreed_time(now);
+    // A new collector keeps the time that its predecessor stated until it has
+    // heard from most hosts.
+    const std::size_t min_samples =
+        clock_.is_synchronized() ? services_.fleet.live_hosts() / 2 + 1 : 1;
+    const std::optional<fleet_time> agreed_time =
+        collector_.agreed_time(min_samples, now);
     if (agreed_time)
         clock_.set(*agreed_time, now);
     const fleet_time time = clock_.time(now);
-    collector_.forget_before(counter_.window_of(
-        time - report_lifetime_factor *
-                   services_.fleet.settings().duties->usage_report_delay));
+    collector_.forget_before(
+        counter_.window_of(time - report_lifetime_factor *
+                                      settings_.usage_report_delay),
+        now);
 }
 
 // ========================================================================
@@ -334,7 +359,8 @@
         services_.core.context(), boost::asio::steady_timer::time_point::max());
     if (next.reads_rows)
         services_.store.scan(
-            usage_reporter::row_prefix, "", max_usage_rows, usage_store_timeout,
+            usage_reporter::row_prefix, next.after_row, max_usage_rows,
+            usage_store_timeout,
             [this, &finished](const result<std::vector<table_row>>& rows)
             {
                 if (!rows)
--- a/modules/gateway/duties/usage_service.hpp
+++ b/modules/gateway/duties/usage_service.hpp
@@ -65,6 +65,8 @@
     void receive_acknowledgement(const usage_acknowledgement& message);
     void acknowledge(const usage_host_report& report);
     bool is_collector() const;
+    /** Whether the process has just been paused. */
+    bool is_lagging() const;
     void synchronize_collector();
 
     void report_loop(boost::asio::yield_context yield);
@@ -75,6 +77,7 @@
                    boost::asio::yield_context yield);
 
     dependencies services_;
+    const duty_settings settings_;
     duty_caller& caller_;
     std::uint64_t incarnation_;
     fleet_clock clock_;
@@ -87,7 +90,10 @@
     time_point sent_at_{};
     /** Ended windows of which the final counts were sent. */
     std::map<std::uint64_t, time_point> final_sent_at_;
+    time_point ticked_at_{};
+    time_point lagged_until_{};
     std::uint64_t era_ = 0;
+    /** When this process noticed the present era; none in the first one. */
     std::optional<time_point> era_began_at_;
     bool is_stopping_ = false;
 };
--- a/modules/gateway/protocol/fleet_records.hpp
+++ b/modules/gateway/protocol/fleet_records.hpp
@@ -25,6 +25,11 @@
     virtual result<fleet_configuration>
     read_configuration(const std::string& value) const = 0;
 
+    /** Returns a configuration with the keys of workspaces replaced by digests.
+        Hosts keep and exchange only this form, which read_configuration()
+        parses like the original. */
+    virtual std::string without_keys(const std::string& value) const = 0;
+
     /** Parses the row of a target.
         @returns an error if the row does not describe a usable target */
     virtual result<target_record> read_target(const table_row& row) const = 0;
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -168,7 +168,7 @@
         if (has_time && context_.attempts == 0 && !suspended_)
             services_.fleet.refusals(context_.service)
                 .add(!assignment_.decode_engine &&
-                         reason == scheduling_failure::busy,
+                         reason != scheduling_failure::limited,
                      services_.core.now());
         if (has_time && assignment_.decode_engine)
             step = attempt(assignment_, yield);
--- a/modules/gateway/sharing/load_exchange.cpp
+++ b/modules/gateway/sharing/load_exchange.cpp
@@ -70,6 +70,11 @@
     return names;
 }
 
+std::size_t load_exchange::reporting_hosts() const
+{
+    return reporting_hosts_;
+}
+
 // ========================================================================
 // Reporting
 
@@ -423,6 +428,7 @@
             load == part.loads.end() ? in_flight_load{} : load->second;
         target->remote_load_received_at = now;
     }
+    reporting_hosts_ = part.hosts + 1;
     core_.metrics()
         .gauge_of("hibiscusferry_hosts_heard")
         .set(static_cast<double>(part.hosts + 1));
--- a/modules/gateway/sharing/load_exchange.hpp
+++ b/modules/gateway/sharing/load_exchange.hpp
@@ -34,6 +34,9 @@
     /** The known relays of all zones, including this host if it is one. */
     std::vector<std::string> relays();
 
+    /** The hosts whose loads this host has heard recently, including itself. */
+    std::size_t reporting_hosts() const;
+
 private:
     /** The recipient of a report that awaits a response. */
     struct pending_report
@@ -102,6 +105,7 @@
     /** Empty if this host is the relay of its zone. */
     std::string current_relay_;
     bool was_relay_ = false;
+    std::size_t reporting_hosts_ = 1;
     /** Digest of the host table from which the relay candidates were taken. */
     std::uint64_t host_table_digest_ = 0;
     time_point zones_reported_at_{};
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -291,7 +291,13 @@
     // A response that was delayed beyond the start of a new era.
     if (changes.value().era < replicas_.replica(table).as_of().era)
         return make_error_code(platform_error::history_expired);
-    log_unreadable_rows(table, changes.value().unreadable);
+    if (table == fleet_table::configuration)
+    {
+        for (table_row& row : changes.value().rows)
+            row.value = sources_.records.without_keys(row.value);
+    }
+    const std::size_t unreadable_rows = changes.value().unreadable;
+    log_unreadable_rows(table, unreadable_rows);
     const bool has_changed = !changes.value().rows.empty() ||
                              !changes.value().deleted.empty() ||
                              changes.value().unreadable > 0;
@@ -308,7 +314,9 @@
         "store");
     if (is_applied && is_snapshot)
         needs_snapshot = false;
-    if (is_applied && !needs_snapshot)
+    const bool is_row_unreadable =
+        unreadable_rows > 0 && table == fleet_table::configuration;
+    if (is_applied && !needs_snapshot && !is_row_unreadable)
         confirm(table, as_of);
     const bool is_config_missing =
         table == fleet_table::configuration && !fleet_.routes();
--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -160,11 +160,18 @@
     result<fleet_configuration>
     read_configuration(const std::string& value) const override
     {
+        if (value == "unreadable")
+            return std::make_error_code(std::errc::bad_message);
         fleet_configuration configuration;
         configuration.version = std::stoull(value);
         return configuration;
     }
 
+    std::string without_keys(const std::string& value) const override
+    {
+        return value;
+    }
+
     result<target_record> read_target(const table_row& row) const override
     {
         target_record record;
@@ -447,6 +454,24 @@
 // ========================================================================
 // Requests that wait for a new list
 
+// Guards against a key that is taken away in a version that cannot be read, and
+// stays valid because the version before counts as current.
+BOOST_AUTO_TEST_CASE(
+    an_unreadable_configuration_does_not_confirm_the_former_one)
+{
+    start();
+    run(milliseconds(300));
+    BOOST_REQUIRE(fleet.configuration_confirmed_at().has_value());
+    feed.put("operator/configuration", "unreadable");
+    run(milliseconds(100));
+    const time_point confirmed_at = *fleet.configuration_confirmed_at();
+    run(milliseconds(3000));
+    BOOST_TEST((*fleet.configuration_confirmed_at() == confirmed_at));
+    feed.put("operator/configuration", "3");
+    run(milliseconds(3000));
+    BOOST_TEST((*fleet.configuration_confirmed_at() > confirmed_at));
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_wait_for_a_new_list_share_one_read_at_once)
 {
     start(false);
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <limits>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace hibiscusferry
@@ -401,11 +402,15 @@
     return implementation_->endpoint;
 }
 
-void http_connection::abort_on_close()
+void http_connection::abort_on_close(std::chrono::milliseconds delivery_timeout)
 {
+    boost::asio::ip::tcp::socket& socket = implementation_->stream.socket();
     boost::system::error_code ignored;
-    implementation_->stream.socket().set_option(
-        boost::asio::socket_base::linger(true, 0), ignored);
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    const boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                      TCP_USER_TIMEOUT>
+        user_timeout(static_cast<int>(delivery_timeout.count()));
+    socket.set_option(user_timeout, ignored);
 }
 
 void http_connection::close()
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -110,8 +110,9 @@
     const http_endpoint& endpoint() const;
 
     /** Makes the end of the connection discard what has not been delivered yet,
-        instead of delivering it later. */
-    void abort_on_close();
+        instead of delivering it later. The connection also ends if something is
+        not delivered within a time, even while the process is paused. */
+    void abort_on_close(std::chrono::milliseconds delivery_timeout);
 
     /** Closes the connection. Any operation in progress fails with
         http_error::broken. */
--- a/modules/serving/capacity/capacity_planner.cpp
+++ b/modules/serving/capacity/capacity_planner.cpp
@@ -150,11 +150,13 @@
         if (before != demands_.end())
             targets += std::clamp(targets - before->targets, 0.0,
                                   settings_.growth_fraction * before->targets);
-        if (situation.refused_fraction > settings_.min_refused_fraction)
-            targets =
-                std::max(targets, present * (1 + settings_.growth_fraction));
         demands_.push_back({now, targets});
     }
+    // Nothing is known of the work if nothing is served.
+    if (situation.refused_fraction > settings_.min_refused_fraction)
+        demands_.push_back(
+            {now, std::max({present * (1 + settings_.growth_fraction),
+                            present + 1, 1.0 * needed_})});
     while (!demands_.empty() &&
            now - demands_.front().at > settings_.demand_memory)
         demands_.pop_front();
@@ -321,7 +323,8 @@
     if (!entry.superfluous_since)
         entry.superfluous_since = now;
     const bool is_refusing =
-        situation.refused_fraction > settings_.min_refused_fraction;
+        situation.refused_fraction > settings_.min_refused_fraction ||
+        !situation.is_complete;
     // Targets that were ordered or are leaving would be counted twice.
     const bool is_changing =
         leaving > 0 || (is_recent(entry, now) && *entry.ordered != present);
--- a/modules/serving/capacity/capacity_planner.hpp
+++ b/modules/serving/capacity/capacity_planner.hpp
@@ -44,6 +44,8 @@
     /** The fraction of the requests that was recently refused for lack of
         capacity. */
     double refused_fraction = 0;
+    /** Whether the work of most hosts is known. */
+    bool is_complete = true;
 };
 
 /** A number of targets that a service should have in a zone. */
--- a/modules/serving/capacity/capacity_planner_test.cpp
+++ b/modules/serving/capacity/capacity_planner_test.cpp
@@ -207,6 +207,37 @@
     BOOST_TEST(platform.total() > 20U);
 }
 
+// Guards against a fleet that shrinks because nothing is served any more.
+BOOST_AUTO_TEST_CASE(fleet_grows_when_all_requests_are_refused)
+{
+    fake_platform platform(limits_with(std::nullopt));
+    platform.start_with(5);
+    capacity_planner planner(platform.limits, {}, true);
+    platform.situation.busy_targets = 9;
+    platform.run(planner, 25);
+    for (auto& [zone, capacity] : platform.situation.zones)
+        capacity.ordinary = 0;
+    platform.situation.busy_targets.reset();
+    platform.situation.refused_fraction = 1;
+    platform.run(planner, 40);
+    BOOST_TEST(platform.total() >= 15U);
+}
+
+// Guards against a holder that has lost its peers and releases what their
+// callers use.
+BOOST_AUTO_TEST_CASE(nothing_is_released_while_the_work_of_hosts_is_unknown)
+{
+    fake_platform platform(limits_with(std::nullopt));
+    platform.start_with(10);
+    capacity_planner planner(platform.limits, {}, true);
+    platform.situation.busy_targets = 18;
+    platform.run(planner, 30);
+    platform.situation.busy_targets = 1;
+    platform.situation.is_complete = false;
+    platform.run(planner, 60);
+    BOOST_TEST(platform.total() >= 30U);
+}
+
 // Guards against a new holder that releases what it does not understand yet.
 BOOST_AUTO_TEST_CASE(new_holder_releases_nothing_at_first)
 {
--- a/modules/serving/credentials/credential_check.cpp
+++ b/modules/serving/credentials/credential_check.cpp
@@ -7,7 +7,7 @@
 {
 
 /** Part of the revocation time after which a host is not ready. */
-constexpr int ready_percent = 60;
+constexpr int ready_percent = 70;
 
 bool is_older(std::optional<time_point> confirmed_at, time_point at,
               std::chrono::milliseconds age)
--- a/modules/serving/model/workspace_directory.hpp
+++ b/modules/serving/model/workspace_directory.hpp
@@ -31,6 +31,13 @@
         @returns the number of keys that another workspace has as well */
     std::size_t add(workspace entry, const std::vector<std::string>& keys);
 
+    /** As add(), by the digests of the keys. */
+    std::size_t add_digests(workspace entry,
+                            const std::vector<std::string>& digests);
+
+    /** The digest under which a key is kept. */
+    static std::string digest_of(std::string_view key);
+
     /** The workspace that holds a key, or null. */
     const workspace* find(std::string_view key) const;
 
--- a/modules/sharing/usage/usage_collector.cpp
+++ b/modules/sharing/usage/usage_collector.cpp
@@ -16,10 +16,11 @@
 } // namespace
 
 void usage_collector::apply(const usage_host_report& report,
-                            time_point received_at)
+                            time_point received_at, bool is_prompt)
 {
-    clocks_[report.host] = {report.time_of_day - received_at.time_since_epoch(),
-                            received_at};
+    if (is_prompt)
+        clocks_[report.host] = {
+            report.time_of_day - received_at.time_since_epoch(), received_at};
     if (report.window < first_window_)
         return;
     host_counts& entry =
@@ -76,7 +77,8 @@
     return entries == windows_.end() ? 0 : entries->second.size();
 }
 
-std::optional<fleet_time> usage_collector::agreed_time(time_point now) const
+std::optional<fleet_time> usage_collector::agreed_time(std::size_t min_hosts,
+                                                       time_point now) const
 {
     std::vector<std::chrono::nanoseconds> offsets;
     for (const auto& [host, sample] : clocks_)
@@ -84,7 +86,7 @@
         if (now - sample.received_at <= clock_sample_lifetime)
             offsets.push_back(sample.offset);
     }
-    if (offsets.empty())
+    if (offsets.empty() || offsets.size() < min_hosts)
         return std::nullopt;
     const auto median =
         offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
@@ -93,8 +95,14 @@
                                                   *median);
 }
 
-void usage_collector::forget_before(std::uint64_t window)
+void usage_collector::forget_before(std::uint64_t window, time_point now)
 {
+    for (auto clock = clocks_.begin(); clock != clocks_.end();)
+    {
+        const bool is_old =
+            now - clock->second.received_at > clock_sample_lifetime;
+        clock = is_old ? clocks_.erase(clock) : std::next(clock);
+    }
     first_window_ = std::max(first_window_, window);
     windows_.erase(windows_.begin(), windows_.lower_bound(window));
 }
--- a/modules/sharing/usage/usage_collector.hpp
+++ b/modules/sharing/usage/usage_collector.hpp
@@ -18,8 +18,11 @@
 class usage_collector
 {
 public:
-    /** Applies a report. */
-    void apply(const usage_host_report& report, time_point received_at);
+    /** Applies a report.
+        @param is_prompt  whether it was read when it arrived, so that it shows
+                          the host's time of day */
+    void apply(const usage_host_report& report, time_point received_at,
+               bool is_prompt = true);
 
     /** The hosts among `hosts` whose final counts of a window are missing. */
     std::size_t missing_hosts(std::uint64_t window,
@@ -31,12 +34,14 @@
     /** Number of runs of processes that have reported a window. */
     std::size_t sources(std::uint64_t window) const;
 
-    /** The median of the hosts' times of day; none without recent reports. */
-    std::optional<fleet_time> agreed_time(time_point now) const;
+    /** The median of the hosts' times of day; none without recent reports of
+        this many hosts. */
+    std::optional<fleet_time> agreed_time(std::size_t min_hosts,
+                                          time_point now) const;
 
     /** Drops all windows before one. Reports of them are ignored from now on.
      */
-    void forget_before(std::uint64_t window);
+    void forget_before(std::uint64_t window, time_point now);
 
 private:
     struct host_counts
