Order no fewer targets than the platform provides

Cause: an order is absolute. A list that lacks targets for a while had the same effect. Change: the planner waits until the list has settled, and plans from the number that the platform provides: the last one ordered, or the most seen before.

--- a/modules/serving/capacity/capacity_planner.cpp
+++ b/modules/serving/capacity/capacity_planner.cpp
@@ -73,11 +73,8 @@
 {
     if (situation.zones.empty())
         return {};
-    if (!began_at_)
-    {
-        began_at_ = now;
-        initial_targets_ = total_targets(situation);
-    }
+    if (!observe(situation, now))
+        return {};
     needed_ = round_up(forecast(situation, now));
     const unsigned lasting = lasting_targets(situation, now);
     spare_ = lasting > needed_ ? lasting - needed_ : 0;
@@ -103,6 +100,43 @@
     return changes;
 }
 
+bool capacity_planner::observe(const capacity_situation& situation,
+                               time_point now)
+{
+    const unsigned total = total_targets(situation);
+    if (!began_at_)
+        began_at_ = now;
+    if (total != last_total_)
+        total_changed_at_ = now;
+    last_total_ = total;
+    for (const auto& [zone, capacity] : situation.zones)
+    {
+        for (const target_kind kind :
+             {target_kind::ordinary, target_kind::reclaimable})
+        {
+            subject& entry = subjects_[{zone, kind}];
+            const unsigned present = present_targets(capacity, kind);
+            entry.most_present = std::max(entry.most_present, present);
+            if (present >= provided(entry))
+                entry.missing_since.reset();
+            else if (!entry.missing_since)
+                entry.missing_since = now;
+        }
+    }
+    if (!has_settled_)
+    {
+        initial_targets_ = std::max(initial_targets_, total);
+        has_settled_ = now - total_changed_at_ >= settings_.settling_time &&
+                       now - *began_at_ >= settings_.settling_time;
+    }
+    return has_settled_;
+}
+
+unsigned capacity_planner::provided(const subject& entry)
+{
+    return entry.ordered.value_or(entry.most_present);
+}
+
 bool capacity_planner::is_recent(const subject& entry, time_point now) const
 {
     return entry.ordered &&
@@ -294,19 +328,29 @@
         (entry.ordered &&
          now - entry.ordered_at < settings_.min_order_interval))
         return std::nullopt;
-    const unsigned ordered = is_recent(entry, now) ? *entry.ordered : present;
-    if (desired >= present)
+    const unsigned there = provided(entry);
+    if (desired >= there)
         entry.superfluous_since.reset();
-    if (desired > std::max(present, ordered))
+    if (desired > there)
     {
         entry.planned = desired;
         return capacity_change{zone, kind, desired, present};
     }
-    // Ordered, but not there yet.
-    if (desired > present)
-        return std::nullopt;
+    // The platform took targets away, or they have not come.
+    const std::chrono::milliseconds repeat_delay =
+        std::max(settings_.repeat_delay, 2 * limits_.boot_time);
+    const bool is_overdue =
+        entry.missing_since && present < desired &&
+        now - entry.ordered_at >= repeat_delay &&
+        now - *entry.missing_since >= settings_.min_order_interval;
+    if (is_overdue)
+    {
+        // Targets of the other kind may have taken their place.
+        entry.planned = std::min(there, std::max(room, present));
+        return capacity_change{zone, kind, entry.planned, present};
+    }
     const std::optional<unsigned> remaining =
-        released(entry, present, desired, leaving_targets(capacity, kind),
+        released(entry, desired, present, leaving_targets(capacity, kind),
                  situation, now);
     if (!remaining)
         return std::nullopt;
@@ -314,11 +358,12 @@
 }
 
 std::optional<unsigned>
-capacity_planner::released(subject& entry, unsigned present, unsigned desired,
+capacity_planner::released(subject& entry, unsigned desired, unsigned present,
                            unsigned leaving,
                            const capacity_situation& situation, time_point now)
 {
-    if (desired == present)
+    const unsigned there = provided(entry);
+    if (desired == there)
         return std::nullopt;
     if (!entry.superfluous_since)
         entry.superfluous_since = now;
@@ -326,8 +371,7 @@
         situation.refused_fraction > settings_.min_refused_fraction ||
         !situation.is_complete;
     // Targets that were ordered or are leaving would be counted twice.
-    const bool is_changing =
-        leaving > 0 || (is_recent(entry, now) && *entry.ordered != present);
+    const bool is_changing = leaving > 0 || present != there;
     if (is_refusing || is_changing)
         return std::nullopt;
     // Before there are callers, and with what replaces them in place, nobody
@@ -340,13 +384,13 @@
         return std::nullopt;
     const unsigned step =
         has_callers ? std::max(1U, static_cast<unsigned>(
-                                       settings_.release_fraction * present))
-                    : present;
-    const unsigned count = std::min({present - desired, spare_, step});
+                                       settings_.release_fraction * there))
+                    : there;
+    const unsigned count = std::min({there - desired, spare_, step});
     if (count == 0)
         return std::nullopt;
     spare_ -= count;
-    return present - count;
+    return there - count;
 }
 
 void capacity_planner::record_order(const capacity_change& change,
--- a/modules/serving/capacity/capacity_planner.hpp
+++ b/modules/serving/capacity/capacity_planner.hpp
@@ -73,6 +73,10 @@
     /** How long capacity must have been superfluous before it is released, and
         for how long a new planner releases nothing. */
     std::chrono::milliseconds release_delay{10000};
+    /** How long the list of targets must be unchanged before the first order.
+        Targets register one after the other, and an order for fewer than there
+        are releases the others. */
+    std::chrono::milliseconds settling_time{3000};
     /** Delay before a kind that is not available in a zone is ordered again. */
     std::chrono::milliseconds unavailable_delay{5000};
     /** Interval between repeats of an order whose targets have not come. */
@@ -121,6 +125,10 @@
     {
         /** The number ordered last; none if nothing was ordered. */
         std::optional<unsigned> ordered;
+        /** The most targets seen before the first order. */
+        unsigned most_present = 0;
+        /** Since when targets that should be there are missing. */
+        std::optional<time_point> missing_since;
         time_point ordered_at{};
         /** The number that the present plan orders; zero if it orders none. */
         unsigned planned = 0;
@@ -139,6 +147,12 @@
         std::map<std::string, unsigned> reclaimable;
     };
 
+    /** The number of targets that the platform provides: more than there are
+        while some have not registered. */
+    static unsigned provided(const subject& entry);
+    /** Records the targets that are there.
+        @returns whether the list has settled */
+    bool observe(const capacity_situation& situation, time_point now);
     /** Whether the last order may not have taken effect yet. */
     bool is_recent(const subject& entry, time_point now) const;
     /** The targets that are there without those that are being released. */
@@ -155,8 +169,8 @@
                                           target_kind kind, unsigned desired,
                                           const capacity_situation& situation,
                                           time_point now);
-    std::optional<unsigned> released(subject& entry, unsigned present,
-                                     unsigned desired, unsigned leaving,
+    std::optional<unsigned> released(subject& entry, unsigned desired,
+                                     unsigned present, unsigned leaving,
                                      const capacity_situation& situation,
                                      time_point now);
 
@@ -164,6 +178,9 @@
     capacity_settings settings_;
     bool is_first_holder_;
     std::optional<time_point> began_at_;
+    unsigned last_total_ = 0;
+    time_point total_changed_at_{};
+    bool has_settled_ = false;
     std::deque<sample> demands_;
     bool has_seen_demand_ = false;
     unsigned needed_ = 0;
--- a/modules/serving/capacity/capacity_planner_test.cpp
+++ b/modules/serving/capacity/capacity_planner_test.cpp
@@ -129,7 +129,7 @@
     fake_platform platform(limits_with(0.15));
     platform.start_with(15);
     capacity_planner planner(platform.limits, {}, true);
-    platform.run(planner, 1);
+    platform.run(planner, 5);
     BOOST_TEST(platform.ordinary() == 45U);
     platform.run(planner, 12);
     BOOST_TEST(platform.ordinary() < 20U);
@@ -141,6 +141,46 @@
     BOOST_TEST(platform.orders == orders);
 }
 
+// Guards against an order for the few targets that have registered so far,
+// which releases all others.
+BOOST_AUTO_TEST_CASE(targets_that_register_slowly_are_not_released)
+{
+    fake_platform platform(limits_with(0.15));
+    capacity_planner planner(platform.limits, {}, true);
+    for (unsigned registered = 1; registered <= 15; ++registered)
+    {
+        platform.start_with(registered);
+        platform.run(planner, 1);
+        BOOST_TEST(platform.orders == 0U);
+    }
+    platform.run(planner, 2);
+    BOOST_TEST(platform.orders == 0U);
+    platform.run(planner, 12);
+    BOOST_TEST(platform.orders > 0U);
+    BOOST_TEST(platform.total() >= 45U);
+}
+
+// Guards against the same when the list has lost targets for a while.
+BOOST_AUTO_TEST_CASE(targets_missing_from_the_list_are_not_released)
+{
+    fake_platform platform(limits_with(std::nullopt));
+    platform.start_with(10);
+    capacity_planner planner(platform.limits, {}, true);
+    platform.situation.busy_targets = 17;
+    platform.run(planner, 30);
+    platform.start_with(3);
+    platform.situation.busy_targets = 18;
+    unsigned least_ordered = std::numeric_limits<unsigned>::max();
+    for (int tick = 0; tick < 20; ++tick)
+    {
+        platform.now_ms += 500;
+        for (const capacity_change& change : planner.plan(
+                 platform.situation, time_point(milliseconds(platform.now_ms))))
+            least_ordered = std::min(least_ordered, change.targets);
+    }
+    BOOST_TEST(least_ordered >= 10U);
+}
+
 // Guards against the loss of a zone's reclaimable targets under full load.
 BOOST_AUTO_TEST_CASE(enough_remains_when_a_zone_loses_its_reclaimable_targets)
 {
