Add no targets for refusals beside idle ones

Change: refusals add targets only if those that are there are busy for half of the planned utilization. fleet_grows_while_requests_are_refused had 3 of 15 targets busy, the case that must not grow now; it has 9, and a further test holds the other case.

--- a/modules/serving/capacity/capacity_planner.cpp
+++ b/modules/serving/capacity/capacity_planner.cpp
@@ -186,8 +186,14 @@
                                   settings_.growth_fraction * before->targets);
         demands_.push_back({now, targets});
     }
-    // Nothing is known of the work if nothing is served.
-    if (situation.refused_fraction > settings_.min_refused_fraction)
+    // Where most targets are idle, requests are refused for another reason than
+    // their number. Nothing is known of the work if nothing is served.
+    const bool are_mostly_idle =
+        situation.busy_targets &&
+        *situation.busy_targets <
+            settings_.min_growth_utilization * settings_.utilization * present;
+    if (situation.refused_fraction > settings_.min_refused_fraction &&
+        !are_mostly_idle)
         demands_.push_back(
             {now, std::max({present * (1 + settings_.growth_fraction),
                             present + 1, 1.0 * needed_})});
--- a/modules/serving/capacity/capacity_planner.hpp
+++ b/modules/serving/capacity/capacity_planner.hpp
@@ -87,6 +87,9 @@
     double release_fraction = 0.25;
     /** Growth while requests are refused, as a part of the targets. */
     double growth_fraction = 0.25;
+    /** Refusals add targets only if those that are there are busy for at least
+        this part of the planned utilization. */
+    double min_growth_utilization = 0.5;
     /** A refused fraction below this is not a lack of capacity. */
     double min_refused_fraction = 0.02;
 };
--- a/modules/serving/capacity/capacity_planner_test.cpp
+++ b/modules/serving/capacity/capacity_planner_test.cpp
@@ -241,12 +241,25 @@
     fake_platform platform(limits_with(std::nullopt));
     platform.start_with(5);
     capacity_planner planner(platform.limits, {}, true);
-    platform.situation.busy_targets = 3;
+    platform.situation.busy_targets = 9;
     platform.situation.refused_fraction = 0.3;
     platform.run(planner, 25);
     BOOST_TEST(platform.total() > 20U);
 }
 
+// Guards against idle targets that are added because of refusals of another
+// cause, such as a stage that has too few engines.
+BOOST_AUTO_TEST_CASE(refusals_beside_idle_targets_add_none)
+{
+    fake_platform platform(limits_with(std::nullopt));
+    platform.start_with(10);
+    capacity_planner planner(platform.limits, {}, true);
+    platform.situation.busy_targets = 3;
+    platform.situation.refused_fraction = 0.1;
+    platform.run(planner, 40);
+    BOOST_TEST(platform.total() == 30U);
+}
+
 // Guards against a fleet that shrinks because nothing is served any more.
 BOOST_AUTO_TEST_CASE(fleet_grows_when_all_requests_are_refused)
 {
