Limit the memory and the descriptors that clients make a process hold

Only the size of a single request and 4096 connections were limited. Chunk extensions and trailers were not limited at all, because Beast counts neither as header nor as body.

- memory_budget: one number of bytes, 60 % of memory-mb, with reservations for connections, heads, bodies as they grow, handled requests and responses.
It includes response_memory.
- shedding_policy: when memory is short, the connection with the slowest progress is dropped (408, or closed during a response), otherwise the request is refused with 503 and Retry-After.
When descriptors are short, a new connection takes the place of a stopped, idle or slow one.
- Callers get three fifths of max-fds - 200 connections; readiness, metrics and peer listeners have small fixed limits; header fields are counted; the input that is read ahead is bounded.
- The body of a request is kept in two copies instead of four, the body of a response in one less.
Blocks of 256 KB and more are returned to the system when they are freed.
- Counters by cause, two gauges, and events 1830 to 1832, once a second.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -3,6 +3,7 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <unistd.h>
 
 DECLARE_bool(check_settings);
@@ -15,6 +16,8 @@
 /** Capacity of the buffer that holds log lines while the reader of standard
     output is slow. */
 constexpr std::size_t log_capacity_bytes = 256U << 10;
+/** Blocks of this size are returned to the system as soon as they are freed. */
+constexpr int mapped_block_bytes = 256 << 10;
 constexpr std::uint32_t timeline_capacity = 512;
 
 process_settings core_settings(const host_settings& host)
@@ -120,6 +123,11 @@
 
 int main(int argc, char** argv)
 {
+    // By default, glibc raises the threshold to the size of the largest block
+    // that was released. Later bodies then stay on the heap, which is not
+    // returned to the system.
+    ::mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, mapped_block_bytes);
     FLAGS_logtostderr = true;
     gflags::SetUsageMessage("[--check_settings]; the path of the settings file "
                             "is read from HIBISCUSFERRY_SETTINGS");
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -471,6 +471,23 @@
 HIBISCUSFERRY_EVENT(1824, warning, capacity_order_failed,
                     "An order for targets was not accepted.", "")
 
+// 1830-1839 limits on clients
+HIBISCUSFERRY_EVENT(
+    1830, warning, client_memory_short,
+    "The memory for clients was used up: the given numbers of requests were "
+    "refused without being run, and of slow clients dropped, within a second.",
+    "")
+HIBISCUSFERRY_EVENT(
+    1831, warning, client_connections_limited,
+    "The maximum number of connections of clients was reached: the given "
+    "numbers of new connections were closed, and of slow or idle ones dropped, "
+    "within a second.",
+    "")
+HIBISCUSFERRY_EVENT(1832, warning, client_fields_limited,
+                    "The given number of requests with too many header fields "
+                    "were refused within a second.",
+                    "")
+
 // 1900-1999 platform adapters
 HIBISCUSFERRY_EVENT(
     1900, alarm, store_lost,
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/duties/usage_reporter.cpp"
 #include "gateway/duties/usage_service.cpp"
 #include "gateway/process/gateway_service.cpp"
+#include "gateway/process/listener_limits.cpp"
 #include "gateway/process/metrics_service.cpp"
 #include "gateway/process/request_intake.cpp"
 #include "gateway/process/settings_watch.cpp"
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -24,6 +24,7 @@
 #include "gateway/duties/usage_reporter.hpp"
 #include "gateway/duties/usage_service.hpp"
 #include "gateway/process/gateway_service.hpp"
+#include "gateway/process/listener_limits.hpp"
 #include "gateway/process/metrics_service.hpp"
 #include "gateway/process/request_intake.hpp"
 #include "gateway/process/settings_watch.hpp"
--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -55,12 +55,18 @@
     : services_(services)
     , random_(stable_hash(services.core.id()))
     , intake_(services.core.context())
+    , client_memory_(std::make_shared<memory_budget>(
+          client_memory_bytes(services.fleet.settings())))
 {
+    services_.memory->set_budget(client_memory_);
 }
 
 http_server_limits gateway_service::limits() const
 {
     http_server_limits server_limits;
+    server_limits.connections =
+        max_caller_connections(services_.fleet.settings());
+    server_limits.memory = client_memory_;
     const std::shared_ptr<const route_table> routes = services_.fleet.routes();
     if (!routes)
         return server_limits;
@@ -82,7 +88,8 @@
     if (!callers)
         return callers.error();
     result<std::unique_ptr<http_server>> readiness = http_server::listen(
-        services_.core.context(), services_.fleet.settings().readiness, {},
+        services_.core.context(), services_.fleet.settings().readiness,
+        readiness_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         { serve_readiness(exchange, yield); });
     if (!readiness)
@@ -91,6 +98,17 @@
     readiness_ = std::move(readiness.value());
     callers_->on_exchange_failure([this](const exchange_failure& failure)
                                   { record_failure(failure); });
+    readiness_->on_exchange_failure([this](const exchange_failure& failure)
+                                    { record_failure(failure); });
+    callers_->on_memory_short(
+        [this]
+        {
+            return services_.callers.write(
+                {refusal_cause::host_overloaded,
+                 retry_delay(overload_backlog, random_())});
+        });
+    client_memory_->set_reclaimer(
+        [this] { return callers_->drop_stopped_connection(); });
     services_.core.repeat(connection_sweep_period,
                           [this] { services_.core.connections().sweep(); });
     services_.core.repeat(limits_poll_period,
@@ -101,7 +119,11 @@
                               update_configuration_age();
                           });
     services_.core.repeat(unprocessed_log_period,
-                          [this] { log_unprocessed(); });
+                          [this]
+                          {
+                              log_unprocessed();
+                              log_client_limits();
+                          });
     return outcome::success();
 }
 
@@ -164,6 +186,58 @@
     unprocessed_ = {};
 }
 
+void gateway_service::count_client_limit(const exchange_failure& failure)
+{
+    switch (failure.cause)
+    {
+    case exchange_failure_cause::memory_short:
+        ++limited_.requests_refused;
+        break;
+    case exchange_failure_cause::slow_client_dropped:
+        ++limited_.clients_dropped;
+        break;
+    case exchange_failure_cause::connection_limit:
+        ++limited_.connections_refused;
+        break;
+    case exchange_failure_cause::connection_dropped:
+        ++limited_.connections_dropped;
+        break;
+    case exchange_failure_cause::too_many_fields:
+        ++limited_.fields_exceeded;
+        break;
+    default:
+        break;
+    }
+}
+
+void gateway_service::log_client_limits()
+{
+    services_.core.metrics()
+        .gauge_of("hibiscusferry_client_memory_bytes")
+        .set(static_cast<double>(client_memory_->used()));
+    services_.core.metrics()
+        .gauge_of("hibiscusferry_client_connections")
+        .set(static_cast<double>(callers_->open_connections()));
+    if (limited_.requests_refused + limited_.clients_dropped > 0)
+        services_.core.journal().record(
+            event_number::client_memory_short,
+            {{"refused", std::to_string(limited_.requests_refused)},
+             {"dropped", std::to_string(limited_.clients_dropped)},
+             {"used_bytes", std::to_string(client_memory_->used())},
+             {"limit_bytes", std::to_string(client_memory_->capacity())}});
+    if (limited_.connections_refused + limited_.connections_dropped > 0)
+        services_.core.journal().record(
+            event_number::client_connections_limited,
+            {{"refused", std::to_string(limited_.connections_refused)},
+             {"dropped", std::to_string(limited_.connections_dropped)},
+             {"open", std::to_string(callers_->open_connections())}});
+    if (limited_.fields_exceeded > 0)
+        services_.core.journal().record(
+            event_number::client_fields_limited,
+            {{"count", std::to_string(limited_.fields_exceeded)}});
+    limited_ = {};
+}
+
 void gateway_service::update_configuration_age()
 {
     const std::optional<time_point> confirmed_at =
@@ -208,6 +282,7 @@
         .counter_of("hibiscusferry_failed_exchanges_total",
                     "cause=\"" + cause + "\"")
         .add();
+    count_client_limit(failure);
     if (!is_logged(failure.cause))
         return;
     services_.core.journal().record(
@@ -267,6 +342,7 @@
 
 void gateway_service::stop()
 {
+    client_memory_->set_reclaimer({});
     callers_->close();
     readiness_->close();
 }
--- a/modules/gateway/process/gateway_service.hpp
+++ b/modules/gateway/process/gateway_service.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_GATEWAY_PROCESS_GATEWAY_SERVICE_HPP
 #define HIBISCUSFERRY_GATEWAY_PROCESS_GATEWAY_SERVICE_HPP
 
+#include "gateway/process/listener_limits.hpp"
 #include "gateway/process/request_intake.hpp"
 #include "gateway/request/request_forwarder.hpp"
 #include <memory>
@@ -29,6 +30,9 @@
 
 private:
     http_server_limits limits() const;
+    /** Counts what was refused or dropped because of the limits on clients. */
+    void count_client_limit(const exchange_failure& failure);
+    void log_client_limits();
     void update_limits();
     void update_configuration_age();
     void serve(http_exchange& exchange, boost::asio::yield_context yield);
@@ -49,10 +53,22 @@
         std::chrono::milliseconds max_wait{0};
     };
 
+    /** Clients that met a limit since the last log line. */
+    struct limited_clients
+    {
+        std::size_t requests_refused = 0;
+        std::size_t clients_dropped = 0;
+        std::size_t connections_refused = 0;
+        std::size_t connections_dropped = 0;
+        std::size_t fields_exceeded = 0;
+    };
+
     gateway_services services_;
     std::mt19937_64 random_;
     request_intake intake_;
     unprocessed_requests unprocessed_;
+    limited_clients limited_;
+    std::shared_ptr<memory_budget> client_memory_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> readiness_;
     std::uint64_t limits_version_ = 0;
--- a/modules/gateway/process/metrics_service.cpp
+++ b/modules/gateway/process/metrics_service.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/metrics_service.hpp"
 
 #include "gateway/crashes/quarantine_page.hpp"
+#include "gateway/process/listener_limits.hpp"
 
 namespace hibiscusferry
 {
@@ -35,7 +36,8 @@
                          .set(static_cast<double>(log_.dropped()));
                  });
     result<std::unique_ptr<http_server>> listening = http_server::listen(
-        core_.context(), {fleet_.settings().address, metrics_port}, {},
+        core_.context(), {fleet_.settings().address, metrics_port},
+        metrics_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         {
             const result<void> ignored =
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -46,6 +46,7 @@
         .durations_of("hibiscusferry_accept_delay_seconds")
         .add(exchange_.accept_delay());
     context_.request = services_.callers.read(exchange_.request());
+    exchange_.discard_request_body();
     if (context_.has_caller_left())
     {
         log_completion(event_number::request_abandoned, "caller_gone");
--- a/modules/gateway/request/response_memory.cpp
+++ b/modules/gateway/request/response_memory.cpp
@@ -3,9 +3,15 @@
 namespace hibiscusferry
 {
 
+void response_memory::set_budget(std::shared_ptr<memory_budget> budget)
+{
+    budget_ = std::move(budget);
+}
+
 response_memory::reservation::reservation(
     std::shared_ptr<response_memory> memory)
     : memory_(std::move(memory))
+    , budgeted_(memory_->budget_, memory_use::response)
 {
 }
 
@@ -22,6 +28,10 @@
     const std::size_t free = total < pool_bytes ? pool_bytes - total : 0;
     if (needed > pooled_bytes_ && needed > free)
         return false;
+    if (needed == 0)
+        budgeted_.force(bytes);
+    else if (!budgeted_.resize(bytes))
+        return false;
     memory_->pooled_bytes_ = total;
     pooled_bytes_ = needed;
     return true;
--- a/modules/gateway/request/response_memory.hpp
+++ b/modules/gateway/request/response_memory.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_GATEWAY_REQUEST_RESPONSE_MEMORY_HPP
 #define HIBISCUSFERRY_GATEWAY_REQUEST_RESPONSE_MEMORY_HPP
 
+#include "http/http.hpp"
 #include <cstddef>
 #include <memory>
 
@@ -12,7 +13,8 @@
     Each response may always use `share_bytes`. What exceeds that comes out of a
     common pool, of which a response takes at most as much as it leaves free.
     Therefore a few responses without end never use up the pool, and smaller
-    ones still fit.
+    ones still fit. All responses also count towards the budget of the process,
+    which they share with requests.
 */
 class response_memory
 {
@@ -20,6 +22,9 @@
     /** Responses up to this size are not limited. */
     static constexpr std::size_t share_bytes = 32U << 10;
 
+    /** Sets the budget of which the responses are part. */
+    void set_budget(std::shared_ptr<memory_budget> budget);
+
     /** The memory of one response. Released by the destructor. */
     class reservation
     {
@@ -41,10 +46,12 @@
     private:
         std::shared_ptr<response_memory> memory_;
         std::size_t pooled_bytes_ = 0;
+        memory_budget::reservation budgeted_;
     };
 
 private:
     std::size_t pooled_bytes_ = 0;
+    std::shared_ptr<memory_budget> budget_;
 };
 
 } // namespace hibiscusferry
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -1,5 +1,6 @@
 #include "gateway/state/state_follower.hpp"
 
+#include "gateway/process/listener_limits.hpp"
 #include <algorithm>
 
 namespace hibiscusferry
@@ -103,7 +104,7 @@
 {
     result<std::unique_ptr<http_server>> listening = http_server::listen(
         core_.context(),
-        {fleet_.settings().address, fleet_.settings().peer_port}, {},
+        {fleet_.settings().address, fleet_.settings().peer_port}, peer_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         { serve_peer(exchange, yield); });
     if (!listening)
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -211,7 +211,7 @@
         new http_connection(std::move(state)));
 }
 
-result<void> http_connection::send(const http_request& request,
+result<void> http_connection::send(http_request request,
                                    std::chrono::milliseconds timeout,
                                    boost::asio::yield_context yield)
 {
@@ -223,7 +223,7 @@
         message.insert(field.name, field.value);
     if (!request.headers.has("Host"))
         message.set(beast_http::field::host, endpoint().text());
-    message.body() = request.body;
+    message.body() = std::move(request.body);
     message.prepare_payload();
 
     implementation_->is_head_request = request.method == "HEAD";
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -42,8 +42,7 @@
     /** Sends a complete request. After an error, part or all of it may have
         been sent. After http_error::timed_out the connection is still open, and
         continue_send() sends the rest. */
-    result<void> send(const http_request& request,
-                      std::chrono::milliseconds timeout,
+    result<void> send(http_request request, std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield);
 
     /** Sends what is left of a request after a timeout; does nothing if it has
--- a/modules/http/errors/http_error.cpp
+++ b/modules/http/errors/http_error.cpp
@@ -36,6 +36,10 @@
             return "no exchange is in progress";
         case http_error::connection_refused:
             return "connection refused";
+        case http_error::too_many_fields:
+            return "HTTP message has too many header fields";
+        case http_error::memory_short:
+            return "too little memory for the HTTP message";
         }
         return "unknown http error";
     }
--- a/modules/http/errors/http_error.hpp
+++ b/modules/http/errors/http_error.hpp
@@ -16,7 +16,9 @@
     too_large,          ///< the header or body exceeds its size limit
     bad_address,        ///< not an IP address, or not available to listen on
     not_open,           ///< no exchange is in progress
-    connection_refused  ///< nothing listens at the address; nothing was sent
+    connection_refused, ///< nothing listens at the address; nothing was sent
+    too_many_fields,    ///< the header has more fields than allowed
+    memory_short        ///< the memory for clients is used up
 };
 
 const std::error_category& http_error_category();
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -11,5 +11,7 @@
 #include "http/server/exchange_failure.cpp"
 #include "http/server/http_exchange.cpp"
 #include "http/server/http_server.cpp"
+#include "http/server/memory_budget.cpp"
 #include "http/server/request_reader.cpp"
+#include "http/server/shedding_policy.cpp"
 #include "http/server/task.cpp"
--- a/modules/http/http.hpp
+++ b/modules/http/http.hpp
@@ -22,6 +22,8 @@
 #include "http/server/exchange_failure.hpp"
 #include "http/server/http_exchange.hpp"
 #include "http/server/http_server.hpp"
+#include "http/server/memory_budget.hpp"
+#include "http/server/shedding_policy.hpp"
 #include "http/server/task.hpp"
 
 #endif
--- a/modules/http/server/exchange_failure.hpp
+++ b/modules/http/server/exchange_failure.hpp
@@ -23,7 +23,11 @@
     write_timeout,       ///< the client did not read the response in time
     response_incomplete, ///< the handler returned without a complete response
     handler_exception,   ///< the handler threw an exception
-    server_closed        ///< the server was closed
+    server_closed,       ///< the server was closed
+    too_many_fields,     ///< the header has more fields than allowed
+    memory_short,        ///< refused: the memory for clients is used up
+    slow_client_dropped, ///< its memory was needed for other clients
+    connection_dropped   ///< its descriptor was needed for a new connection
 };
 
 /** Returns the name of a cause, such as "write_timeout". */
--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -57,6 +57,11 @@
     return request_;
 }
 
+void server_exchange::discard_request_body()
+{
+    request_.body = std::string();
+}
+
 http_endpoint server_exchange::client() const
 {
     return remote_endpoint(connection_);
@@ -79,7 +84,8 @@
         return make_error_code(http_error::not_open);
     has_started_response_ = true;
 
-    beast_http::response<beast_http::string_body> message;
+    // The body is not copied: a client that does not read keeps one copy.
+    beast_http::response<beast_http::span_body<const char>> message;
     message.version(11);
     message.result(response.status);
     copy_headers(response.headers, message);
@@ -87,19 +93,23 @@
     connection_.has_announced_close = !keeps_alive();
     if (has_body(response.status))
     {
-        message.body() = response.body;
+        message.body() = boost::beast::span<const char>(response.body.data(),
+                                                        response.body.size());
         message.prepare_payload();
     }
 
     boost::system::error_code error;
     connection_.stream.expires_after(connection_.limits.write_timeout);
-    beast_http::response_serializer<beast_http::string_body> serializer(
-        message);
+    beast_http::response_serializer<beast_http::span_body<const char>>
+        serializer(message);
+    connection_.begin_phase(connection_phase::responding);
     if (is_head_request())
         beast_http::async_write_header(connection_.stream, serializer,
                                        yield[error]);
-    else
-        beast_http::async_write(connection_.stream, serializer, yield[error]);
+    while (!error && !is_head_request() && !serializer.is_done())
+        connection_.count_progress(beast_http::async_write_some(
+            connection_.stream, serializer, yield[error]));
+    connection_.begin_phase(connection_phase::handling);
     is_complete_ = !error;
     return check_write(error);
 }
@@ -134,10 +144,12 @@
         return outcome::success();
     boost::system::error_code error;
     connection_.stream.expires_after(connection_.limits.write_timeout);
+    connection_.begin_phase(connection_phase::responding);
     boost::asio::async_write(
         connection_.stream,
         beast_http::make_chunk(boost::asio::buffer(chunk.data(), chunk.size())),
         yield[error]);
+    connection_.begin_phase(connection_phase::handling);
     return check_write(error);
 }
 
--- a/modules/http/server/http_exchange.hpp
+++ b/modules/http/server/http_exchange.hpp
@@ -26,6 +26,10 @@
 
     virtual const http_request& request() const = 0;
 
+    /** Releases the memory of the request's body, of which the handler keeps a
+        copy. */
+    virtual void discard_request_body() = 0;
+
     /** The client's IP address and port. */
     virtual http_endpoint client() const = 0;
 
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -126,11 +126,25 @@
                                    exchange_failure_cause cause);
     void report(exchange_failure failure, time_point started);
 
+    /** The connections that may be dropped.
+        @param min_bytes  only those that hold more memory */
+    std::vector<std::shared_ptr<server_connection>>
+    droppable_connections(std::size_t min_bytes) const;
+    /** Drops a connection and reports it. */
+    void drop(server_connection& connection, exchange_failure_cause cause);
+    /** Drops the slowest connection that is slower than `rate`.
+        @returns whether its memory is free now */
+    bool drop_slower_than(double rate);
+    /** Makes room for a new connection.
+        @returns false if there are too many */
+    bool make_room();
+
     boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     http_server_limits limits;
     handler on_request;
     exchange_failure_observer on_failure;
+    std::function<http_response()> memory_response;
     connection_set connections;
     std::size_t exchanges = 0;
     bool closes_after_responses = false;
@@ -167,10 +181,12 @@
 bool http_server::implementation::wait_for_request(
     server_connection& connection, boost::asio::yield_context yield)
 {
+    connection.memory.force(connection_bytes);
     if (connection.buffer.size() > 0)
         return true;
     // Release the buffer while the connection is idle.
     connection.buffer.shrink_to_fit();
+    connection.begin_phase(connection_phase::idle);
     boost::system::error_code error;
     connection.idle_since = boot_clock::now();
     connection.idle_timeout = limits.idle_timeout;
@@ -210,30 +226,44 @@
         return false;
 
     const time_point started = boot_clock::now();
-    beast_http::request_parser<beast_http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
-    const result<void> received =
-        read_request(connection, parser, limits.request_timeout, yield);
+    std::optional<beast_http::request_parser<beast_http::string_body>> parser;
+    parser.emplace();
+    parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser->body_limit(limits.body_bytes);
+    const std::function<bool()> reclaim = [this, &connection]
+    {
+        return drop_slower_than(
+            shedding_policy::rate(connection.progress, boot_clock::now()));
+    };
+    result<void> received =
+        read_request(connection, *parser, limits, reclaim, yield);
+    if (received &&
+        !reserve_memory(connection, handling_bytes(parser->get()), reclaim))
+        received = make_error_code(http_error::memory_short);
     if (!received)
     {
         // A client that closes an idle connection has sent no request.
-        if (parser.got_some())
+        if (parser->got_some() && !connection.drop_cause)
             report_unread_request(connection, started, received.error());
-        refuse_request(connection, received.error(), yield);
+        // The request is released before its refusal waits for the client.
+        parser.reset();
+        connection.memory.force(connection_bytes);
+        refuse_request(connection, received.error(), memory_response, yield);
         return false;
     }
+    connection.begin_phase(connection_phase::handling);
 
     const time_point arrived_at =
         boot_clock::now() - time_since_last_data(connection.stream.socket());
     connection.stream.expires_never();
     connection.closes_after_responses = closes_after_responses;
-    const bool keeps_alive = parser.get().keep_alive();
-    server_exchange exchange(connection, to_http_request(parser.release()),
+    const bool keeps_alive = parser->get().keep_alive();
+    server_exchange exchange(connection, to_http_request(parser->release()),
                              arrived_at, keeps_alive);
+    parser.reset();
     const counted_exchange counted(exchanges);
     const bool has_failed = !call_handler(exchange, yield);
-    if (has_failed || !exchange.is_complete())
+    if ((has_failed || !exchange.is_complete()) && !connection.drop_cause)
         report_unanswered_request(
             exchange, started,
             has_failed ? exchange_failure_cause::handler_exception
@@ -278,6 +308,10 @@
         failure.cause = exchange_failure_cause::request_broken;
     else if (reason == http_error::timed_out)
         failure.cause = exchange_failure_cause::request_timeout;
+    else if (reason == http_error::too_many_fields)
+        failure.cause = exchange_failure_cause::too_many_fields;
+    else if (reason == http_error::memory_short)
+        failure.cause = exchange_failure_cause::memory_short;
     failure.client = remote_endpoint(connection);
     report(failure, started);
 }
@@ -326,6 +360,100 @@
     }
 }
 
+std::vector<std::shared_ptr<server_connection>>
+http_server::implementation::droppable_connections(std::size_t min_bytes) const
+{
+    std::vector<std::shared_ptr<server_connection>> droppable;
+    for (const std::shared_ptr<server_connection>& connection : connections)
+    {
+        const bool is_open =
+            !connection->drop_cause && connection->stream.socket().is_open();
+        if (is_open && connection->memory.bytes() > min_bytes)
+            droppable.push_back(connection);
+    }
+    return droppable;
+}
+
+namespace
+{
+
+std::vector<connection_progress>
+progress_of(const std::vector<std::shared_ptr<server_connection>>& connections)
+{
+    std::vector<connection_progress> progress;
+    for (const std::shared_ptr<server_connection>& connection : connections)
+        progress.push_back(connection->progress);
+    return progress;
+}
+
+} // namespace
+
+void http_server::implementation::drop(server_connection& connection,
+                                       exchange_failure_cause cause)
+{
+    connection.drop_cause = cause;
+    exchange_failure failure;
+    failure.cause = cause;
+    failure.client = remote_endpoint(connection);
+    failure.has_started_response =
+        connection.progress.phase == connection_phase::responding;
+    report(failure, connection.progress.begun_at);
+}
+
+bool http_server::implementation::drop_slower_than(double rate)
+{
+    const time_point now = boot_clock::now();
+    // Small requests are dropped only if no large one can be.
+    std::vector<std::shared_ptr<server_connection>> candidates =
+        droppable_connections(memory_budget::small_bytes);
+    std::optional<std::size_t> slowest =
+        shedding_policy::select_for_memory(progress_of(candidates), rate, now);
+    if (!slowest)
+    {
+        candidates = droppable_connections(connection_bytes);
+        slowest = shedding_policy::select_for_memory(progress_of(candidates),
+                                                     rate, now);
+    }
+    if (!slowest)
+        return false;
+    server_connection& dropped = *candidates[*slowest];
+    drop(dropped, exchange_failure_cause::slow_client_dropped);
+    const bool is_receiving =
+        dropped.progress.phase == connection_phase::receiving;
+    // A request that has not run is refused with 408 by its coroutine, which
+    // releases it in this pass of the event loop.
+    if (is_receiving)
+        dropped.stream.cancel();
+    else
+        dropped.stream.close();
+    const bool has_released = dropped.memory.bytes() > connection_bytes;
+    dropped.memory.force(std::min(dropped.memory.bytes(), connection_bytes));
+    return has_released;
+}
+
+bool http_server::implementation::make_room()
+{
+    if (connections.size() < limits.connections)
+        return true;
+    const std::ptrdiff_t open =
+        std::count_if(connections.begin(), connections.end(),
+                      [](const std::shared_ptr<server_connection>& connection)
+                      { return connection->stream.socket().is_open(); });
+    if (static_cast<std::size_t>(open) < limits.connections)
+        return true;
+    const std::vector<std::shared_ptr<server_connection>> candidates =
+        droppable_connections(0);
+    const std::optional<std::size_t> selected =
+        shedding_policy::select_for_descriptor(
+            progress_of(candidates), limits.min_drop_age, boot_clock::now());
+    if (!selected)
+        return false;
+    server_connection& dropped = *candidates[*selected];
+    drop(dropped, exchange_failure_cause::connection_dropped);
+    dropped.stream.close();
+    return true;
+}
+
 void http_server::implementation::accept_connections(
     boost::asio::yield_context yield)
 {
@@ -370,7 +498,7 @@
         connection->accept_delay =
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 boot_clock::now() - *backlog_since);
-    if (connections.size() >= limits.connections)
+    if (!make_room() || !connection->memory.resize(connection_bytes))
     {
         exchange_failure failure;
         failure.cause = exchange_failure_cause::connection_limit;
@@ -379,6 +507,8 @@
         return;
     }
 
+    // Connections that have not begun to run count, too.
+    connections.insert(connection);
     set_socket_options(connection->stream.socket());
     start_task(context, [self = shared_from_this(),
                          connection](boost::asio::yield_context inner)
@@ -433,6 +563,17 @@
     implementation_->on_failure = std::move(observer);
 }
 
+void http_server::on_memory_short(std::function<http_response()> response)
+{
+    implementation_->memory_response = std::move(response);
+}
+
+bool http_server::drop_stopped_connection()
+{
+    return implementation_->drop_slower_than(
+        shedding_policy::min_bytes_per_second);
+}
+
 http_endpoint http_server::endpoint() const
 {
     boost::system::error_code error;
--- a/modules/http/server/http_server.hpp
+++ b/modules/http/server/http_server.hpp
@@ -3,6 +3,8 @@
 
 #include "http/server/exchange_failure.hpp"
 #include "http/server/http_exchange.hpp"
+#include "http/server/memory_budget.hpp"
+#include "http/server/shedding_policy.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <chrono>
@@ -21,13 +23,23 @@
 {
     std::size_t header_bytes = 16U << 10;
     std::size_t body_bytes = 8U << 20;
+    /** Maximum number of header fields and trailers of a request. The default
+        is more than fit into the default of header_bytes, in which a field
+        takes at least four bytes. */
+    std::size_t header_fields = 4096;
     std::size_t connections = 4096;
+    /** Age from which a connection may be dropped in favour of a new one if
+        there are too many. */
+    std::chrono::milliseconds min_drop_age = shedding_policy::grace;
     /** Maximum time from the first byte of a request to its last. */
     std::chrono::milliseconds request_timeout{10000};
     /** Maximum time that a connection may be idle between requests. */
     std::chrono::milliseconds idle_timeout{30000};
     /** Maximum time for a single write of response data to complete. */
     std::chrono::milliseconds write_timeout{20000};
+    /** The memory for connections and requests; null if it is not limited. The
+        connections of all servers with the same budget share it. */
+    std::shared_ptr<memory_budget> memory;
 };
 
 /** An HTTP/1.1 server that passes each request to a handler.
@@ -61,6 +73,17 @@
         on. */
     void on_exchange_failure(exchange_failure_observer observer);
 
+    /** Sets the function that returns the response to a request for which there
+        is no memory. It may be sent before the request has been read. */
+    void on_memory_short(std::function<http_response()> response);
+
+    /** Drops the connection with the slowest progress, if it has stopped, so
+        that its memory can be used.
+
+        @returns whether a connection was dropped whose memory is free now
+    */
+    bool drop_stopped_connection();
+
     /** The number of requests whose handler is running. */
     std::size_t active_exchanges() const;
 
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -99,6 +99,14 @@
         boost::asio::write(socket_, boost::asio::buffer(bytes), error);
     }
 
+    /** Sends bytes while the server runs. */
+    void upload(const std::string& bytes)
+    {
+        boost::system::error_code error;
+        boost::asio::async_write(socket_, boost::asio::buffer(bytes),
+                                 yield_[error]);
+    }
+
     /** Returns the next bytes received; empty if the server has closed the
         connection. */
     std::string receive()
@@ -572,4 +580,151 @@
     server->close();
 }
 
+namespace
+{
+
+std::string head_of_upload(std::size_t body_bytes)
+{
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) +
+           "\r\n\r\n";
+}
+
+void respond_empty(http_exchange& exchange, yield_context yield)
+{
+    const result<void> ignored = exchange.respond({}, yield);
+    static_cast<void>(ignored);
+}
+
+/** Longer than a client is given before it counts as stopped. */
+constexpr std::chrono::milliseconds stopped_time =
+    shedding_policy::grace + std::chrono::milliseconds(200);
+
+} // namespace
+
+// A chunk extension and trailers are not part of the body, so the limit on the
+// body does not apply to them.
+BOOST_AUTO_TEST_CASE(chunk_extension_and_trailers_without_end_are_refused)
+{
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked"
+                             "\r\n\r\n";
+    std::string trailers = "0\r\n";
+    for (int count = 0; count < 100000; ++count)
+        trailers += "t:\r\n";
+    for (const std::string& text : {"1;" + std::string(400000, 'e'), trailers})
+    {
+        boost::asio::io_context context;
+        run_with_handler(context, {}, respond_empty,
+                         [&](http_server& server, yield_context yield)
+                         {
+                             raw_client client(context, server, yield);
+                             client.upload(head + text);
+                             BOOST_TEST(has_status(client.receive(), "413"));
+                         });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(header_fields_are_limited)
+{
+    boost::asio::io_context context;
+    http_server_limits limits;
+    limits.header_fields = 10;
+    run_with_handler(
+        context, limits, respond_empty,
+        [&context](http_server& server, yield_context yield)
+        {
+            for (const int count : {10, 11})
+            {
+                std::string fields;
+                for (int index = 0; index < count; ++index)
+                    fields += "a:\r\n";
+                raw_client client(context, server, yield);
+                client.send("GET / HTTP/1.1\r\n" + fields + "\r\n");
+                BOOST_TEST(
+                    has_status(client.receive(), count == 10 ? "200" : "431"));
+            }
+        });
+}
+
+// Guards against requests that together exceed the memory, and against large
+// ones that keep small ones from being served.
+BOOST_AUTO_TEST_CASE(request_without_memory_is_refused_and_small_one_is_served)
+{
+    constexpr std::size_t body_bytes = 1400000;
+    boost::asio::io_context context;
+    http_server_limits limits;
+    limits.memory = std::make_shared<memory_budget>(2U << 20);
+    run_with_handler(
+        context, limits, respond_empty,
+        [&](http_server& server, yield_context yield)
+        {
+            std::vector<std::string> causes;
+            server.on_exchange_failure(
+                [&](const exchange_failure& failure)
+                { causes.emplace_back(to_text(failure.cause)); });
+            raw_client large(context, server, yield);
+            large.upload(head_of_upload(body_bytes) +
+                         std::string(body_bytes, 'b'));
+            const std::string refusal = large.receive();
+            BOOST_TEST(has_status(refusal, "503"));
+            BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos);
+            BOOST_TEST(causes == std::vector<std::string>{"memory_short"},
+                       boost::test_tools::per_element());
+            raw_client small(context, server, yield);
+            small.send(post_request);
+            BOOST_TEST(has_status(small.receive(), "200"));
+        });
+    BOOST_TEST(limits.memory->used() <= memory_budget::small_bytes);
+}
+
+// Guards against bodies that stop one byte short and keep their memory while
+// others are refused.
+BOOST_AUTO_TEST_CASE(stopped_upload_is_dropped_for_the_memory_of_another)
+{
+    constexpr std::size_t stopped_bytes = 1000000;
+    constexpr std::size_t body_bytes = 300000;
+    boost::asio::io_context context;
+    http_server_limits limits;
+    limits.memory = std::make_shared<memory_budget>(2U << 20);
+    run_with_handler(
+        context, limits, respond_empty,
+        [&](http_server& server, yield_context yield)
+        {
+            std::vector<std::string> causes;
+            server.on_exchange_failure(
+                [&](const exchange_failure& failure)
+                { causes.emplace_back(to_text(failure.cause)); });
+            raw_client stopped(context, server, yield);
+            stopped.upload(head_of_upload(stopped_bytes) +
+                           std::string(stopped_bytes - 1, 'b'));
+            sleep_for(context, stopped_time, yield);
+            raw_client other(context, server, yield);
+            other.upload(head_of_upload(body_bytes) +
+                         std::string(body_bytes, 'b'));
+            BOOST_TEST(has_status(other.receive(), "200"));
+            BOOST_TEST(has_status(stopped.receive(), "408"));
+            BOOST_TEST(causes ==
+                           std::vector<std::string>{"slow_client_dropped"},
+                       boost::test_tools::per_element());
+        });
+}
+
+// Guards against clients that take all connections and send nothing.
+BOOST_AUTO_TEST_CASE(stopped_client_is_dropped_for_a_new_connection)
+{
+    boost::asio::io_context context;
+    http_server_limits limits;
+    limits.connections = 1;
+    run_with_handler(context, limits, respond_empty,
+                     [&context](http_server& server, yield_context yield)
+                     {
+                         raw_client stopped(context, server, yield);
+                         stopped.send("POST / HTTP/1.1\r\n");
+                         sleep_for(context, stopped_time, yield);
+                         raw_client other(context, server, yield);
+                         other.send(post_request);
+                         BOOST_TEST(has_status(other.receive(), "200"));
+                         BOOST_TEST(stopped.receive().empty());
+                     });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/http/server/request_reader.cpp
+++ b/modules/http/server/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/server/request_reader.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
 namespace hibiscusferry
@@ -28,6 +29,10 @@
     connection.stream.socket().shutdown(
         boost::asio::ip::tcp::socket::shutdown_send, error);
     connection.stream.expires_after(linger_timeout);
+    // The response has been written, so the connection may be dropped.
+    connection.begin_phase(connection_phase::responding);
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
     while (!error)
     {
         connection.buffer.clear();
@@ -74,6 +79,93 @@
 
 } // namespace
 
+bool reserve_memory(server_connection& connection, std::size_t bytes,
+                    const std::function<bool()>& reclaim)
+{
+    while (!connection.memory.resize(bytes))
+    {
+        if (!reclaim())
+            return false;
+    }
+    return true;
+}
+
+namespace
+{
+
+/** Input that is read ahead: pipelined requests, chunk extensions and trailers.
+    Beast does not limit the latter two. */
+constexpr std::size_t read_ahead_bytes = 16U << 10;
+
+/** Memory is reserved in steps of this size as a body grows. No read takes more
+    than the buffer of the connection, which is of about this size. */
+constexpr std::size_t body_step_bytes = 32U << 10;
+
+/** Memory of a field in addition to its bytes: in Beast's container (measured:
+    80 bytes), and in the copies that are made while the request is handled. */
+constexpr std::size_t received_field_bytes = 96;
+constexpr std::size_t handled_field_bytes = 512;
+constexpr std::size_t copies_of_fields = 4;
+
+/** The gateway keeps the body for further attempts, beside the attempt that is
+    being sent. */
+constexpr std::size_t copies_of_body = 2;
+
+struct field_sizes
+{
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+};
+
+field_sizes measure_fields(const beast_http::fields& fields)
+{
+    field_sizes sizes;
+    for (const beast_http::fields::value_type& field : fields)
+    {
+        ++sizes.count;
+        sizes.bytes += field.name_string().size() + field.value().size();
+    }
+    return sizes;
+}
+
+/** Reads what arrives next, after memory for it has been reserved.
+
+    @param fixed_bytes  the memory of the request without its body
+*/
+result<void>
+read_body_step(server_connection& connection,
+               beast_http::request_parser<beast_http::string_body>& parser,
+               std::size_t fixed_bytes, const std::function<bool()>& reclaim,
+               boost::system::error_code& error,
+               boost::asio::yield_context yield)
+{
+    const std::string& body = parser.get().body();
+    // A body of known length is allocated at once, but its pages are touched
+    // as it arrives. Others are copied to twice the size as they grow.
+    const boost::optional<std::uint64_t> length = parser.content_length();
+    const std::size_t held = length ? body.size() : body.capacity();
+    std::size_t next = (held / body_step_bytes + 1) * body_step_bytes;
+    if (length)
+        next = std::min<std::size_t>(next, *length);
+    if (!reserve_memory(connection, fixed_bytes + next, reclaim))
+        return make_error_code(http_error::memory_short);
+    connection.count_progress(beast_http::async_read_some(
+        connection.stream, connection.buffer, parser, yield[error]));
+    return outcome::success();
+}
+
+} // namespace
+
+std::size_t
+handling_bytes(const beast_http::request<beast_http::string_body>& message)
+{
+    const field_sizes fields = measure_fields(message);
+    return connection_bytes + read_ahead_bytes +
+           fields.count * handled_field_bytes +
+           (fields.bytes + message.target().size()) * copies_of_fields +
+           message.body().size() * copies_of_body;
+}
+
 http_request
 to_http_request(beast_http::request<beast_http::string_body> message)
 {
@@ -90,22 +182,51 @@
 result<void>
 read_request(server_connection& connection,
              beast_http::request_parser<beast_http::string_body>& parser,
-             std::chrono::milliseconds timeout,
+             const http_server_limits& limits,
+             const std::function<bool()>& reclaim,
              boost::asio::yield_context yield)
 {
-    const request_timer timer(connection, timeout);
+    const request_timer timer(connection, limits.request_timeout);
+    // The limits may change while the request arrives.
+    const std::size_t max_fields = limits.header_fields;
+    const std::size_t max_buffered = std::max(
+        limits.header_bytes + read_ahead_bytes, connection.buffer.size());
+    connection.buffer.max_size(max_buffered);
+    connection.begin_phase(connection_phase::receiving);
+    if (!reserve_memory(connection, connection_bytes + max_buffered, reclaim))
+        return make_error_code(http_error::memory_short);
     boost::system::error_code error;
-    beast_http::async_read_header(connection.stream, connection.buffer, parser,
-                                  yield[error]);
+    while (!error && !parser.is_header_done() && !connection.drop_cause)
+        connection.count_progress(beast_http::async_read_some(
+            connection.stream, connection.buffer, parser, yield[error]));
+    const field_sizes fields = measure_fields(parser.get());
+    if (!error && fields.count > max_fields)
+        return make_error_code(http_error::too_many_fields);
+    const std::size_t fixed_bytes = connection_bytes + max_buffered +
+                                    fields.count * received_field_bytes +
+                                    fields.bytes;
+    if (!error && !connection.drop_cause &&
+        !reserve_memory(connection, fixed_bytes, reclaim))
+        return make_error_code(http_error::memory_short);
     if (!error && expects_continue(parser))
         boost::asio::async_write(
             connection.stream,
             boost::asio::buffer(continue_response,
                                 sizeof continue_response - 1),
             yield[error]);
-    if (!error)
-        beast_http::async_read(connection.stream, connection.buffer, parser,
-                               yield[error]);
+    // Otherwise each chunk would be a step of its own.
+    parser.eager(true);
+    while (!error && !parser.is_done() && !connection.drop_cause)
+    {
+        const result<void> step = read_body_step(
+            connection, parser, fixed_bytes, reclaim, error, yield);
+        if (!step)
+            return step.error();
+    }
+    if (connection.drop_cause)
+        return make_error_code(http_error::timed_out);
+    if (!error && measure_fields(parser.get()).count > max_fields)
+        return make_error_code(http_error::too_many_fields);
     if (!error)
         return outcome::success();
     if (timer.has_expired() && parser.got_some())
@@ -114,6 +235,7 @@
 }
 
 void refuse_request(server_connection& connection, std::error_code reason,
+                    const std::function<http_response()>& memory_response,
                     boost::asio::yield_context yield)
 {
     // The client of a broken connection cannot receive a response.
@@ -124,13 +246,21 @@
         status = 413;
     else if (reason == http_error::timed_out)
         status = 408;
+    else if (reason == http_error::too_many_fields)
+        status = 431;
+    else if (reason == http_error::memory_short)
+        status = 503;
 
     server_exchange exchange(connection, {}, boot_clock::now(), false);
-    const result<void> ignored = exchange.respond(
+    http_response response =
         json_response(status, R"({"error":{"code":"bad_request","outcome":)"
                               R"("not_run","message":")" +
-                                  reason.message() + "\"}}"),
-        yield);
+                                  reason.message() + "\"}}");
+    if (reason == http_error::memory_short)
+        response.headers.set("Retry-After", "1");
+    if (reason == http_error::memory_short && memory_response)
+        response = memory_response();
+    const result<void> ignored = exchange.respond(response, yield);
     static_cast<void>(ignored);
     linger(connection, yield);
 }
--- a/modules/http/server/server_connection.hpp
+++ b/modules/http/server/server_connection.hpp
@@ -19,12 +19,31 @@
                       const http_server_limits& server_limits)
         : stream(std::move(socket))
         , limits(server_limits)
+        , memory(server_limits.memory, memory_use::request)
     {
+        begin_phase(connection_phase::idle);
+    }
+
+    void begin_phase(connection_phase phase)
+    {
+        const time_point now = boot_clock::now();
+        progress = {phase, 0, now, now};
+    }
+
+    void count_progress(std::size_t bytes)
+    {
+        progress.transferred_bytes += bytes;
+        progress.last_progress_at = boot_clock::now();
     }
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     const http_server_limits limits;
+    /** The memory of the connection and of the request that it receives. */
+    memory_budget::reservation memory;
+    connection_progress progress;
+    /** Why the server drops the connection; none otherwise. */
+    std::optional<exchange_failure_cause> drop_cause;
     /** How long connections had been waiting to be accepted when this one was
         accepted; an upper bound of its own wait. */
     std::chrono::milliseconds accept_delay{0};
@@ -52,6 +71,7 @@
     server_exchange& operator=(const server_exchange&) = delete;
 
     const http_request& request() const override;
+    void discard_request_body() override;
     http_endpoint client() const override;
     time_point arrived_at() const override;
     std::chrono::milliseconds accept_delay() const override;
