Refuse large requests at their head when memory is short

- A body of announced length is refused at its head unless it would fit with an eighth of the budget to spare.
Nothing is reserved for it.
- A connection is dropped for another only if it is less than half as fast.
- The budget is the memory without 48 MB, between a half and three quarters of it; large requests use three quarters of it, before five eighths.

--- a/modules/gateway/process/listener_limits.cpp
+++ b/modules/gateway/process/listener_limits.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::size_t reserved_descriptors = 200;
-constexpr std::size_t client_memory_percent = 60;
+constexpr std::size_t other_memory_bytes = 48U << 20;
 
 /** Readiness checks and requests for metrics have no body; the operators' pages
     take small ones. */
@@ -38,7 +38,10 @@
 
 std::size_t client_memory_bytes(const host_settings& settings)
 {
-    return settings.memory_bytes / 100 * client_memory_percent;
+    const std::size_t total = settings.memory_bytes;
+    const std::size_t left =
+        total > other_memory_bytes ? total - other_memory_bytes : 0;
+    return std::max(total / 2, std::min(left, total / 4 * 3));
 }
 
 std::size_t max_caller_connections(const host_settings& settings)
--- a/modules/gateway/process/listener_limits.hpp
+++ b/modules/gateway/process/listener_limits.hpp
@@ -9,8 +9,8 @@
 
 /** Returns the memory for the connections, requests and responses of callers.
 
-    60 % of the memory of the host. The smallest host has 120 MB, of which the
-    process takes about 15 MB when it is idle, and up to 32 MB for control.
+    Three quarters of the memory of the host, but no more than leaves 48 MB: an
+    idle process takes about 15 MB, and control up to 32 MB. At least half.
 */
 std::size_t client_memory_bytes(const host_settings& settings);
 
--- a/modules/http/server/memory_budget.cpp
+++ b/modules/http/server/memory_budget.cpp
@@ -29,7 +29,7 @@
 {
     if (bytes <= small_bytes)
         return capacity_;
-    return capacity_ / 8 * (use == memory_use::request ? 5 : 7);
+    return capacity_ / 8 * (use == memory_use::request ? 6 : 7);
 }
 
 memory_budget::reservation::reservation(std::shared_ptr<memory_budget> budget,
--- a/modules/http/server/memory_budget.hpp
+++ b/modules/http/server/memory_budget.hpp
@@ -18,7 +18,7 @@
 /** Limits the memory that clients together can make a process hold.
 
     Addresses crowds of clients that send large requests, or do not read their
-    responses. Requests take at most five eighths and responses at most seven
+    responses. Requests take at most three quarters and responses at most seven
     eighths of the budget; small reservations may use all of it. Therefore large
     requests leave room for responses, and both leave room for small requests.
 */
--- a/modules/http/server/request_reader.cpp
+++ b/modules/http/server/request_reader.cpp
@@ -128,6 +128,26 @@
     return sizes;
 }
 
+/** Returns whether the whole body of announced length would fit now, and some
+    memory would be left for the growth of the requests that arrive already. A
+    large request is refused at its head rather than half-way. */
+bool is_body_expected_to_fit(server_connection& connection,
+                             std::size_t fixed_bytes, std::size_t body_bytes,
+                             const std::function<bool()>& reclaim)
+{
+    constexpr std::size_t margin_part = 8;
+    const http_server_limits& limits = connection.limits;
+    if (!limits.memory ||
+        fixed_bytes + body_bytes <= memory_budget::small_bytes)
+        return true;
+    const bool fits = reserve_memory(
+        connection,
+        fixed_bytes + body_bytes + limits.memory->capacity() / margin_part,
+        reclaim);
+    connection.memory.force(fixed_bytes);
+    return fits;
+}
+
 /** Reads what arrives next, after memory for it has been reserved.
 
     @param fixed_bytes  the memory of the request without its body
@@ -208,6 +228,10 @@
     if (!error && !connection.drop_cause &&
         !reserve_memory(connection, fixed_bytes, reclaim))
         return make_error_code(http_error::memory_short);
+    const boost::optional<std::uint64_t> length = parser.content_length();
+    if (!error && !connection.drop_cause && length &&
+        !is_body_expected_to_fit(connection, fixed_bytes, *length, reclaim))
+        return make_error_code(http_error::memory_short);
     if (!error && expects_continue(parser))
         boost::asio::async_write(
             connection.stream,
--- a/modules/http/server/shedding_policy.cpp
+++ b/modules/http/server/shedding_policy.cpp
@@ -41,7 +41,8 @@
             continue;
         const std::tuple<double, time_point> key{rate(candidate, now),
                                                  candidate.last_progress_at};
-        if (std::get<0>(key) >= requester || (slowest && key >= slowest_key))
+        if (std::get<0>(key) >= requester / 2 ||
+            (slowest && key >= slowest_key))
             continue;
         slowest = index;
         slowest_key = key;
--- a/modules/http/server/shedding_policy.hpp
+++ b/modules/http/server/shedding_policy.hpp
@@ -52,8 +52,9 @@
     /** Selects a connection whose memory is needed for others.
 
         @param requester  the rate of the connection that needs memory: only
-                          slower ones are selected
-        @returns the index of the connection; none if all are faster
+                          those of less than half of it are selected, so that
+                          clients on equal links do not displace each other
+        @returns the index of the connection; none if there is none
     */
     static std::optional<std::size_t>
     select_for_memory(const std::vector<connection_progress>& connections,
--- a/modules/http/server/shedding_policy_test.cpp
+++ b/modules/http/server/shedding_policy_test.cpp
@@ -65,6 +65,16 @@
         {slow}, shedding_policy::rate(trickling, now), now));
 }
 
+// Guards against uploads on equal links that displace each other half-way.
+BOOST_AUTO_TEST_CASE(client_of_about_the_same_speed_is_kept)
+{
+    const double speed = shedding_policy::rate(slow, now);
+    BOOST_TEST(!shedding_policy::select_for_memory({slow}, 1.9 * speed, now));
+    BOOST_TEST(
+        shedding_policy::select_for_memory({slow}, 2.1 * speed, now).value() ==
+        0U);
+}
+
 // A request that is handled may have run, and a fresh one cannot be judged.
 BOOST_AUTO_TEST_CASE(handled_and_fresh_requests_are_never_dropped)
 {
