Apply a changed grace-s to the planned stop of a running process

settings_watch took the value over for the requests, but the timer of process_core that ends the process kept the one of its start, so a stop cut streams at the old limit.

--- a/modules/gateway/process/settings_watch.cpp
+++ b/modules/gateway/process/settings_watch.cpp
@@ -71,6 +71,7 @@
     if (!is_changed && cause == "period")
         return;
     fleet_.set_settings(reloaded.value());
+    core_.set_drain_timeout(reloaded.value().stop_grace_period);
     core_.journal().record(
         event_number::settings_reloaded,
         {{"cause", cause}, {"changed", is_changed ? "yes" : "no"}});
--- a/modules/process/core/process_core.cpp
+++ b/modules/process/core/process_core.cpp
@@ -126,6 +126,11 @@
                });
 }
 
+void process_core::set_drain_timeout(std::chrono::milliseconds timeout)
+{
+    settings_.drain_timeout = timeout;
+}
+
 void process_core::drain()
 {
     if (is_draining_)
--- a/modules/process/core/process_core.hpp
+++ b/modules/process/core/process_core.hpp
@@ -69,6 +69,10 @@
     */
     void drain();
 
+    /** Changes process_settings::drain_timeout for a shutdown that has not
+        begun. */
+    void set_drain_timeout(std::chrono::milliseconds timeout);
+
     bool is_draining() const;
 
 private:
