Use the momentary slowness that targets report

Cause: the load header may have a fourth figure, how long work takes at the target now in percent of the usual, which nothing read. Calls went to slow servers as long as these had as many free slots as the others.

The time constant is fitted to the correlations of successive readings of the targets of the service. A slot of a slow server is worth less; expected times of prefills and slots are multiplied by the slowness, and observed times divided by it, so that estimates are those of an engine at its usual speed. Transfers are limited by the link and stay as they are. Without the figure, the factor is 1 and nothing changes.

--- a/modules/gateway/request/request_forwarder_observations.cpp
+++ b/modules/gateway/request/request_forwarder_observations.cpp
@@ -33,10 +33,13 @@
         return;
     const std::chrono::duration<double, std::milli> fetch(
         assignment.prefix_fetch_ms);
+    const time_point now = services_.core.now();
+    // The estimates are those of an engine at its usual speed.
+    const double slowness = assignment.prefill_engine->slowness.expected(now);
     services_.fleet.performance(context_.service)
         .add(engine_step::prefill, tokens, assignment.pending_prefill_tokens,
-             duration - fetch, assignment.pending_prefill_tokens / tokens,
-             services_.core.now());
+             (duration - fetch) / slowness,
+             assignment.pending_prefill_tokens / tokens, now);
 }
 
 void request_forwarder::observe_decode_start(
@@ -63,11 +66,16 @@
     const time_point now = services_.core.now();
     engine_performance& performance =
         services_.fleet.performance(context_.service);
+    const double slowness = current.target->slowness.expected(now);
+    using milliseconds_as_double = std::chrono::duration<double, std::milli>;
     performance.add(engine_step::completion, tokens, tokens,
-                    now - *current.response_start, 1, now);
+                    milliseconds_as_double(now - *current.response_start) /
+                        slowness,
+                    1, now);
     if (current.is_transferred)
         performance.add(engine_step::decode, tokens, tokens,
-                        now - current.start, 1, now);
+                        milliseconds_as_double(now - current.start) / slowness,
+                        1, now);
 }
 
 void request_forwarder::observe_response_start(const target_attempt& current)
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -191,7 +191,7 @@
     if (!evidence_.belongs_to_request())
         return handle_failure(make_error_code(http_error::bad_message));
     if (parsed_response_.load)
-        target_->load = parsed_response_.load;
+        target_->record_load(*parsed_response_.load);
     // A misdirected request was answered by another target.
     if (!parsed_response_.is_misdirected)
         services_.fleet.apply_notice(*target_, parsed_response_.notice,
--- a/modules/serving/scheduling/decode_engine_selector.cpp
+++ b/modules/serving/scheduling/decode_engine_selector.cpp
@@ -112,7 +112,10 @@
                                          target->record.availability_zone;
     const double transfer_ms =
         prefill_engine != nullptr ? fetch_ms(prompt, is_same_zone) : 0;
-    candidate.baseline_ms = prefill_ms + queue_ms + transfer_ms;
+    // The transfer is limited by the link.
+    candidate.slowness = target->slowness.expected(now);
+    candidate.baseline_ms =
+        candidate.slowness * (prefill_ms + queue_ms) + transfer_ms;
     candidate.expected_ms = std::max(
         candidate.baseline_ms +
             target->expected_delay_ms(request.delays.decode_engines, now),
--- a/modules/serving/scheduling/engine_scheduler.cpp
+++ b/modules/serving/scheduling/engine_scheduler.cpp
@@ -102,7 +102,8 @@
 double
 engine_scheduler::direct_compute_ms(const engine_candidate& candidate) const
 {
-    return estimates_.prefill.ms_per_token * candidate.pending_prefill_tokens /
+    return candidate.slowness * estimates_.prefill.ms_per_token *
+           candidate.pending_prefill_tokens /
            engine_estimates::decode_prefill_fraction;
 }
 
@@ -110,9 +111,12 @@
                                        const generation_request& request) const
 {
     if (!assignment.prefill_engine)
-        return estimates_.direct_prefill_ms(assignment.pending_prefill_tokens);
+        return assignment.prefill_slowness *
+               estimates_.direct_prefill_ms(assignment.pending_prefill_tokens);
     return assignment.prefix_fetch_ms +
-           estimates_.prefill.milliseconds(assignment.pending_prefill_tokens) +
+           assignment.prefill_slowness *
+               estimates_.prefill.milliseconds(
+                   assignment.pending_prefill_tokens) +
            estimates_.transfer.milliseconds(request.prompt->prompt_tokens);
 }
 
@@ -139,6 +143,7 @@
     assignment.expected_ms = direct.expected_ms;
     assignment.pending_prefill_tokens = direct.pending_prefill_tokens;
     assignment.queued_prefill_tokens = direct.queued_prefill_tokens;
+    assignment.prefill_slowness = direct.slowness;
     const bool is_short_prefill =
         direct.target &&
         (direct.pending_prefill_tokens <= 0 ||
@@ -170,6 +175,7 @@
     assignment.pending_prefill_tokens = prefill_engine.pending_prefill_tokens;
     assignment.queued_prefill_tokens = prefill_engine.queued_prefill_tokens;
     assignment.prefix_fetch_ms = prefill_engine.prefix_fetch_ms;
+    assignment.prefill_slowness = prefill_engine.slowness;
     return assignment;
 }
 
--- a/modules/serving/scheduling/engine_scheduler.hpp
+++ b/modules/serving/scheduling/engine_scheduler.hpp
@@ -32,6 +32,8 @@
     double queued_prefill_tokens = 0;
     /** Time to fetch prefix blocks from `prefix_source`. */
     double prefix_fetch_ms = 0;
+    /** The expected slowness of the engine that prefills the prompt. */
+    double prefill_slowness = 1;
 };
 
 /** Adds an assumption about the speed of the engines if it is not known: the
--- a/modules/serving/scheduling/generation_request.hpp
+++ b/modules/serving/scheduling/generation_request.hpp
@@ -53,6 +53,8 @@
     double baseline_ms = 0;
     /** The baseline corrected by the delay observed for the engine. */
     double expected_ms = 0;
+    /** The expected slowness of the engine; see target_slowness. */
+    double slowness = 1;
     /** Tokens that the engine would have to prefill. */
     double pending_prefill_tokens = 0;
     /** Tokens that the engine has to prefill before them. */
--- a/modules/serving/scheduling/prefill_engine_selector.cpp
+++ b/modules/serving/scheduling/prefill_engine_selector.cpp
@@ -115,10 +115,12 @@
     candidate.queued_prefill_tokens =
         expected_load(*target, request.constraints.live_hosts, now)
             .prefill_tokens_ahead(request.rank);
+    candidate.slowness = target->slowness.expected(now);
     candidate.baseline_ms =
         candidate.prefix_fetch_ms +
-        estimates_.prefill.milliseconds(candidate.queued_prefill_tokens +
-                                        candidate.pending_prefill_tokens);
+        candidate.slowness *
+            estimates_.prefill.milliseconds(candidate.queued_prefill_tokens +
+                                            candidate.pending_prefill_tokens);
     candidate.expected_ms = std::max(
         candidate.baseline_ms +
             target->expected_delay_ms(request.delays.prefill_engines, now),
--- a/modules/serving/scheduling/server_scheduler.cpp
+++ b/modules/serving/scheduling/server_scheduler.cpp
@@ -29,6 +29,9 @@
     const double slots = std::max(target.record.slots, 1U);
     double load =
         expected_load(target, constraints.live_hosts, now).requests / slots;
+    // A slow target needs more of its slots' time for the load and for this
+    // request.
+    load += (target.slowness.expected(now) - 1) * (load + 1 / slots);
     if (target.record.availability_zone != constraints.availability_zone)
         load += cross_zone_load;
     return load + failure_penalty_load * target.health.failure_rate();
--- a/modules/serving/scheduling/server_scheduler.hpp
+++ b/modules/serving/scheduling/server_scheduler.hpp
@@ -39,7 +39,8 @@
 
     Designed for a few servers with few slots, each shared by all hosts, and
     tens of requests per second that take about ten milliseconds each. Selects
-    the server with the lowest expected load per slot. Servers of the local
+    the server with the lowest expected load per slot, where a slot of a slow
+    server is worth less. Servers of the local
     availability zone are preferred while they have free slots, because
     cross-zone traffic is charged.
 */
--- a/modules/serving/scheduling/target_registry.cpp
+++ b/modules/serving/scheduling/target_registry.cpp
@@ -30,6 +30,13 @@
 {
 }
 
+void target_view::record_load(const reported_load& report)
+{
+    load = report;
+    if (report.slowness)
+        slowness.add(*report.slowness, report.received_at);
+}
+
 bool target_view::is_available(time_point now) const
 {
     return !is_withdrawn && now >= stage_change_until && now >= refuses_until &&
@@ -168,6 +175,11 @@
         const std::shared_ptr<target_view> new_target =
             std::make_shared<target_view>(record);
         new_target->cache_warm_at = cache_warm_at;
+        std::shared_ptr<slowness_variation>& variation =
+            slowness_variations_[record.service];
+        if (!variation)
+            variation = std::make_shared<slowness_variation>();
+        new_target->slowness = target_slowness(variation);
         by_id_[record.id] = new_target;
         services_[record.service].push_back(new_target);
         return;
--- a/modules/serving/scheduling/target_registry.hpp
+++ b/modules/serving/scheduling/target_registry.hpp
@@ -8,10 +8,12 @@
 #include "serving/scheduling/observed_delay.hpp"
 #include "serving/scheduling/prefix_cache_estimate.hpp"
 #include "serving/scheduling/smoothed_level.hpp"
+#include "serving/scheduling/target_slowness.hpp"
 #include "sharing/sharing.hpp"
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace hibiscusferry
@@ -23,6 +25,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /** How long work takes at the target at this moment, as a multiple of the
+        usual time; none if the target does not report it. */
+    std::optional<double> slowness;
     time_point received_at{};
 };
 
@@ -37,6 +42,7 @@
     incarnation_key incarnation = 0;
     observed_health health;
     std::optional<reported_load> load;
+    target_slowness slowness;
     /** Requests of this host in flight at the target. */
     smoothed_level requests;
     /** Prompt tokens sent by this host that the target has not prefilled. */
@@ -68,6 +74,9 @@
         requests. */
     bool is_withdrawn = false;
 
+    /** Records the load that the target reports. */
+    void record_load(const reported_load& report);
+
     /** Whether the target may receive requests now. */
     bool is_available(time_point now) const;
 
@@ -150,6 +159,8 @@
 
     std::map<std::string, std::vector<std::shared_ptr<target_view>>> services_;
     std::map<std::string, std::shared_ptr<target_view>> by_id_;
+    std::map<std::string, std::shared_ptr<slowness_variation>>
+        slowness_variations_;
 };
 
 } // namespace hibiscusferry
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -23,4 +23,5 @@
 #include "serving/scheduling/request_admissions.cpp"
 #include "serving/scheduling/server_scheduler.cpp"
 #include "serving/scheduling/target_registry.cpp"
+#include "serving/scheduling/target_slowness.cpp"
 #include "serving/stages/stage_planner.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -38,6 +38,7 @@
 #include "serving/scheduling/request_admissions.hpp"
 #include "serving/scheduling/server_scheduler.hpp"
 #include "serving/scheduling/target_registry.hpp"
+#include "serving/scheduling/target_slowness.hpp"
 #include "serving/stages/stage_planner.hpp"
 
 #endif
