Count header fields while the head arrives

Beast stores fields as they arrive, but their memory was reserved and their number checked only at the end of the head.

--- a/modules/http/server/request_reader.cpp
+++ b/modules/http/server/request_reader.cpp
@@ -107,6 +107,11 @@
 constexpr std::size_t handled_field_bytes = 512;
 constexpr std::size_t copies_of_fields = 4;
 
+/** Part of a head that may arrive before its fields are counted again. The
+   count visits all fields, so it is not repeated for each byte of a slow
+   client. */
+constexpr std::size_t uncounted_head_bytes = 512;
+
 /** The gateway keeps the body for further attempts, beside the attempt that is
     being sent. */
 constexpr std::size_t copies_of_body = 2;
@@ -216,9 +221,27 @@
     if (!reserve_memory(connection, connection_bytes + max_buffered, reclaim))
         return make_error_code(http_error::memory_short);
     boost::system::error_code error;
+    // Beast stores fields as they arrive, so they are counted before the header
+    // is complete.
+    std::size_t counted_bytes = 0;
     while (!error && !parser.is_header_done() && !connection.drop_cause)
+    {
         connection.count_progress(beast_http::async_read_some(
             connection.stream, connection.buffer, parser, yield[error]));
+        const std::size_t received = connection.progress.transferred_bytes;
+        if (error || received - counted_bytes < uncounted_head_bytes)
+            continue;
+        counted_bytes = received;
+        const field_sizes so_far = measure_fields(parser.get());
+        if (so_far.count > max_fields)
+            return make_error_code(http_error::too_many_fields);
+        if (!reserve_memory(connection,
+                            connection_bytes + max_buffered +
+                                so_far.count * received_field_bytes +
+                                so_far.bytes,
+                            reclaim))
+            return make_error_code(http_error::memory_short);
+    }
     const field_sizes fields = measure_fields(parser.get());
     if (!error && fields.count > max_fields)
         return make_error_code(http_error::too_many_fields);
