--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -46,6 +46,7 @@
         .durations_of("hibiscusferry_accept_delay_seconds")
         .add(exchange_.accept_delay());
     context_.request = services_.callers.read(exchange_.request());
+    exchange_.discard_request_body();
     if (context_.has_caller_left())
     {
         log_completion(event_number::request_abandoned, "caller_gone");
@@ -308,6 +309,8 @@
                                        ? std::chrono::milliseconds(0)
                                        : context_.time_to_objective(now);
     generation.time_to_deadline = context_.time_left(now);
+    generation.event_gap_objective =
+        context_.matched_route->event_gap_objective;
     // A probe reaches a single target, which both prefills and decodes.
     generation.may_transfer_kv =
         !context_.has_stream_started && !context_.is_probe;
--- a/modules/gateway/request/request_forwarder_observations.cpp
+++ b/modules/gateway/request/request_forwarder_observations.cpp
@@ -33,10 +33,13 @@
         return;
     const std::chrono::duration<double, std::milli> fetch(
         assignment.prefix_fetch_ms);
+    const time_point now = services_.core.now();
+    // The estimates are those of an engine at its usual speed.
+    const double slowness = assignment.prefill_engine->slowness.expected(now);
     services_.fleet.performance(context_.service)
         .add(engine_step::prefill, tokens, assignment.pending_prefill_tokens,
-             duration - fetch, assignment.pending_prefill_tokens / tokens,
-             services_.core.now());
+             (duration - fetch) / slowness,
+             assignment.pending_prefill_tokens / tokens, now);
 }
 
 void request_forwarder::observe_decode_start(
@@ -63,11 +66,43 @@
     const time_point now = services_.core.now();
     engine_performance& performance =
         services_.fleet.performance(context_.service);
+    const double slowness = current.target->slowness.expected(now);
+    using milliseconds_as_double = std::chrono::duration<double, std::milli>;
     performance.add(engine_step::completion, tokens, tokens,
-                    now - *current.response_start, 1, now);
+                    milliseconds_as_double(now - *current.response_start) /
+                        slowness,
+                    1, now);
     if (current.is_transferred)
         performance.add(engine_step::decode, tokens, tokens,
-                        now - current.start, 1, now);
+                        milliseconds_as_double(now - current.start) / slowness,
+                        1, now);
+}
+
+void request_forwarder::observe_event(target_attempt& current,
+                                      time_point received_at)
+{
+    const std::optional<time_point> previous = current.event_received_at;
+    current.event_received_at = received_at;
+    const bool is_observable =
+        is_generation() && previous && !current.upstream.was_silent();
+    if (!is_observable)
+        return;
+    // Events in one piece have no gap of their own. If forwarding the previous
+    // event took long, the caller reads slowly, and the gap says little about
+    // the engine.
+    const std::chrono::nanoseconds gap = received_at - *previous;
+    const std::chrono::nanoseconds forwarding =
+        current.event_forwarded_at - *previous;
+    if (gap <= std::chrono::nanoseconds(0) || 2 * forwarding > gap)
+        return;
+    const double slowness = current.target->slowness.expected(received_at);
+    current.target->event_gaps.add(gap, slowness, received_at);
+    services_.fleet.delays(context_.service)
+        .event_gaps.add(gap, slowness, received_at);
+    services_.core.metrics()
+        .durations_of("hibiscusferry_event_gap_seconds",
+                      "route=\"" + context_.matched_route->name + "\"")
+        .add(gap);
 }
 
 void request_forwarder::observe_response_start(const target_attempt& current)
