--- a/modules/gateway/duties/capacity_service.hpp
+++ b/modules/gateway/duties/capacity_service.hpp
@@ -9,7 +9,7 @@
 {
 
 /** Orders targets for the services that allow it, and releases them, at the
-   host that holds the authority. The decisions are those of capacity_planner.
+    host that holds the authority. The decisions are those of capacity_planner.
  */
 class capacity_service final : public kernel_service
 {
--- a/modules/gateway/duties/duty_caller.hpp
+++ b/modules/gateway/duties/duty_caller.hpp
@@ -13,9 +13,9 @@
     authority.
 
     The receiver need not check fencing numbers. Therefore a call is written
-   only on a connection that is open, immediately after a check of the
-   authority, and a call without a response is aborted before a successor may
-   begin. */
+    only on a connection that is open, immediately after a check of the
+    authority, and a call without a response is aborted before a successor may
+    begin. */
 class duty_caller
 {
 public:
--- a/modules/serving/capacity/capacity_planner.cpp
+++ b/modules/serving/capacity/capacity_planner.cpp
@@ -84,8 +84,8 @@
     std::vector<capacity_change> changes;
     for (const auto& [zone, capacity] : situation.zones)
     {
-        // Reclaimable targets come before the ordinary ones that they replace
-        // go.
+        // Reclaimable targets are ordered first: they have to serve before the
+        // ordinary ones that they replace are released.
         const std::optional<capacity_change> reclaimable =
             change(zone, target_kind::reclaimable, desired.reclaimable.at(zone),
                    situation, now);
@@ -186,8 +186,8 @@
                                   settings_.growth_fraction * before->targets);
         demands_.push_back({now, targets});
     }
-    // Where most targets are idle, requests are refused for another reason than
-    // their number. Nothing is known of the work if nothing is served.
+    // If most targets are idle, more of them would not prevent refusals. The
+    // work is unknown if no request is served.
     const bool are_mostly_idle =
         situation.busy_targets &&
         *situation.busy_targets <
@@ -288,7 +288,7 @@
     {
         const unsigned present = situation.zones.at(zone).reclaimable;
         const unsigned room = limits_.max_targets - desired.ordinary[zone];
-        // Those of a zone where no more are available stay.
+        // Where no more are available, the existing ones are kept.
         const unsigned wanted =
             is_available(zone, target_kind::reclaimable, now)
                 ? per_zone
@@ -380,8 +380,8 @@
     const bool is_changing = leaving > 0 || present != there;
     if (is_refusing || is_changing)
         return std::nullopt;
-    // Before there are callers, and with what replaces them in place, nobody
-    // needs the targets.
+    // Before the first callers, targets can be released as soon as their
+    // replacements serve.
     const bool has_callers = has_seen_demand_ || !is_first_holder_;
     const bool is_early =
         now - *began_at_ < settings_.release_delay ||
--- a/modules/serving/capacity/capacity_planner.hpp
+++ b/modules/serving/capacity/capacity_planner.hpp
@@ -99,7 +99,7 @@
     Answers loads that swing within seconds while a target takes seconds to
     boot, bursts above all that was seen before, and the loss of all reclaimable
     targets of a zone at short notice. Capacity follows the highest demand of
-   the last seconds, and is such that what remains after the loss of a zone's
+    the last seconds, and is such that what remains after the loss of a zone's
     reclaimable targets still serves it. Prices only decide how this capacity is
     divided; no request is refused to save them. */
 class capacity_planner
--- a/modules/serving/capacity/capacity_planner_test.cpp
+++ b/modules/serving/capacity/capacity_planner_test.cpp
@@ -52,7 +52,7 @@
         ++orders;
         ++orders_of[{change.availability_zone, change.kind}];
         const bool is_reclaimable = change.kind == target_kind::reclaimable;
-        const bool is_available = !is_reclaimable || now_ms >= dry_until_ms;
+        const bool is_available = !is_reclaimable || now_ms >= none_until_ms;
         planner.record_order(change, is_available,
                              time_point(milliseconds(now_ms)));
         if (!is_available)
@@ -109,7 +109,7 @@
     autoscale_properties limits;
     capacity_situation situation;
     std::int64_t now_ms = 1000;
-    std::int64_t dry_until_ms = 0;
+    std::int64_t none_until_ms = 0;
     std::map<std::pair<std::string, target_kind>,
              std::pair<std::int64_t, unsigned>>
         booting;
@@ -200,7 +200,7 @@
     zone_capacity& zone = platform.situation.zones["a"];
     zone.reclaimable_leaving = zone.reclaimable;
     zone.reclaimable = 0;
-    platform.dry_until_ms = platform.now_ms + 10000;
+    platform.none_until_ms = platform.now_ms + 10000;
     const std::pair<std::string, target_kind> lost_subject{
         "a", target_kind::reclaimable};
     const unsigned orders = platform.orders_of[lost_subject];
@@ -319,7 +319,7 @@
                 if (move % 7 == 0)
                 {
                     platform.situation.zones["b"].reclaimable = 0;
-                    platform.dry_until_ms = platform.now_ms + 10000;
+                    platform.none_until_ms = platform.now_ms + 10000;
                 }
                 platform.run(planner, 1 + move % 6);
                 RC_ASSERT(platform.max_in_a_zone <=
--- a/modules/serving/credentials/credential_check_test.cpp
+++ b/modules/serving/credentials/credential_check_test.cpp
@@ -59,7 +59,7 @@
 
 // Guards against a key that is accepted after its revocation at the end of a
 // chain of relays, each of which may be cut off or frozen at any moment. The
-// age travels along the chain; a host that stood still finds it grown.
+// age is passed along the chain; at a paused host it goes on growing.
 BOOST_AUTO_TEST_CASE(revoked_keys_stop_in_time_through_any_chain_of_relays)
 {
     BOOST_TEST(rc::check(
