Reserve vectors before they are filled, as the linter asks

Cause: the whole linter had not run on the merged code; it found five places. Change: capacity is reserved, a result is discarded visibly, a parameter is passed by reference. No change of behaviour.

--- a/extras/client_limits/client_crowd.cpp
+++ b/extras/client_limits/client_crowd.cpp
@@ -24,7 +24,8 @@
     sockaddr_in remote{};
     remote.sin_family = AF_INET;
     remote.sin_port = htons(port);
-    ::inet_pton(AF_INET, address.c_str(), &remote.sin_addr);
+    const int ignored = ::inet_pton(AF_INET, address.c_str(), &remote.sin_addr);
+    static_cast<void>(ignored);
     // The connection is established while the client waits to write.
     ::connect(descriptor, reinterpret_cast<const sockaddr*>(&remote),
               sizeof remote);
--- a/extras/client_limits/client_limits_test.cpp
+++ b/extras/client_limits/client_limits_test.cpp
@@ -85,6 +85,7 @@
     BOOST_TEST_MESSAGE("before the crowd: " << process.peak_resident_kb()
                                             << " KB");
     std::vector<client_plan> plans;
+    plans.reserve(static_cast<std::size_t>(size));
     for (int index = 0; index < size; ++index)
         plans.push_back(plan_of(index));
     client_crowd crowd(process.address(),
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -381,6 +381,7 @@
 progress_of(const std::vector<std::shared_ptr<server_connection>>& connections)
 {
     std::vector<connection_progress> progress;
+    progress.reserve(connections.size());
     for (const std::shared_ptr<server_connection>& connection : connections)
         progress.push_back(connection->progress);
     return progress;
--- a/modules/serving/model/workspace_directory.cpp
+++ b/modules/serving/model/workspace_directory.cpp
@@ -15,6 +15,7 @@
                                      const std::vector<std::string>& keys)
 {
     std::vector<std::string> digests;
+    digests.reserve(keys.size());
     for (const std::string& key : keys)
         digests.push_back(digest_of(key));
     return add_digests(std::move(entry), digests);
--- a/modules/sharing/usage/usage_test.cpp
+++ b/modules/sharing/usage/usage_test.cpp
@@ -118,7 +118,7 @@
         decode_usage_acknowledgement(answer).value().agreed_time.count() == 77);
     BOOST_TEST(!decode_usage_report(answer));
     BOOST_TEST(rc::check(
-        [&bytes, &answer](std::string noise, std::uint16_t cut)
+        [&bytes, &answer](const std::string& noise, std::uint16_t cut)
         {
             static_cast<void>(decode_usage_report(noise));
             static_cast<void>(decode_usage_acknowledgement(noise));
