--- a/extras/client_limits/client_crowd.cpp
+++ b/extras/client_limits/client_crowd.cpp
@@ -24,11 +24,11 @@
     sockaddr_in remote{};
     remote.sin_family = AF_INET;
     remote.sin_port = htons(port);
-    const int ignored = ::inet_pton(AF_INET, address.c_str(), &remote.sin_addr);
-    static_cast<void>(ignored);
+    int ignored = ::inet_pton(AF_INET, address.c_str(), &remote.sin_addr);
     // The connection is established while the client waits to write.
-    ::connect(descriptor, reinterpret_cast<const sockaddr*>(&remote),
-              sizeof remote);
+    ignored = ::connect(descriptor, reinterpret_cast<const sockaddr*>(&remote),
+                        sizeof remote);
+    static_cast<void>(ignored);
     return descriptor;
 }
 
