--- /dev/null
+++ b/modules/gateway/gateway_request.cpp
@@ -0,0 +1,12 @@
+#include "gateway/gateway.hpp"
+
+#include "gateway/request/request_context.cpp"
+#include "gateway/request/request_forwarder.cpp"
+#include "gateway/request/request_forwarder_completion.cpp"
+#include "gateway/request/request_forwarder_observations.cpp"
+#include "gateway/request/request_forwarder_responses.cpp"
+#include "gateway/request/request_forwarder_resumptions.cpp"
+#include "gateway/request/request_forwarder_silence.cpp"
+#include "gateway/request/response_evidence.cpp"
+#include "gateway/request/response_memory.cpp"
+#include "gateway/request/target_exchange.cpp"
