Send no id twice over one connection to a target

Cause: the id of a request tells its response from late ones, but not when an earlier request with the same id used the connection. Within one request this was avoided for a target that was contacted before; a caller that sends an id again met a kept connection that had carried it.

Change: a connection knows the ids of its exchanges and is not taken for one of them again; it is closed after 512, so that they stay bounded. This replaces the check of contacted targets, and covers all ways on which an id reaches a target twice: a resend after a refusal, prefill and decode, a continuation, and a caller that repeats its id.

--- a/modules/gateway/request/request_context.hpp
+++ b/modules/gateway/request/request_context.hpp
@@ -85,8 +85,6 @@
     target_list limited;
     /** Admissions to targets that state a limit, until they are used. */
     request_admissions admissions;
-    /** Targets to which the request was sent, in any step. */
-    std::set<std::string> contacted_targets;
     /** Targets at which the request may have run. */
     std::set<std::string> possible_run_targets;
     /** Number of attempts so far, including those that only prefill. */
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -67,15 +67,14 @@
 
 std::unique_ptr<http_connection> target_exchange::take_idle_connection()
 {
-    const bool is_identified_by_id =
-        !context_.request.id.empty() &&
-        context_.contacted_targets.count(target_->record.id) == 0;
-    if (!is_identified_by_id)
+    if (context_.request.id.empty())
         return nullptr;
     return services_.core.connections().take_idle(
-        target_->record.endpoint, context_.matched_route->is_safe_to_retry()
-                                      ? max_idle_time
-                                      : max_idle_time_not_repeatable);
+        target_->record.endpoint,
+        context_.matched_route->is_safe_to_retry()
+            ? max_idle_time
+            : max_idle_time_not_repeatable,
+        context_.request.id);
 }
 
 attempt_result target_exchange::connect(boost::asio::yield_context yield)
@@ -137,9 +136,10 @@
     sent_at_ = services_.core.now();
     context_.admissions.use(*target_, sent_at_);
     ++context_.attempts;
-    context_.contacted_targets.insert(target_->record.id);
     context_.last_target = target_->record.id;
     context_.last_software_version = target_->record.software_version;
+    if (!context_.request.id.empty())
+        connection_->add_exchange_id(context_.request.id);
     const result<void> sent =
         connection_->send(services_.targets.write_attempt(current_options),
                           clamp_to_deadline(first_byte_timeout), yield);
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -1,11 +1,13 @@
 #include "http/client/http_connection.hpp"
 
 #include "http/server/beast_support.hpp"
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <vector>
 
 namespace hibiscusferry
 {
@@ -153,6 +155,8 @@
     bool has_write_failed = false;
     int interim_responses = 0;
     std::optional<std::chrono::seconds> keep_alive_timeout;
+    /** Hashes of the ids of all exchanges. */
+    std::vector<std::uint64_t> exchange_ids;
 
     void begin_response();
     bool is_interim_response() const;
@@ -361,9 +365,21 @@
     }
 }
 
+void http_connection::add_exchange_id(std::string_view id)
+{
+    implementation_->exchange_ids.push_back(stable_hash(id));
+}
+
+bool http_connection::has_carried(std::string_view id) const
+{
+    const std::vector<std::uint64_t>& ids = implementation_->exchange_ids;
+    return std::find(ids.begin(), ids.end(), stable_hash(id)) != ids.end();
+}
+
 bool http_connection::is_reusable() const
 {
-    return implementation_->is_reusable;
+    return implementation_->is_reusable &&
+           implementation_->exchange_ids.size() < max_identified_exchanges;
 }
 
 bool http_connection::is_open_and_idle() const
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hibiscusferry
 {
@@ -82,6 +83,19 @@
                                        std::chrono::milliseconds timeout,
                                        boost::asio::yield_context yield);
 
+    /** Maximum number of exchanges with an id over one connection, so that the
+        memory for the ids is limited. */
+    static constexpr std::size_t max_identified_exchanges = 512;
+
+    /** Records the id of the next exchange. After max_identified_exchanges the
+        connection is not reusable any more. */
+    void add_exchange_id(std::string_view id);
+
+    /** Whether an exchange with this id has taken place. Its response may
+        arrive again, and could not be told from that of another exchange with
+        the id. */
+    bool has_carried(std::string_view id) const;
+
     /** Returns true if the last exchange completed, no unexpected bytes
         followed it, and the server keeps the connection open. */
     bool is_reusable() const;
--- a/modules/http/client/http_connection_pool.cpp
+++ b/modules/http/client/http_connection_pool.cpp
@@ -31,28 +31,42 @@
     return open(endpoint, timeout, yield);
 }
 
+bool http_connection_pool::idle_connection::is_usable(
+    std::chrono::milliseconds idle_limit) const
+{
+    std::chrono::milliseconds limit = idle_limit;
+    if (connection->keep_alive_timeout())
+        limit = std::min<std::chrono::milliseconds>(
+            limit, *connection->keep_alive_timeout() *
+                       usable_keep_alive_percent / 100);
+    return boot_clock::now() - since < limit && connection->is_open_and_idle();
+}
+
 std::unique_ptr<http_connection>
 http_connection_pool::take_idle(const http_endpoint& endpoint,
-                                std::chrono::milliseconds idle_limit)
+                                std::chrono::milliseconds idle_limit,
+                                std::string_view exchange_id)
 {
     const auto endpoint_entry = idle_.find(endpoint);
     if (endpoint_entry == idle_.end())
         return nullptr;
-    while (!endpoint_entry->second.empty())
+    std::deque<idle_connection>& connections = endpoint_entry->second;
+    std::unique_ptr<http_connection> taken;
+    for (std::size_t index = connections.size(); !taken && index > 0; --index)
     {
-        idle_connection newest = std::move(endpoint_entry->second.back());
-        endpoint_entry->second.pop_back();
-        std::chrono::milliseconds limit = idle_limit;
-        if (newest.connection->keep_alive_timeout())
-            limit = std::min<std::chrono::milliseconds>(
-                limit, *newest.connection->keep_alive_timeout() *
-                           usable_keep_alive_percent / 100);
-        if (boot_clock::now() - newest.since < limit &&
-            newest.connection->is_open_and_idle())
-            return std::move(newest.connection);
+        idle_connection& candidate = connections[index - 1];
+        const bool is_usable = candidate.is_usable(idle_limit);
+        if (is_usable && !exchange_id.empty() &&
+            candidate.connection->has_carried(exchange_id))
+            continue;
+        if (is_usable)
+            taken = std::move(candidate.connection);
+        connections.erase(connections.begin() +
+                          static_cast<std::ptrdiff_t>(index - 1));
     }
-    idle_.erase(endpoint_entry);
-    return nullptr;
+    if (connections.empty())
+        idle_.erase(endpoint_entry);
+    return taken;
 }
 
 result<std::unique_ptr<http_connection>>
--- a/modules/http/client/http_connection_pool.hpp
+++ b/modules/http/client/http_connection_pool.hpp
@@ -31,11 +31,15 @@
 
         Closes and skips connections that the server has closed, that have
         unread bytes, or that have been idle for longer than `idle_limit` or
-        than a fixed part of the keep-alive timeout the server announced.
+        than a fixed part of the keep-alive timeout the server announced. Skips
+        those that have carried an exchange with the id of the next one.
+
+        @param exchange_id  empty if the next exchange has no id
     */
     std::unique_ptr<http_connection>
     take_idle(const http_endpoint& endpoint,
-              std::chrono::milliseconds idle_limit);
+              std::chrono::milliseconds idle_limit,
+              std::string_view exchange_id = {});
 
     /** Opens a new connection even if idle ones exist.
 
@@ -65,6 +69,8 @@
     {
         std::unique_ptr<http_connection> connection;
         time_point since;
+
+        bool is_usable(std::chrono::milliseconds idle_limit) const;
     };
 
     boost::asio::io_context& context_;
