Wait for addresses that are not available when a process starts

What the users saw: the system did not start, or its processes ended by themselves. That this was the reason is only suspected.

Cause: each listener that could not be opened ended the process at once with "cannot start service metrics", without the address or the reason. A successor beside a predecessor that completes its requests, a port that something else holds, and an address that the host gets later were all enough.

Change: hibiscusferry starts its services in order and tries the first that fails again ten times a second; before the peer port is free it takes no part in the fleet. It serves without the metrics page. address_unavailable names the listener, the address and the reason.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -107,13 +107,12 @@
          add(capacity_service::name, std::make_unique<capacity_service>(
                                          dependencies, exchange_ref,
                                          authority_ref, duty_calls, *caller)));
-    const result<void> started = services.start();
-    if (!are_services_added || !started)
+    if (!are_services_added)
     {
-        std::cerr << "hibiscusferry: cannot start service "
-                  << services.failed_service() << "\n";
+        std::cerr << "hibiscusferry: two services have the same name\n";
         return 1;
     }
+    core.start_services();
     core.run();
     log.flush();
     return 0;
--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -46,6 +46,13 @@
 HIBISCUSFERRY_EVENT(1009, info, readiness_changed,
                     "The host became ready for callers, or is no longer ready.",
                     "")
+HIBISCUSFERRY_EVENT(
+    1010, warning, address_unavailable,
+    "The process cannot listen on an address yet and goes on trying. Until "
+    "then "
+    "it does not do what the listener is for.",
+    "If the event is repeated, find the process that holds the address, or "
+    "correct the address in the settings.")
 
 // 1100-1199 requests (router)
 HIBISCUSFERRY_EVENT(1100, info, request_received,
--- a/modules/foundation/kernel/kernel.cpp
+++ b/modules/foundation/kernel/kernel.cpp
@@ -60,15 +60,24 @@
 
 result<void> kernel::start()
 {
-    for (const entry& candidate : entries_)
+    if (start_remaining())
+        return outcome::success();
+    stop();
+    return make_error_code(kernel_error::start_failed);
+}
+
+result<void> kernel::start_remaining()
+{
+    failed_service_.clear();
+    for (; started_count_ < entries_.size(); ++started_count_)
     {
-        if (!candidate.service->start())
+        const entry& next = entries_[started_count_];
+        const result<void> started = next.service->start();
+        if (!started)
         {
-            failed_service_ = candidate.name;
-            stop();
-            return make_error_code(kernel_error::start_failed);
+            failed_service_ = next.name;
+            return started.error();
         }
-        ++started_count_;
     }
     return outcome::success();
 }
--- a/modules/foundation/kernel/kernel.hpp
+++ b/modules/foundation/kernel/kernel.hpp
@@ -85,6 +85,14 @@
     */
     result<void> start();
 
+    /** Starts the services that have not been started yet, up to the first
+        that fails. Unlike start(), it leaves the others running and can be
+        called again.
+
+        @returns the error of that service; failed_service() returns its name
+    */
+    result<void> start_remaining();
+
     /** Drains all started services and calls `finished` when the last of them
         has finished. */
     void drain(std::function<void()> finished);
--- a/modules/foundation/kernel/kernel_test.cpp
+++ b/modules/foundation/kernel/kernel_test.cpp
@@ -10,7 +10,7 @@
 class recording_service final : public kernel_service
 {
 public:
-    recording_service(std::string& log, std::string name, bool can_start)
+    recording_service(std::string& log, std::string name, const bool& can_start)
         : log_(log)
         , name_(std::move(name))
         , can_start_(can_start)
@@ -33,12 +33,15 @@
 private:
     std::string& log_;
     std::string name_;
-    bool can_start_;
+    const bool& can_start_;
 };
 
-std::unique_ptr<kernel_service> make_recording_service(std::string& log,
-                                                       const std::string& name,
-                                                       bool can_start = true)
+constexpr bool always = true;
+constexpr bool never = false;
+
+std::unique_ptr<kernel_service>
+make_recording_service(std::string& log, const std::string& name,
+                       const bool& can_start = always)
 {
     return std::make_unique<recording_service>(log, name, can_start);
 }
@@ -67,12 +70,32 @@
     kernel core;
     BOOST_TEST(core.add("a", make_recording_service(log, "a")).has_value());
     BOOST_TEST(
-        core.add("b", make_recording_service(log, "b", false)).has_value());
+        core.add("b", make_recording_service(log, "b", never)).has_value());
     BOOST_TEST(core.start().error() == kernel_error::start_failed);
     BOOST_TEST(core.failed_service() == "b");
     BOOST_TEST(log == "+a-a");
 }
 
+BOOST_AUTO_TEST_CASE(failed_start_is_continued_where_it_failed)
+{
+    std::string log;
+    bool can_start = false;
+    kernel core;
+    BOOST_TEST(core.add("a", make_recording_service(log, "a")).has_value());
+    BOOST_TEST(
+        core.add("b", std::make_unique<recording_service>(log, "b", can_start))
+            .has_value());
+    BOOST_TEST(core.add("c", make_recording_service(log, "c")).has_value());
+    BOOST_TEST((core.start_remaining().error() == std::errc::address_in_use));
+    BOOST_TEST(core.failed_service() == "b");
+    BOOST_TEST(log == "+a");
+    can_start = true;
+    BOOST_TEST(core.start_remaining().has_value());
+    BOOST_TEST(core.failed_service().empty());
+    core.stop();
+    BOOST_TEST(log == "+a+b+c-c-b-a");
+}
+
 BOOST_AUTO_TEST_CASE(services_are_found_by_name_and_type)
 {
     std::string log;
--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -81,15 +81,14 @@
 
 result<void> gateway_service::start()
 {
-    result<std::unique_ptr<http_server>> callers = http_server::listen(
-        services_.core.context(), services_.fleet.settings().callers, limits(),
+    result<std::unique_ptr<http_server>> callers = services_.core.listen(
+        "callers", services_.fleet.settings().callers, limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         { serve(exchange, yield); });
     if (!callers)
         return callers.error();
-    result<std::unique_ptr<http_server>> readiness = http_server::listen(
-        services_.core.context(), services_.fleet.settings().readiness,
-        readiness_limits(),
+    result<std::unique_ptr<http_server>> readiness = services_.core.listen(
+        "readiness", services_.fleet.settings().readiness, readiness_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         { serve_readiness(exchange, yield); });
     if (!readiness)
--- a/modules/gateway/process/metrics_service.cpp
+++ b/modules/gateway/process/metrics_service.cpp
@@ -27,27 +27,33 @@
 
 result<void> metrics_service::start()
 {
+    // The host can serve without this page.
+    listen();
     core_.repeat(flush_period,
                  [this]
                  {
+                     if (!server_)
+                         listen();
                      log_.flush();
                      core_.metrics()
                          .gauge_of("hibiscusferry_log_lines_dropped")
                          .set(static_cast<double>(log_.dropped()));
                  });
-    result<std::unique_ptr<http_server>> listening = http_server::listen(
-        core_.context(), {fleet_.settings().address, metrics_port},
-        metrics_limits(),
+    return outcome::success();
+}
+
+void metrics_service::listen()
+{
+    result<std::unique_ptr<http_server>> listening = core_.listen(
+        "metrics", {fleet_.settings().address, metrics_port}, metrics_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         {
             const result<void> ignored =
                 exchange.respond(serve(exchange.request()), yield);
             static_cast<void>(ignored);
         });
-    if (!listening)
-        return listening.error();
-    server_ = std::move(listening.value());
-    return outcome::success();
+    if (listening)
+        server_ = std::move(listening.value());
 }
 
 http_response metrics_service::serve(const http_request& request)
@@ -66,7 +72,8 @@
 void metrics_service::stop()
 {
     log_.flush();
-    server_->close();
+    if (server_)
+        server_->close();
 }
 
 } // namespace hibiscusferry
--- a/modules/gateway/process/metrics_service.hpp
+++ b/modules/gateway/process/metrics_service.hpp
@@ -22,12 +22,14 @@
     void stop() override;
 
 private:
+    void listen();
     http_response serve(const http_request& request);
 
     process_core& core_;
     const fleet_state& fleet_;
     log_writer& log_;
     crash_directory& crashes_;
+    /** Null until the address is available. */
     std::unique_ptr<http_server> server_;
 };
 
--- a/modules/gateway/sharing/datagram_channel.cpp
+++ b/modules/gateway/sharing/datagram_channel.cpp
@@ -47,7 +47,15 @@
     if (!error)
         endpoint_ = socket_.local_endpoint(error);
     if (error)
+    {
+        core_.report_unavailable("peer datagrams",
+                                 endpoint_.address().to_string() + ":" +
+                                     std::to_string(endpoint_.port()),
+                                 error);
+        boost::system::error_code ignored;
+        socket_.close(ignored);
         return std::error_code(error);
+    }
     start_task(core_.context(), [this](boost::asio::yield_context yield)
                { receive_loop(yield); });
     return outcome::success();
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -102,9 +102,9 @@
 
 result<void> state_follower::start()
 {
-    result<std::unique_ptr<http_server>> listening = http_server::listen(
-        core_.context(),
-        {fleet_.settings().address, fleet_.settings().peer_port}, peer_limits(),
+    result<std::unique_ptr<http_server>> listening = core_.listen(
+        "peers", {fleet_.settings().address, fleet_.settings().peer_port},
+        peer_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         { serve_peer(exchange, yield); });
     if (!listening)
--- a/modules/http/errors/http_error.cpp
+++ b/modules/http/errors/http_error.cpp
@@ -40,6 +40,8 @@
             return "HTTP message has too many header fields";
         case http_error::memory_short:
             return "too little memory for the HTTP message";
+        case http_error::address_in_use:
+            return "address is in use";
         }
         return "unknown http error";
     }
--- a/modules/http/errors/http_error.hpp
+++ b/modules/http/errors/http_error.hpp
@@ -18,7 +18,8 @@
     not_open,           ///< no exchange is in progress
     connection_refused, ///< nothing listens at the address; nothing was sent
     too_many_fields,    ///< the header has more fields than allowed
-    memory_short        ///< the memory for clients is used up
+    memory_short,       ///< the memory for clients is used up
+    address_in_use      ///< another socket listens at the address
 };
 
 const std::error_category& http_error_category();
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -549,6 +549,8 @@
     if (!error)
         state->acceptor.listen(boost::asio::socket_base::max_listen_connections,
                                error);
+    if (error == boost::asio::error::address_in_use)
+        return make_error_code(http_error::address_in_use);
     if (error)
         return make_error_code(http_error::bad_address);
 
--- a/modules/http/server/http_server.hpp
+++ b/modules/http/server/http_server.hpp
@@ -56,8 +56,9 @@
 
     /** Starts to listen on an endpoint. Port 0 selects a free port.
 
-        @returns the server, or http_error::bad_address if the endpoint is
-                 invalid or not available
+        @returns the server, http_error::address_in_use if another socket
+                 listens on the endpoint, or http_error::bad_address if it is
+                 invalid or not available for another reason
     */
     static result<std::unique_ptr<http_server>>
     listen(boost::asio::io_context& context, const http_endpoint& endpoint,
--- a/modules/process/core/process_core.cpp
+++ b/modules/process/core/process_core.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr std::size_t incarnation_digits = 12;
+constexpr std::chrono::milliseconds start_retry_period{100};
+constexpr std::chrono::seconds unavailable_log_period{10};
 
 } // namespace
 
@@ -88,6 +90,50 @@
     return kernel_;
 }
 
+void process_core::start_services()
+{
+    if (!kernel_.start_remaining())
+        start_task(context_, [this](boost::asio::yield_context yield)
+                   { retry_start(yield); });
+}
+
+void process_core::retry_start(boost::asio::yield_context yield)
+{
+    for (;;)
+    {
+        sleep_for(context_, start_retry_period, yield);
+        if (is_draining_ || is_stopping_ || kernel_.start_remaining())
+            return;
+    }
+}
+
+result<std::unique_ptr<http_server>>
+process_core::listen(const std::string& name, const http_endpoint& endpoint,
+                     const http_server_limits& limits,
+                     http_server::handler on_request)
+{
+    result<std::unique_ptr<http_server>> server =
+        http_server::listen(context_, endpoint, limits, std::move(on_request));
+    if (!server)
+        report_unavailable(name, endpoint.text(), server.error());
+    return server;
+}
+
+void process_core::report_unavailable(const std::string& name,
+                                      const std::string& address,
+                                      std::error_code problem)
+{
+    const auto logged_at = unavailable_logged_at_.find(name);
+    if (logged_at != unavailable_logged_at_.end() &&
+        now() - logged_at->second < unavailable_log_period)
+        return;
+    unavailable_logged_at_[name] = now();
+    journal_.record(event_number::address_unavailable,
+                    {{"listener", name},
+                     {"address", address},
+                     {"problem", problem.message()}});
+}
+
 void process_core::repeat(std::chrono::milliseconds delay,
                           std::function<void()> body)
 {
--- a/modules/process/core/process_core.hpp
+++ b/modules/process/core/process_core.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace hibiscusferry
@@ -49,6 +51,25 @@
     http_connection_pool& connections();
     kernel& services();
 
+    /** Starts the services of the kernel, and goes on trying while one of them
+        cannot be started, for example because the process that ran before still
+        holds its address. To be called before run(). */
+    void start_services();
+
+    /** Starts a server, or logs why that is not possible.
+
+        @param name  what the server is for, for the log
+        @returns the errors of http_server::listen()
+    */
+    result<std::unique_ptr<http_server>>
+    listen(const std::string& name, const http_endpoint& endpoint,
+           const http_server_limits& limits, http_server::handler on_request);
+
+    /** Logs that an address cannot be listened on; only once in a while for the
+        same name. */
+    void report_unavailable(const std::string& name, const std::string& address,
+                            std::error_code problem);
+
     /** Calls a function repeatedly on the io_context until the process stops.
 
         @param delay  time from the end of one call to the start of the next
@@ -77,6 +98,7 @@
 
 private:
     void wait_for_signals();
+    void retry_start(boost::asio::yield_context yield);
     void stop_event_loop();
 
     std::string role_;
@@ -89,6 +111,8 @@
     metrics_registry metrics_;
     http_connection_pool connections_;
     kernel kernel_;
+    /** When each unavailable address was logged last, by its name. */
+    std::map<std::string, time_point> unavailable_logged_at_;
     bool is_draining_ = false;
     bool is_stopping_ = false;
 };
