Keep the process running when its log cannot be written

What the users saw: processes that ended by themselves. That this was the reason is only suspected.

Cause: nothing ignored SIGPIPE, so that the process ended with the reader of its log. With standard streams closed at the start, descriptors of the event loop got their numbers (0 was an eventfd), and the log was written to one of them.

Change: all daemons ignore SIGPIPE and open /dev/null for closed standard streams before anything else. Lines that cannot be written are dropped and counted as before.

Result: process_closed_output failed on ("a reader that ends: the process has ended"; its last case alone: "descriptor 0 is anon_inode:[eventfd]") and passes now.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -122,6 +122,7 @@
 
 int main(int argc, char** argv)
 {
+    prepare_process_environment();
     // By default, glibc raises the threshold to the size of the largest block
     // that was released. Later bodies then stay on the heap, which is not
     // returned to the system.
--- a/modules/process/core/daemon_main.cpp
+++ b/modules/process/core/daemon_main.cpp
@@ -1,5 +1,6 @@
 #include "process/core/daemon_main.hpp"
 
+#include "process/core/process_environment.hpp"
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
@@ -13,6 +14,7 @@
 int daemon_main(int argc, char** argv, const std::string& role,
                 const std::function<result<void>(process_core&)>& add_services)
 {
+    prepare_process_environment();
     FLAGS_logtostderr = true;
     gflags::SetUsageMessage("--settings FILE [--check_settings]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/modules/process/process.hpp
+++ b/modules/process/process.hpp
@@ -12,5 +12,6 @@
 
 #include "process/core/daemon_main.hpp"
 #include "process/core/process_core.hpp"
+#include "process/core/process_environment.hpp"
 
 #endif
