Open the listener for callers last

Cause, by reading: while the readiness port was not available, each attempt to start opened the port for callers for an instant, and a connection made in that instant was reset. Change: the readiness port is opened first. Result: platform_adapter_test and process_occupied_addresses pass; no test shows the reset, whose window is far shorter than a test could hit.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -81,18 +81,19 @@
 
 result<void> gateway_service::start()
 {
-    result<std::unique_ptr<http_server>> callers = services_.core.listen(
-        "callers", services_.fleet.settings().callers, limits(),
-        [this](http_exchange& exchange, boost::asio::yield_context yield)
-        { serve(exchange, yield); });
-    if (!callers)
-        return callers.error();
+    // Callers must not connect before all listeners are available.
     result<std::unique_ptr<http_server>> readiness = services_.core.listen(
         "readiness", services_.fleet.settings().readiness, readiness_limits(),
         [this](http_exchange& exchange, boost::asio::yield_context yield)
         { serve_readiness(exchange, yield); });
     if (!readiness)
         return readiness.error();
+    result<std::unique_ptr<http_server>> callers = services_.core.listen(
+        "callers", services_.fleet.settings().callers, limits(),
+        [this](http_exchange& exchange, boost::asio::yield_context yield)
+        { serve(exchange, yield); });
+    if (!callers)
+        return callers.error();
     callers_ = std::move(callers.value());
     readiness_ = std::move(readiness.value());
     callers_->on_exchange_failure([this](const exchange_failure& failure)
