Log how a configuration reached a host and how old its knowledge was

The hypotheses on late configurations could not be told apart by the log: configuration_taken had the version, the one before and the source only.

It now also has the role of the host (relay or follower), the age of its knowledge before, how long the read or the call to the relay took, and how many calls to the store had failed in a row.

--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -59,7 +59,8 @@
 }
 
 void fleet_state::update_configuration(fleet_configuration configuration,
-                                       const std::string& source)
+                                       const std::string& source,
+                                       const update_delay& delay)
 {
     const std::uint64_t version = configuration.version;
     if (routes_ && version <= routes_->configuration().version)
@@ -74,7 +75,11 @@
          {"before",
           routes_ ? std::to_string(routes_->configuration().version) : "none"},
          {"routes", std::to_string(configuration.routes.size())},
-         {"source", source}});
+         {"source", source},
+         {"role", delay.is_relay ? "relay" : "follower"},
+         {"age_before_ms", std::to_string(delay.age_before.count())},
+         {"call_ms", std::to_string(delay.call_duration.count())},
+         {"failed_calls", std::to_string(delay.failed_calls)}});
     if (configuration.workspaces)
     {
         core_.metrics()
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -15,6 +15,19 @@
 namespace hibiscusferry
 {
 
+/** How an update reached this host, for the log. */
+struct update_delay
+{
+    /** Whether this host reads the store for its availability zone. */
+    bool is_relay = false;
+    /** How old the knowledge of this host was before the update. */
+    std::chrono::milliseconds age_before{0};
+    /** How long the read, or the call to the relay, took. */
+    std::chrono::milliseconds call_duration{0};
+    /** The calls to the store that failed in a row before. */
+    unsigned failed_calls = 0;
+};
+
 /** This host's view of the fleet: the configuration in force, the targets and
     the number of live hosts. Changes are logged when they are applied. Nothing
     is persisted; the state is rebuilt from the table service at every start. */
@@ -38,7 +51,8 @@
        already is.
         @param source  origin of the configuration, for the log */
     void update_configuration(fleet_configuration configuration,
-                              const std::string& source);
+                              const std::string& source,
+                              const update_delay& delay = {});
 
     /** Records that the configuration in force was the newest one at a time. */
     void confirm_configuration(time_point as_of);
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -312,7 +312,7 @@
     const bool is_applied = apply_update(
         {table, is_snapshot, std::move(changes.value()), 0,
          std::chrono::ceil<std::chrono::milliseconds>(core_.now() - as_of)},
-        "store");
+        {"store", asked_at});
     if (is_applied && is_snapshot)
         needs_snapshot = false;
     const bool is_row_unreadable =
@@ -341,10 +341,10 @@
 // Applying updates
 
 bool state_follower::apply_update(const table_update& update,
-                                  const std::string& source)
+                                  const update_source& source)
 {
     using apply_function =
-        void (state_follower::*)(const table_changes&, const std::string&);
+        void (state_follower::*)(const table_changes&, const update_source&);
     constexpr std::array<apply_function, fleet_table_count> apply_functions{
         &state_follower::apply_configuration, &state_follower::apply_targets,
         &state_follower::apply_hosts};
@@ -362,7 +362,7 @@
              {"era", std::to_string(update.changes.era)},
              {"version", std::to_string(update.changes.version)},
              {"version_before", std::to_string(replica.as_of().version)},
-             {"source", source}});
+             {"source", source.name}});
     if (is_restored && update.table == fleet_table::targets)
         fleet_.mark_target_list_restored();
     if (update.is_snapshot)
@@ -373,7 +373,7 @@
              {"version", std::to_string(update.changes.version)},
              {"era", std::to_string(update.changes.era)},
              {"age_ms", std::to_string(update.age.count())},
-             {"source", source}});
+             {"source", source.name}});
     const table_changes applied_changes = update.is_snapshot
                                               ? replica.replace(update.changes)
                                               : replica.apply(update.changes);
@@ -395,9 +395,10 @@
 }
 
 void state_follower::apply_configuration(const table_changes& changes,
-                                         const std::string& source)
+                                         const update_source& source)
 {
     const std::string key = sources_.records.configuration_key();
+    const time_point now = core_.now();
     for (const table_row& row : changes.rows)
     {
         if (row.key != key)
@@ -407,19 +408,23 @@
         is_configuration_readable_ = configuration.has_value();
         if (configuration)
         {
-            fleet_.update_configuration(std::move(configuration.value()),
-                                        source);
+            fleet_.update_configuration(
+                std::move(configuration.value()), source.name,
+                {is_relay_, replicas_.age(fleet_table::configuration, now),
+                 std::chrono::ceil<std::chrono::milliseconds>(now -
+                                                              source.asked_at),
+                 monitor_.consecutive_failures()});
             continue;
         }
         core_.journal().record(event_number::configuration_unreadable,
                                {{"row_version", std::to_string(row.version)},
                                 {"problem", configuration.error().message()},
-                                {"source", source}});
+                                {"source", source.name}});
     }
 }
 
 void state_follower::apply_targets(const table_changes& changes,
-                                   const std::string& source)
+                                   const update_source& source)
 {
     const time_point now = core_.now();
     for (const table_row& row : changes.rows)
@@ -427,7 +432,7 @@
         const result<target_record> record = read_target(row);
         if (record)
         {
-            fleet_.apply(fleet_.catalogue().put(record.value()), source);
+            fleet_.apply(fleet_.catalogue().put(record.value()), source.name);
             continue;
         }
         core_.journal().record(event_number::target_row_unreadable,
@@ -435,10 +440,10 @@
                                 {"version", std::to_string(row.version)},
                                 {"problem", record.error().message()}});
         fleet_.apply(fleet_.catalogue().mark_unreadable(id_of(row.key)),
-                     source);
+                     source.name);
     }
     for (const std::string& key : changes.deleted)
-        fleet_.apply(fleet_.catalogue().remove(id_of(key), now), source);
+        fleet_.apply(fleet_.catalogue().remove(id_of(key), now), source.name);
 }
 
 result<target_record> state_follower::read_target(const table_row& row) const
@@ -462,7 +467,7 @@
             directory_.addresses().count(endpoint.address) > 0);
 }
 
-void state_follower::apply_targets_at_hosts(const std::string& source)
+void state_follower::apply_targets_at_hosts(const update_source& source)
 {
     const target_catalogue& catalogue = fleet_.catalogue();
     table_changes changes;
@@ -478,7 +483,7 @@
 }
 
 void state_follower::apply_hosts(const table_changes&,
-                                 const std::string& source)
+                                 const update_source& source)
 {
     const std::set<std::string> former_addresses = directory_.addresses();
     directory_.set_rows(replicas_.replica(fleet_table::hosts).rows(),
@@ -544,11 +549,10 @@
         request.target += std::string(position_parameters[index]) + "=" +
                           encode_position(known_position) + "&";
     }
-    const std::string source = "relay " + relay.host;
-    const time_point asked_at = core_.now();
+    const update_source source{"relay " + relay.host, core_.now()};
     http_call(core_.context(), core_.connections(), {relay.address, relay.port},
               request, pull_timeout, max_pull_response_bytes,
-              [this, source, asked_at](const result<http_response>& response)
+              [this, source](const result<http_response>& response)
               {
                   is_pulling_ = false;
                   if (!response || response.value().status != 200)
@@ -558,17 +562,16 @@
                   if (!updates)
                   {
                       core_.journal().record(event_number::peer_news_unreadable,
-                                             {{"source", source}});
+                                             {{"source", source.name}});
                       return;
                   }
                   for (const table_update& update : updates.value())
-                      apply_relay_update(update, asked_at, source);
+                      apply_relay_update(update, source);
               });
 }
 
 void state_follower::apply_relay_update(const table_update& update,
-                                        time_point asked_at,
-                                        const std::string& source)
+                                        const update_source& source)
 {
     apply_update(update, source);
     const table_replica& replica = replicas_.replica(update.table);
@@ -578,7 +581,7 @@
     const bool is_equal = replica.digest() == update.digest;
     needs_snapshot_[static_cast<std::size_t>(update.table)] = !is_equal;
     if (is_equal)
-        confirm(update.table, asked_at - update.age);
+        confirm(update.table, source.asked_at - update.age);
 }
 
 void state_follower::serve_peer(http_exchange& exchange,
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -76,11 +76,19 @@
     std::chrono::milliseconds target_poll_interval() const;
     std::chrono::milliseconds min_target_read_interval() const;
 
+    /** Where an update came from. */
+    struct update_source
+    {
+        std::string name;
+        /** When it was asked for. */
+        time_point asked_at{};
+    };
+
     /** Applies changes to a replica.
         @returns false for a snapshot that is older than the replica */
-    bool apply_update(const table_update& update, const std::string& source);
-    void apply_relay_update(const table_update& update, time_point asked_at,
-                            const std::string& source);
+    bool apply_update(const table_update& update, const update_source& source);
+    void apply_relay_update(const table_update& update,
+                            const update_source& source);
     /** Records that a replica is complete as of a time. This is not the time at
         which a response was processed, as the process may have stood still
         since the response was sent. */
@@ -88,9 +96,10 @@
     /** Logs that rows were left out, unless as many were before. */
     void log_unreadable_rows(fleet_table table, std::size_t rows);
     void apply_configuration(const table_changes& changes,
-                             const std::string& source);
-    void apply_targets(const table_changes& changes, const std::string& source);
-    void apply_hosts(const table_changes& changes, const std::string& source);
+                             const update_source& source);
+    void apply_targets(const table_changes& changes,
+                       const update_source& source);
+    void apply_hosts(const table_changes& changes, const update_source& source);
 
     /** Parses the row of a target, which has to be another machine's than one
         of the hosts: what a host sends to itself comes back. */
@@ -98,7 +107,7 @@
     bool is_listener_of_host(const http_endpoint& endpoint) const;
     /** Applies the rows of targets whose addresses are, or were, those of
         hosts. */
-    void apply_targets_at_hosts(const std::string& source);
+    void apply_targets_at_hosts(const update_source& source);
 
     void pull(const host_record& relay);
     void serve_peer(http_exchange& exchange, boost::asio::yield_context yield);
--- a/modules/gateway/state/store_monitor.cpp
+++ b/modules/gateway/state/store_monitor.cpp
@@ -78,4 +78,9 @@
     return consecutive_failures_ < unreachable_failure_threshold;
 }
 
+unsigned store_monitor::consecutive_failures() const
+{
+    return consecutive_failures_;
+}
+
 } // namespace hibiscusferry
--- a/modules/gateway/state/store_monitor.hpp
+++ b/modules/gateway/state/store_monitor.hpp
@@ -34,6 +34,9 @@
         if it has made none. */
     bool is_store_reachable() const;
 
+    /** The number of calls that failed since the last successful one. */
+    unsigned consecutive_failures() const;
+
 private:
     void record_update(const std::string& source, time_point time);
 
@@ -41,7 +44,6 @@
     fleet_state& fleet_;
     time_point last_update_at_;
     std::error_code last_error_;
-    /** Number of failed calls since the last successful one. */
     unsigned consecutive_failures_ = 0;
     bool is_lost_ = false;
 };
