Divide the delay of a configuration over the steps of its way

Callers were served by an older configuration than the bound allows, by hosts that had been undisturbed for a while.

Cause: each step of the way had a time limit of its own, and nothing held their sum to the bound. A host that lost its relay read the store when its replica was older than 60 % of the bound, over a connection that may have become silent long before, with the full wait of 40 %, and gave that read up 700 ms later: 3,850 ms for a bound of 3,000, 2,850 for 2,000. A relay whose waiting read became silent noticed it as late, and stayed eligible for two such reads; a new relay waited before it had confirmed what it had. The same holds for the list of targets.

Change: propagation_schedule divides the bound once, over the wait of a relay, the age at which others read, and the delay until a second read is sent. table_reader sends a read that is not answered in time once more over a new connection, without a wait, while the first may still be answered. A read waits only for as long as the replica stays recent. An unanswered read of the configuration counts as a failure when it is late, not when it is given up, so that a relay leaves its role within the bound.

--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -46,6 +46,7 @@
 #include "gateway/state/peer_directory.hpp"
 #include "gateway/state/state_follower.hpp"
 #include "gateway/state/store_monitor.hpp"
+#include "gateway/state/table_reader.hpp"
 #include "gateway/state/target_list_confirmation.hpp"
 #include "gateway/streams/stream_progress.hpp"
 #include "gateway/streams/stream_version_directory.hpp"
--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -9,6 +9,7 @@
 #include "gateway/state/host_directory.cpp"
 #include "gateway/state/state_follower.cpp"
 #include "gateway/state/store_monitor.cpp"
+#include "gateway/state/table_reader.cpp"
 #include "gateway/state/target_list_confirmation.cpp"
 #include "gateway/streams/stream_progress.cpp"
 #include "gateway/streams/stream_version_directory.cpp"
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -9,17 +9,6 @@
 namespace
 {
 
-/** Percentages of host_settings::max_configuration_delay: how long a read of a
-    relay waits at the store for the next configuration, and the maximum age of
-    the replica of another host before that host reads the store itself. The
-    remainder allows for one failed read. */
-constexpr int configuration_wait_percent = 40;
-constexpr int max_configuration_age_percent = 60;
-/** Percentages of host_settings::target_drain_time: the interval between polls
-    of the target rows, and the maximum age of a replica. Target rows are polled
-    because they change with every heartbeat. */
-constexpr int target_poll_percent = 42;
-constexpr int max_target_age_percent = 58;
 /** Percentage of the reads that the table service takes from all hosts, to
    which reads of the target rows are limited while requests wait for them. */
 constexpr double awaited_read_percent = 50;
@@ -27,9 +16,8 @@
     is seen. */
 constexpr std::chrono::milliseconds host_table_wait{3000};
 constexpr std::chrono::milliseconds max_host_table_age{8000};
+constexpr std::chrono::milliseconds host_table_response_delay{700};
 
-/** Added to the wait of a read as the time for the response itself. */
-constexpr std::chrono::milliseconds store_response_margin{700};
 constexpr std::chrono::milliseconds store_call_timeout{1500};
 constexpr std::chrono::milliseconds retry_interval{150};
 /** Interval between checks whether this host has to read a table. */
@@ -96,6 +84,9 @@
     , fleet_(fleet)
     , sources_(sources)
     , monitor_(core, fleet)
+    , reader_(core, sources.feed,
+              [this](const std::string& table_name)
+              { record_silence(table_name); })
     , replicas_(content_hash_of_targets(sources.records))
 {
 }
@@ -171,14 +162,17 @@
     return tables[static_cast<std::size_t>(table)];
 }
 
-std::chrono::milliseconds state_follower::max_age(fleet_table table) const
+propagation_schedule state_follower::schedule(fleet_table table) const
 {
     const host_settings& settings = fleet_.settings();
-    const std::array<std::chrono::milliseconds, fleet_table_count> ages{
-        max_configuration_age_percent * settings.max_configuration_delay / 100,
-        max_target_age_percent * settings.target_drain_time / 100,
-        max_host_table_age};
-    return ages[static_cast<std::size_t>(table)];
+    const std::array<propagation_schedule, fleet_table_count> schedules{
+        propagation_schedule::divide(settings.max_configuration_delay,
+                                     propagation_schedule::watched_table),
+        propagation_schedule::divide(settings.target_drain_time,
+                                     propagation_schedule::polled_table),
+        propagation_schedule::of(host_table_wait, max_host_table_age,
+                                 host_table_response_delay)};
+    return schedules[static_cast<std::size_t>(table)];
 }
 
 std::chrono::nanoseconds
@@ -188,15 +182,15 @@
     const bool is_target_table = table == fleet_table::targets;
     const bool is_awaited =
         is_target_table && fleet_.target_list().is_awaited();
-    const bool is_due =
-        is_relay_ || is_awaited || replicas_.age(table, now) > max_age(table);
+    const bool is_due = is_relay_ || is_awaited ||
+                        replicas_.age(table, now) > schedule(table).max_age();
     if (!is_due)
         return due_check_period;
     if (!is_target_table)
         return std::chrono::nanoseconds(0);
     const time_point next_read_at =
-        targets_read_at_ +
-        (is_awaited ? min_target_read_interval() : target_poll_interval());
+        targets_read_at_ + (is_awaited ? min_target_read_interval()
+                                       : schedule(table).relay_interval());
     // A request may begin to wait in the meantime.
     return std::min<std::chrono::nanoseconds>(next_read_at - now,
                                               due_check_period);
@@ -248,22 +242,18 @@
                     std::chrono::ceil<std::chrono::milliseconds>(interval));
 }
 
-std::chrono::milliseconds state_follower::target_poll_interval() const
+std::chrono::milliseconds state_follower::max_wait(fleet_table table) const
 {
-    return std::max<std::chrono::milliseconds>(
-        due_check_period,
-        target_poll_percent * fleet_.settings().target_drain_time / 100);
+    if (table == fleet_table::targets)
+        return std::chrono::milliseconds(0);
+    return schedule(table).max_wait(replicas_.age(table, core_.now()));
 }
 
-std::chrono::milliseconds state_follower::max_wait(fleet_table table) const
+void state_follower::record_silence(const std::string& table_name)
 {
-    const std::array<std::chrono::milliseconds, fleet_table_count> waits{
-        std::max<std::chrono::milliseconds>(
-            due_check_period, configuration_wait_percent *
-                                  fleet_.settings().max_configuration_delay /
-                                  100),
-        std::chrono::milliseconds(0), host_table_wait};
-    return waits[static_cast<std::size_t>(table)];
+    // The reads of all tables become silent together, and count once.
+    if (table_name == store_table(fleet_table::configuration))
+        monitor_.record_failure(std::make_error_code(std::errc::timed_out));
 }
 
 result<bool> state_follower::read(fleet_table table,
@@ -272,45 +262,38 @@
 {
     const store_position known_position = replicas_.replica(table).as_of();
     bool& needs_snapshot = needs_snapshot_[static_cast<std::size_t>(table)];
-    bool is_snapshot = known_position.version == 0 || needs_snapshot;
-    time_point asked_at = core_.now();
-    result<table_changes> changes =
-        is_snapshot
-            ? sources_.feed.snapshot(store_table(table), store_call_timeout,
-                                     yield)
-            : sources_.feed.changes(store_table(table), known_position, wait,
-                                    wait + store_response_margin, yield);
-    if (!changes && changes.error() == platform_error::history_expired)
-    {
-        is_snapshot = true;
-        asked_at = core_.now();
-        changes = sources_.feed.snapshot(store_table(table), store_call_timeout,
-                                         yield);
-    }
-    if (!changes)
-        return changes.error();
+    table_query query{store_table(table), known_position, wait};
+    if (known_position.version == 0 || needs_snapshot)
+        query.after.reset();
+    result<table_reading> reading =
+        reader_.read(query, schedule(table).response_delay(), yield);
+    if (!reading)
+        return reading.error();
+    table_changes& changes = reading.value().changes;
+    const bool is_snapshot = reading.value().is_snapshot;
+    const time_point asked_at = reading.value().asked_at;
     // A response that was delayed beyond the start of a new era.
-    if (changes.value().era < replicas_.replica(table).as_of().era)
+    if (changes.era < replicas_.replica(table).as_of().era)
         return make_error_code(platform_error::history_expired);
     if (table == fleet_table::configuration)
     {
-        for (table_row& row : changes.value().rows)
+        for (table_row& row : changes.rows)
             row.value = sources_.records.without_keys(row.value);
     }
-    const std::size_t unreadable_rows = changes.value().unreadable;
+    const std::size_t unreadable_rows = changes.unreadable;
     log_unreadable_rows(table, unreadable_rows);
-    const bool has_changed = !changes.value().rows.empty() ||
-                             !changes.value().deleted.empty() ||
-                             changes.value().unreadable > 0;
+    const bool has_changed = !changes.rows.empty() ||
+                             !changes.deleted.empty() || changes.unreadable > 0;
+    const std::chrono::milliseconds waited = reading.value().wait;
     const bool was_wait_ended =
-        !is_snapshot && has_changed && wait > std::chrono::milliseconds(0);
+        !is_snapshot && has_changed && waited > std::chrono::milliseconds(0);
     // A response without a change was not sent before the end of the wait. One
     // that arrives earlier all the same shows only when it was asked for.
     const bool has_waited =
-        !is_snapshot && !has_changed && core_.now() >= asked_at + wait;
-    const time_point as_of = has_waited ? asked_at + wait : asked_at;
+        !is_snapshot && !has_changed && core_.now() >= asked_at + waited;
+    const time_point as_of = has_waited ? asked_at + waited : asked_at;
     const bool is_applied = apply_update(
-        {table, is_snapshot, std::move(changes.value()), 0,
+        {table, is_snapshot, std::move(changes), 0,
          std::chrono::ceil<std::chrono::milliseconds>(core_.now() - as_of)},
         {"store", asked_at});
     if (is_applied && is_snapshot)
@@ -509,7 +492,8 @@
         const replica_position& position =
             positions[static_cast<std::size_t>(table)];
         min_age = std::min(min_age, position.age);
-        if (position.as_of.version == 0 || position.age > max_age(table))
+        if (position.as_of.version == 0 ||
+            position.age > schedule(table).max_age())
         {
             is_fresh = false;
             continue;
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -5,6 +5,7 @@
 #include "gateway/state/fleet_state.hpp"
 #include "gateway/state/host_directory.hpp"
 #include "gateway/state/store_monitor.hpp"
+#include "gateway/state/table_reader.hpp"
 #include "sharing/sharing.hpp"
 #include <memory>
 
@@ -50,9 +51,10 @@
     /** Sets whether this host reads the table service for its zone. */
     void set_relay(bool is_relay);
 
-    /** Applies the positions that a relay has reported, and starts to fetch its
-        updates if this host is behind.
-        @param as_of  when the relay was asked for its positions
+    /** Applies the positions that another host has reported, and starts to
+       fetch its updates if this host is behind. Updates are taken from any
+       host, and count as no newer than they are there.
+        @param as_of  when the host was asked for its positions
         @returns whether its replicas are recent enough to be followed */
     bool apply_positions(const host_record& relay,
                          const replica_positions& positions, time_point as_of);
@@ -67,13 +69,15 @@
         @returns whether a change has ended the wait */
     result<bool> read(fleet_table table, std::chrono::milliseconds wait,
                       boost::asio::yield_context yield);
+    /** Records that a read has not been answered in time. */
+    void record_silence(const std::string& table_name);
     /** Time until this host should read the table, or check again whether it
         should; not positive if it should now. */
     std::chrono::nanoseconds time_to_store_read(fleet_table table) const;
     std::string store_table(fleet_table table) const;
-    std::chrono::milliseconds max_age(fleet_table table) const;
+    propagation_schedule schedule(fleet_table table) const;
+    /** How long the next read of a table may wait at the store. */
     std::chrono::milliseconds max_wait(fleet_table table) const;
-    std::chrono::milliseconds target_poll_interval() const;
     std::chrono::milliseconds min_target_read_interval() const;
 
     /** Where an update came from. */
@@ -118,6 +122,7 @@
     fleet_state& fleet_;
     source_set sources_;
     store_monitor monitor_;
+    table_reader reader_;
     fleet_replicas replicas_;
     host_directory directory_;
     std::unique_ptr<http_server> peer_server_;
--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/gateway.hpp"
+#include "gateway/state/fake_store.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -11,178 +11,12 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds response_time = fake_feed::default_response_time;
+
 /** How long the process stands still in a test. */
 constexpr milliseconds pause_duration{400};
-/** Time from the reading of a table to the arrival of the response. */
-constexpr milliseconds response_time{60};
-
 constexpr milliseconds list_timeout{700};
 
-/** A store whose responses take some time. */
-class fake_feed final : public table_feed
-{
-public:
-    explicit fake_feed(process_core& core)
-        : core_(core)
-    {
-    }
-
-    result<table_changes> snapshot(const std::string& table, milliseconds,
-                                   yield_context yield) override
-    {
-        asked_at[table] = core_.now();
-        ++reads[table];
-        ++snapshots[table];
-        const table_changes all = tables[table];
-        sleep_for(core_.context(), response_time, yield);
-        if (is_cut_off)
-            return make_error_code(platform_error::not_sent);
-        return all;
-    }
-
-    result<table_changes> changes(const std::string& table,
-                                  const store_position& after,
-                                  milliseconds max_wait, milliseconds,
-                                  yield_context yield) override
-    {
-        asked_at[table] = core_.now();
-        ++reads[table];
-        if (tables[table].era != after.era)
-            return make_error_code(platform_error::history_expired);
-        table_changes changed = changes_after(table, after);
-        const time_point wait_end = core_.now() + max_wait;
-        while (changed.rows.empty() && core_.now() < wait_end)
-        {
-            sleep_for(core_.context(), milliseconds(5), yield);
-            changed = changes_after(table, after);
-        }
-        read_at[table] = core_.now();
-        sleep_for(core_.context(), response_time, yield);
-        if (is_cut_off)
-            return make_error_code(platform_error::not_sent);
-        return changed;
-    }
-
-    /** Writes a row. */
-    void put(const std::string& key, const std::string& value)
-    {
-        table_changes& table = tables[key.substr(0, key.find('/'))];
-        for (auto& [name, changes] : tables)
-            changes.version = last_version_ + 1;
-        table.version = ++last_version_;
-        table.rows.push_back({key, value, last_version_, table.era});
-    }
-
-    /** Counts commits to other tables. */
-    void advance_to(row_version version)
-    {
-        last_version_ = version;
-        for (auto& [name, changes] : tables)
-            changes.version = version;
-    }
-
-    /** Enters a new era. */
-    void restore()
-    {
-        for (auto& [name, changes] : tables)
-            ++changes.era;
-    }
-
-    std::map<std::string, table_changes> tables;
-    /** When each table was last asked for, and when the store read it. */
-    std::map<std::string, time_point> asked_at;
-    std::map<std::string, time_point> read_at;
-    std::map<std::string, int> reads;
-    std::map<std::string, int> snapshots;
-    bool is_cut_off = false;
-
-private:
-    table_changes changes_after(const std::string& table,
-                                const store_position& after)
-    {
-        table_changes changed = tables[table];
-        changed.rows.clear();
-        for (const table_row& row : tables[table].rows)
-        {
-            if (row.version > after.version)
-                changed.rows.push_back(row);
-        }
-        return changed;
-    }
-
-    process_core& core_;
-    row_version last_version_ = 0;
-};
-
-/** A store that commits every transaction. */
-class fake_store final : public table_store
-{
-public:
-    explicit fake_store(boost::asio::io_context& context)
-        : context_(context)
-    {
-    }
-
-    void commit(const table_transaction&, milliseconds,
-                commit_handler handler) override
-    {
-        boost::asio::post(context_, [handler] { handler(commit_receipt{}); });
-    }
-
-    void read(const std::string&, milliseconds, read_handler) override
-    {
-    }
-
-    void scan(const std::string&, const std::string&, std::size_t, milliseconds,
-              scan_handler) override
-    {
-    }
-
-private:
-    boost::asio::io_context& context_;
-};
-
-/** Rows whose value is the version of the configuration, or the software
-    version of the target. */
-class fake_records final : public fleet_records
-{
-public:
-    std::string configuration_key() const override
-    {
-        return "operator/configuration";
-    }
-
-    std::string target_table() const override
-    {
-        return "targets";
-    }
-
-    result<fleet_configuration>
-    read_configuration(const std::string& value) const override
-    {
-        if (value == "unreadable")
-            return std::make_error_code(std::errc::bad_message);
-        fleet_configuration configuration;
-        configuration.version = std::stoull(value);
-        return configuration;
-    }
-
-    std::string without_keys(const std::string& value) const override
-    {
-        return value;
-    }
-
-    result<target_record> read_target(const table_row& row) const override
-    {
-        target_record record;
-        record.id = row.key.substr(row.key.find('/') + 1);
-        record.service = "llm";
-        record.endpoint = {"192.0.2.1", 8080};
-        record.software_version = row.value;
-        return record;
-    }
-};
-
 /** A relay that answers with a snapshot of the targets. */
 class fake_relay
 {
@@ -242,24 +76,6 @@
     std::unique_ptr<http_server> server_;
 };
 
-process_settings test_process_settings()
-{
-    process_settings settings;
-    settings.host = "host-1";
-    settings.region = "r";
-    settings.availability_zone = "a";
-    return settings;
-}
-
-host_settings test_host_settings()
-{
-    host_settings settings;
-    settings.host = "host-1";
-    settings.availability_zone = "a";
-    settings.address = "127.0.0.1";
-    return settings;
-}
-
 struct follower_fixture
 {
     follower_fixture()
--- /dev/null
+++ b/modules/gateway/state/table_reader.cpp
@@ -0,0 +1,111 @@
+#include "gateway/state/table_reader.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+/** How long a response may take, in addition to the wait. Longer than the delay
+    of the next read, as a slow store answers all of them late. */
+constexpr std::chrono::milliseconds response_timeout{1500};
+/** The maximum number of reads whose responses are awaited at the same time. */
+constexpr unsigned max_reads = 4;
+/** From this number of unanswered reads on, further ones are sent half as
+    often. */
+constexpr unsigned frequent_reads = 2;
+
+} // namespace
+
+table_reader::awaited_reads::awaited_reads(boost::asio::io_context& context)
+    : timer(context)
+{
+}
+
+bool table_reader::awaited_reads::is_complete() const
+{
+    return outcome && (outcome->has_value() || pending == 0);
+}
+
+table_reader::table_reader(process_core& core, table_feed& feed,
+                           silence_handler on_silence)
+    : core_(core)
+    , feed_(feed)
+    , on_silence_(std::move(on_silence))
+{
+}
+
+result<table_reading>
+table_reader::read(const table_query& query,
+                   std::chrono::milliseconds response_delay,
+                   boost::asio::yield_context yield)
+{
+    const std::shared_ptr<awaited_reads> reads =
+        std::make_shared<awaited_reads>(core_.context());
+    table_query next_query = query;
+    for (unsigned sent = 1;; ++sent)
+    {
+        start(reads, next_query);
+        if (sent < max_reads)
+            reads->timer.expires_after(
+                next_query.wait +
+                (sent <= frequent_reads ? response_delay : 2 * response_delay));
+        else
+            reads->timer.expires_at(
+                boost::asio::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        reads->timer.async_wait(yield[ignored]);
+        if (reads->is_complete())
+            return *reads->outcome;
+        on_silence_(query.table);
+        feed_.forget_connections();
+        next_query.wait = std::chrono::milliseconds(0);
+    }
+}
+
+void table_reader::start(const std::shared_ptr<awaited_reads>& reads,
+                         const table_query& query)
+{
+    ++reads->pending;
+    start_task(core_.context(),
+               [this, reads, query](boost::asio::yield_context yield)
+               {
+                   result<table_reading> outcome = read_once(query, yield);
+                   --reads->pending;
+                   if (!reads->outcome || !reads->outcome->has_value())
+                       reads->outcome = std::move(outcome);
+                   if (reads->is_complete())
+                       reads->timer.cancel();
+               });
+}
+
+result<table_reading> table_reader::read_once(table_query query,
+                                              boost::asio::yield_context yield)
+{
+    table_reading reading;
+    reading.asked_at = core_.now();
+    reading.wait = query.wait;
+    if (query.after)
+    {
+        result<table_changes> changes =
+            feed_.changes(query.table, *query.after, query.wait,
+                          query.wait + response_timeout, yield);
+        if (changes)
+        {
+            reading.changes = std::move(changes.value());
+            return reading;
+        }
+        if (changes.error() != platform_error::history_expired)
+            return changes.error();
+    }
+    reading.is_snapshot = true;
+    reading.asked_at = core_.now();
+    result<table_changes> rows =
+        feed_.snapshot(query.table, response_timeout, yield);
+    if (!rows)
+        return rows.error();
+    reading.changes = std::move(rows.value());
+    return reading;
+}
+
+} // namespace hibiscusferry
--- /dev/null
+++ b/modules/gateway/state/table_reader.hpp
@@ -0,0 +1,88 @@
+#ifndef HIBISCUSFERRY_GATEWAY_STATE_TABLE_READER_HPP
+#define HIBISCUSFERRY_GATEWAY_STATE_TABLE_READER_HPP
+
+#include "process/process.hpp"
+#include "storage/storage.hpp"
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hibiscusferry
+{
+
+/** What to read of a table. */
+struct table_query
+{
+    std::string table;
+    /** The position after which changes are wanted; none for all rows. */
+    std::optional<store_position> after;
+    /** How long the store waits for the first change. */
+    std::chrono::milliseconds wait{0};
+};
+
+/** What was read of a table. */
+struct table_reading
+{
+    table_changes changes;
+    /** Whether the changes are all rows, because they were asked for or because
+        the store no longer retains the changes. */
+    bool is_snapshot = false;
+    /** When the store was asked. */
+    time_point asked_at{};
+    /** How long the store was asked to wait for a change. */
+    std::chrono::milliseconds wait{0};
+};
+
+/** Reads tables of the table service over several connections if need be.
+
+    An open connection may have become silent, which shows only by a response
+    that does not arrive. A read that is not answered in time is therefore sent
+    once more over a new connection, without a wait, while the former one may
+    still be answered. The first response counts.
+*/
+class table_reader
+{
+public:
+    /** Called when a read of a table has not been answered in time. */
+    using silence_handler = std::function<void(const std::string& table)>;
+
+    /** The core and the feed must outlive the reader. */
+    table_reader(process_core& core, table_feed& feed,
+                 silence_handler on_silence);
+
+    /** Reads a table.
+        @param response_delay  how long a response may take, in addition to the
+                               wait, before the next read is sent
+        @returns the error of the last read if all of them failed */
+    result<table_reading> read(const table_query& query,
+                               std::chrono::milliseconds response_delay,
+                               boost::asio::yield_context yield);
+
+private:
+    /** Reads of which the first response is awaited. */
+    struct awaited_reads
+    {
+        explicit awaited_reads(boost::asio::io_context& context);
+        bool is_complete() const;
+
+        boost::asio::steady_timer timer;
+        unsigned pending = 0;
+        /** The first reading, or the last error until there is one. */
+        std::optional<result<table_reading>> outcome;
+    };
+
+    void start(const std::shared_ptr<awaited_reads>& reads,
+               const table_query& query);
+    result<table_reading> read_once(table_query query,
+                                    boost::asio::yield_context yield);
+
+    process_core& core_;
+    table_feed& feed_;
+    silence_handler on_silence_;
+};
+
+} // namespace hibiscusferry
+
+#endif
--- a/modules/sharing/sharing.cpp
+++ b/modules/sharing/sharing.cpp
@@ -10,6 +10,7 @@
 #include "sharing/message/sharing_message.cpp"
 #include "sharing/relay/relay_selector.cpp"
 #include "sharing/replication/fleet_replicas.cpp"
+#include "sharing/replication/propagation_schedule.cpp"
 #include "sharing/replication/table_replica.cpp"
 #include "sharing/streams/record_host_selector.cpp"
 #include "sharing/streams/stream_version_message.cpp"
--- a/modules/sharing/sharing.hpp
+++ b/modules/sharing/sharing.hpp
@@ -40,6 +40,7 @@
 #include "sharing/message/sharing_message.hpp"
 #include "sharing/relay/relay_selector.hpp"
 #include "sharing/replication/fleet_replicas.hpp"
+#include "sharing/replication/propagation_schedule.hpp"
 #include "sharing/replication/table_replica.hpp"
 #include "sharing/streams/record_host_selector.hpp"
 #include "sharing/streams/stream_version_message.hpp"
--- a/modules/storage/table_store/table_feed.hpp
+++ b/modules/storage/table_store/table_feed.hpp
@@ -56,6 +56,10 @@
                                           std::chrono::milliseconds max_wait,
                                           std::chrono::milliseconds timeout,
                                           boost::asio::yield_context yield) = 0;
+
+    /** Sends further reads over new connections, as the open ones may have
+        become silent. */
+    virtual void forget_connections() = 0;
 };
 
 } // namespace hibiscusferry
