Take newer configurations from any host that has them

A host that the store turns away depends on other hosts. Callers of such a host were served by an old configuration for as long as it found no relay.

Cause: positions of a host whose own knowledge was older than the limit were ignored altogether, also where its configuration was newer; and a host asked only the candidates of its own zone, one after the other, each of which was left out for a second or more if it was not a relay or not recent.

Change: what is newer is fetched from any host that answers, and counts as no newer than it is there. A host that is out of date and cannot read the store also asks the relays of the other zones, five times a second; relays compare their positions with those of other zones while they are out of date.

Evidence: a_newer_version_of_a_host_that_is_itself_outdated_is_taken failed for all three bounds on the code before (version 1 instead of 2), and passes.

--- a/modules/gateway/sharing/load_exchange.cpp
+++ b/modules/gateway/sharing/load_exchange.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds min_report_period{25};
 /** Interval between reports to the other zones. */
 constexpr std::chrono::milliseconds zone_report_period{30};
+/** Interval between questions of a host that is not a relay to other zones. */
+constexpr std::chrono::milliseconds zone_question_period{200};
 /** Received loads expire if they are not updated within this time. */
 constexpr std::chrono::milliseconds load_lifetime{600};
 /** Responses that take longer are ignored because their loads are outdated. */
@@ -154,6 +156,7 @@
     {
         send_report(sharing_message::kind::host_report, local_load,
                     current_relay_);
+        ask_other_zones();
         return;
     }
     aggregator_.update_host(fleet_.settings().host,
@@ -165,7 +168,26 @@
     if (now - zones_reported_at_ < zone_report_period)
         return;
     zones_reported_at_ = now;
-    report_to_zones();
+    aggregated_loads sum = aggregator_.sum_of_hosts_except("", now);
+    if (now - zone_observations_sent_at_ >= observation_period)
+        zone_observations_sent_at_ = now;
+    else
+        sum.observations.clear();
+    report_to_zones(sum);
+    follower_.remove_rows(follower_.directory().stale_rows(
+        fleet_.settings().availability_zone, now));
+}
+
+void load_exchange::ask_other_zones()
+{
+    const time_point now = core_.now();
+    const bool is_needed =
+        follower_.is_outdated() && !follower_.monitor().is_store_reachable();
+    if (!is_needed || now - zones_asked_at_ < zone_question_period)
+        return;
+    zones_asked_at_ = now;
+    // The load of this host goes to the relay of its own zone.
+    report_to_zones({});
 }
 
 void load_exchange::update_relay()
@@ -190,14 +212,9 @@
     follower_.set_relay(is_relay);
 }
 
-void load_exchange::report_to_zones()
+void load_exchange::report_to_zones(const aggregated_loads& sum)
 {
     const time_point now = core_.now();
-    aggregated_loads sum = aggregator_.sum_of_hosts_except("", now);
-    if (now - zone_observations_sent_at_ >= observation_period)
-        zone_observations_sent_at_ = now;
-    else
-        sum.observations.clear();
     for (auto& [zone, remote] : zones_)
     {
         const std::optional<std::string> relay = remote.selector.relay(now);
@@ -206,8 +223,6 @@
         else
             remote.relay.clear();
     }
-    follower_.remove_rows(follower_.directory().stale_rows(
-        fleet_.settings().availability_zone, now));
 }
 
 void load_exchange::send_report(sharing_message::kind message_kind,
@@ -346,6 +361,9 @@
         now - pending->sent_at > max_response_age)
         return;
     zone->second.selector.record_response(message.host, message.is_relay, now);
+    const host_record* const relay = follower_.directory().find(message.host);
+    if (relay != nullptr && follower_.is_outdated())
+        follower_.apply_positions(*relay, message.positions, pending->sent_at);
     if (!message.is_relay)
         return;
     zone->second.relay = message.host;
--- a/modules/gateway/sharing/load_exchange.hpp
+++ b/modules/gateway/sharing/load_exchange.hpp
@@ -58,7 +58,12 @@
     void report();
     /** Selects the relay of the own zone, or this host. */
     void update_relay();
-    void report_to_zones();
+    /** Reports to the relays of the other zones.
+        @param sum  the load of the own zone */
+    void report_to_zones(const aggregated_loads& sum);
+    /** Asks the relays of the other zones for their positions, if this host is
+        out of date and can't read the store. */
+    void ask_other_zones();
 
     /** Processes a datagram, if it is a sharing_message. */
     bool receive(std::string_view bytes,
@@ -109,6 +114,7 @@
     /** Digest of the host table from which the relay candidates were taken. */
     std::uint64_t host_table_digest_ = 0;
     time_point zones_reported_at_{};
+    time_point zones_asked_at_{};
     time_point observations_sent_at_{};
     time_point zone_observations_sent_at_{};
     bool is_stopping_ = false;
--- a/modules/gateway/state/late_configuration_test.cpp
+++ b/modules/gateway/state/late_configuration_test.cpp
@@ -61,6 +61,17 @@
         }
     }
 
+    /** Lets the store refuse all calls of this host from now on. */
+    void refuse_calls()
+    {
+        feed.is_cut_off = true;
+    }
+
+    process_core& core()
+    {
+        return core_;
+    }
+
     void run(milliseconds duration)
     {
         core_.context().restart();
@@ -113,6 +124,57 @@
     state_follower follower;
 };
 
+/** Another host, which has a newer configuration but has not read the store for
+    some time. */
+class outdated_host
+{
+public:
+    explicit outdated_host(late_configuration_run& run)
+        : replica_([](const table_row& row) { return stable_hash(row.value); })
+        , server_(std::move(
+              http_server::listen(run.core().context(), {"127.0.0.1", 0}, {},
+                                  [this](http_exchange& exchange,
+                                         boost::asio::yield_context yield)
+                                  {
+                                      http_response response;
+                                      response.body = encode_updates(
+                                          {{fleet_table::configuration, true,
+                                            replica_.snapshot(),
+                                            replica_.digest(), age_}});
+                                      exchange.respond(response, yield).value();
+                                  })
+                  .value()))
+        , age_(run.bound)
+    {
+        constexpr row_version version = 100;
+        table_changes rows;
+        rows.version = version;
+        rows.rows.push_back({configuration_key, "2", version});
+        replica_.replace(rows);
+    }
+
+    host_record record() const
+    {
+        host_record host;
+        host.host = "host-2";
+        host.address = server_->endpoint().address;
+        host.port = server_->endpoint().port;
+        return host;
+    }
+
+    replica_positions positions() const
+    {
+        replica_positions positions;
+        positions.front() = {replica_.as_of(), replica_.digest(), age_};
+        return positions;
+    }
+
+private:
+    table_replica replica_;
+    std::unique_ptr<http_server> server_;
+    const milliseconds age_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(late_configuration_test)
@@ -189,4 +251,21 @@
     BOOST_TEST(!run.follower.monitor().is_store_reachable());
 }
 
+// A host that the store turns away has nothing newer than that.
+BOOST_DATA_TEST_CASE(a_newer_version_of_a_host_that_is_itself_outdated_is_taken,
+                     boost::unit_test::data::make(bounds), bound)
+{
+    late_configuration_run run(bound);
+    run.start(false);
+    run.refuse_calls();
+    const outdated_host host(run);
+    BOOST_TEST(!run.follower.apply_positions(host.record(), host.positions(),
+                                             boot_clock::now()));
+    run.run(milliseconds(200));
+    BOOST_TEST(run.version() == 2U);
+    const replica_positions positions =
+        run.follower.replicas().positions(boot_clock::now());
+    BOOST_TEST(positions.front().age.count() >= 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -492,15 +492,11 @@
         const replica_position& position =
             positions[static_cast<std::size_t>(table)];
         min_age = std::min(min_age, position.age);
-        if (position.as_of.version == 0 ||
-            position.age > schedule(table).max_age())
-        {
+        if (position.age > schedule(table).max_age())
             is_fresh = false;
-            continue;
-        }
         table_replica& replica = replicas_.replica(table);
         const bool is_replica_ahead = position.as_of < replica.as_of();
-        if (is_replica_ahead)
+        if (is_replica_ahead || position.as_of.version == 0)
             continue;
         const bool is_equal = position.digest == replica.digest() &&
                               position.as_of.era == replica.as_of().era;
@@ -519,6 +515,15 @@
     return is_fresh;
 }
 
+bool state_follower::is_outdated() const
+{
+    const time_point now = core_.now();
+    return std::any_of(
+        all_fleet_tables.begin(), all_fleet_tables.end(),
+        [this, now](fleet_table table)
+        { return replicas_.age(table, now) > schedule(table).max_age(); });
+}
+
 void state_follower::pull(const host_record& relay)
 {
     is_pulling_ = true;
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -59,6 +59,9 @@
     bool apply_positions(const host_record& relay,
                          const replica_positions& positions, time_point as_of);
 
+    /** Whether a replica of this host is too old for it to be followed. */
+    bool is_outdated() const;
+
     /** Deletes the rows of crashed hosts, unless they have changed. */
     void remove_rows(const std::vector<table_row>& rows);
 
