Count an outage of the store from the start of the first read

A process whose start waited for its predecessor's addresses logged store_lost with the error "Success" as soon as it began to read, and its catalogue treated that as an outage: the age of its knowledge counted from its construction.

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -102,6 +102,7 @@
         return listening.error();
     peer_server_ = std::move(listening.value());
 
+    monitor_.start();
     write_own_row();
     for (const fleet_table table : all_fleet_tables)
         start_task(core_.context(),
--- a/modules/gateway/state/store_monitor.cpp
+++ b/modules/gateway/state/store_monitor.cpp
@@ -22,6 +22,11 @@
 {
 }
 
+void store_monitor::start()
+{
+    last_update_at_ = core_.now();
+}
+
 void store_monitor::record_success()
 {
     consecutive_failures_ = 0;
--- a/modules/gateway/state/store_monitor.hpp
+++ b/modules/gateway/state/store_monitor.hpp
@@ -16,6 +16,9 @@
 public:
     store_monitor(process_core& core, fleet_state& fleet);
 
+    /** Begins to watch. The time until then is no outage. */
+    void start();
+
     /** Records that a call of this host succeeded. */
     void record_success();
 
