Divide a short grace period over the steps of a planned stop

Report of another operator: requests that came late in the grace period of a planned stop were taken, and cut at its end without an answer.

Cause: the times at which requests are refused (2.6 s) and idle connections are closed (4.2 s) were constants, so that with a grace-s of 3 or less nothing was refused before the process ended. A request whose deadline lay within the last moments had no time left for its response.

Change: stop_schedule divides the grace period.

Requests taken before the first refusal that last longer than the process are still cut.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/process/metrics_service.cpp"
 #include "gateway/process/request_intake.cpp"
 #include "gateway/process/settings_watch.cpp"
+#include "gateway/process/stop_schedule.cpp"
 #include "gateway/protocol/caller_protocol.cpp"
 #include "gateway/protocol/duty_protocol.cpp"
 #include "gateway/stages/stage_controller.cpp"
--- a/modules/gateway/gateway.hpp
+++ b/modules/gateway/gateway.hpp
@@ -28,6 +28,7 @@
 #include "gateway/process/metrics_service.hpp"
 #include "gateway/process/request_intake.hpp"
 #include "gateway/process/settings_watch.hpp"
+#include "gateway/process/stop_schedule.hpp"
 #include "gateway/protocol/caller_protocol.hpp"
 #include "gateway/protocol/duty_protocol.hpp"
 #include "gateway/protocol/fleet_records.hpp"
--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -1,5 +1,7 @@
 #include "gateway/process/gateway_service.hpp"
 
+#include "gateway/process/stop_schedule.hpp"
+
 namespace hibiscusferry
 {
 
@@ -11,13 +13,6 @@
     host. */
 constexpr std::size_t max_requests_in_flight = 700;
 
-/** Times after the start of a planned stop. After the first, the load balancer
-    has noticed that this host is not ready, and connections are closed after
-    their current response; after the second, idle connections are closed. */
-constexpr std::chrono::milliseconds connection_close_delay{2600};
-constexpr std::chrono::milliseconds idle_close_delay{4200};
-/** Part of the grace period reserved for the exit of the process. */
-constexpr std::chrono::milliseconds exit_margin{500};
 constexpr std::chrono::milliseconds drain_poll_period{50};
 
 constexpr std::chrono::milliseconds limits_poll_period{200};
@@ -314,16 +309,19 @@
         services_.core.context(),
         [this, finished](boost::asio::yield_context yield)
         {
+            const stop_schedule schedule = stop_schedule::divide(
+                services_.fleet.settings().stop_grace_period);
             const time_point drain_start = services_.core.now();
             const time_point drain_deadline =
-                drain_start + services_.fleet.settings().stop_grace_period -
-                exit_margin;
-            services_.fleet.schedule_stop(drain_start + connection_close_delay,
-                                          drain_deadline);
-            sleep_for(services_.core.context(), connection_close_delay, yield);
+                drain_start + schedule.end_after();
+            services_.fleet.schedule_stop(drain_start + schedule.refuse_after(),
+                                          drain_start +
+                                              schedule.last_deadline());
+            sleep_for(services_.core.context(), schedule.refuse_after(), yield);
             callers_->close_after_responses();
             sleep_for(services_.core.context(),
-                      idle_close_delay - connection_close_delay, yield);
+                      schedule.close_idle_after() - schedule.refuse_after(),
+                      yield);
             while (services_.core.now() < drain_deadline &&
                    callers_->open_connections() > 0)
             {
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -288,9 +288,10 @@
         .first->second;
 }
 
-void fleet_state::schedule_stop(time_point refuse_from, time_point stop_at)
+void fleet_state::schedule_stop(time_point refuse_from,
+                                time_point last_deadline)
 {
-    stop_ = {refuse_from, stop_at};
+    stop_ = {refuse_from, last_deadline};
 }
 
 bool fleet_state::will_stop_before(time_point deadline, time_point now) const
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -123,10 +123,11 @@
     fleet_retry_budget& budget(const std::string& service);
 
     /** Schedules the stop of this host.
-        @param refuse_from  from this time on, requests whose deadline is after
-                            `stop_at` are refused
-        @param stop_at      when requests in flight are cut off */
-    void schedule_stop(time_point refuse_from, time_point stop_at);
+        @param refuse_from    from this time on, requests whose deadline is
+       after `last_deadline` are refused
+        @param last_deadline  the latest deadline of requests that are not cut
+                              off */
+    void schedule_stop(time_point refuse_from, time_point last_deadline);
 
     /** Whether requests are already refused because of a scheduled stop, and
         the stop would cut off a request that lasts until `deadline`. */
