Keep the grace period of a planned stop after a repeated SIGTERM

A second SIGTERM within the grace period ended the process at once and cut all requests that it had taken, also those that may not be repeated.

A further SIGTERM is ignored now; SIGINT still ends the process at once. The test process_repeated_stop failed on the program before ("the process has ended before its grace period") and passes.

--- a/modules/process/core/process_core.cpp
+++ b/modules/process/core/process_core.cpp
@@ -164,10 +164,14 @@
                [this](boost::asio::yield_context yield)
                {
                    boost::asio::signal_set signals(context_, SIGTERM, SIGINT);
-                   boost::system::error_code ignored;
-                   signals.async_wait(yield[ignored]);
+                   boost::system::error_code error;
+                   signals.async_wait(yield[error]);
                    drain();
-                   signals.async_wait(yield[ignored]);
+                   // A repeated SIGTERM must not cut requests: what sends it
+                   // ends the process itself after the grace period.
+                   int signal = SIGTERM;
+                   while (signal == SIGTERM && !error)
+                       signal = signals.async_wait(yield[error]);
                    stop_event_loop();
                });
 }
--- a/modules/process/core/process_core.hpp
+++ b/modules/process/core/process_core.hpp
@@ -78,8 +78,8 @@
 
     /** Runs the io_context until a planned shutdown has completed.
 
-        SIGTERM or SIGINT begins a planned shutdown; a second signal stops the
-        process immediately.
+        SIGTERM or SIGINT begins a planned shutdown. A SIGINT during the
+        shutdown stops the process immediately; a SIGTERM does not.
     */
     void run();
 
