Judge on real processes whether configurations are in force in time

configuration_soak runs 24 processes in one availability zone and four in two others. Its hosts lose their connections to the store silently, are cut off from it, stand still, are killed or stopped, while a version with another route is written up to ten times a second. Every host is asked all the time for the route of the newest version that must be in force; one that has been undisturbed for stable-window-ms must not answer 404.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -96,6 +96,22 @@
         --program=$<TARGET_FILE:hibiscusferry>)
 set_tests_properties(soak_protocol PROPERTIES TIMEOUT 180 RUN_SERIAL TRUE)
 
+# Judges on real processes whether configurations are in force in time.
+add_executable(configuration_soak
+    extras/configuration_soak/configuration_run.cpp
+    extras/configuration_soak/configuration_soak.cpp
+    extras/configuration_soak/host_disturbances.cpp
+    extras/configuration_soak/version_log.cpp
+    extras/soak/request_ledger.cpp extras/soak/seeded_random.cpp
+    extras/soak/soak_host.cpp extras/soak/tcp_proxy.cpp extras/soak/traffic.cpp)
+target_include_directories(configuration_soak PRIVATE ${CMAKE_SOURCE_DIR}/extras)
+target_link_libraries(configuration_soak PRIVATE
+    soak_stand_in gflags hibiscusferry_options)
+add_test(NAME soak_configuration
+    COMMAND configuration_soak --only_relays --seed=2 --duration=60
+        --program=$<TARGET_FILE:hibiscusferry>)
+set_tests_properties(soak_configuration PROPERTIES TIMEOUT 180 RUN_SERIAL TRUE)
+
 # Crowds of clients against a process with lowered limits.
 hibiscusferry_test(client_limits_test
     SOURCES extras/client_limits/client_crowd.cpp
