End the processes of a configuration soak that does not become ready

A run that gave up after 30 s left its 28 processes behind, which used the processor beside later runs until they were ended by hand. They are killed before the run ends now. No test: seen once, with a busy machine.

--- a/extras/configuration_soak/configuration_run.cpp
+++ b/extras/configuration_soak/configuration_run.cpp
@@ -55,6 +55,7 @@
     if (!wait_until_ready())
     {
         record_.say("the processes are not ready");
+        end_all();
         return false;
     }
     std::vector<std::thread> probes;
@@ -64,8 +65,7 @@
     is_over_ = true;
     for (std::thread& thread : probes)
         thread.join();
-    for (const std::unique_ptr<disturbed_host>& host : hosts_)
-        host->host->kill();
+    end_all();
 
     const std::vector<violation> violations = ledger_.violations();
     for (const violation& broken : violations)
@@ -105,6 +105,12 @@
     return true;
 }
 
+void configuration_run::end_all()
+{
+    for (const std::unique_ptr<disturbed_host>& host : hosts_)
+        host->host->kill();
+}
+
 // ========================================================================
 // Faults
 
--- a/extras/configuration_soak/configuration_run.hpp
+++ b/extras/configuration_soak/configuration_run.hpp
@@ -57,6 +57,7 @@
 
     void add_host(int number, const std::string& availability_zone);
     bool wait_until_ready();
+    void end_all();
     void inject_faults();
 
     void silence_some();
