--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -48,8 +48,8 @@
 
 file(GLOB platform_tests CONFIGURE_DEPENDS platform/*_test.cpp)
 # Programs of their own, as each may be listed in KNOWN-RED.txt.
-foreach(name crashing_prompt_test crashing_request_test late_order_test
-        late_read_test
+foreach(name crashing_prompt_test crashing_request_test endless_table_test
+        late_order_test late_read_test
         not_run_claim_test odd_row_test overload_test request_limit_test
         silent_target_test stream_hosts_test stream_pieces_test
         stream_version_test unsent_request_test workspace_request_test)
