--- a/extras/stand_ins/platform/store_table.cpp
+++ b/extras/stand_ins/platform/store_table.cpp
@@ -1,7 +1,6 @@
 #include "stand_ins/platform/store_table.hpp"
 
 #include <limits>
-#include <map>
 
 namespace hibiscusferry::stand_ins
 {
@@ -54,19 +53,15 @@
     if (after < history_start_ || after > version_)
         return std::nullopt;
     const std::string prefix = table + "/";
-    std::map<std::string, row_change> latest_changes;
+    std::vector<row_change> changes;
     for (const row_change& change : history_)
     {
         const bool is_match =
             change.row.version > after &&
             change.row.key.compare(0, prefix.size(), prefix) == 0;
         if (is_match)
-            latest_changes[change.row.key] = change;
+            changes.push_back(change);
     }
-    std::vector<row_change> changes;
-    changes.reserve(latest_changes.size());
-    for (const auto& [key, change] : latest_changes)
-        changes.push_back(change);
     return changes;
 }
 
--- a/extras/stand_ins/platform/store_table.hpp
+++ b/extras/stand_ins/platform/store_table.hpp
@@ -33,8 +33,8 @@
                                 const std::string& from, const std::string& to,
                                 std::size_t limit) const;
 
-    /** Returns the latest change of each row of a table after a version, or
-        std::nullopt if the history no longer covers that version. */
+    /** Returns the changes of the rows of a table after a version in their
+        order, or std::nullopt if the history no longer covers that version. */
     std::optional<std::vector<row_change>> changes(const std::string& table,
                                                    row_version after) const;
 
