Log transfers that are given up, and newer configurations that are missing

A host that did not receive a configuration logged nothing for as long as that lasted, so that a slow link, a silent connection and a busy process could not be told apart.

configuration_missing says since when another host has had a newer one and how much of it has arrived; updates_given_up and read_unanswered say how much of a response had arrived, and by how much the event loop was late. Gauges and counters beside them. The calls report their progress for that; what is behind a socket is read in one pass of the event loop, in larger pieces than before. No time limit changes.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -495,6 +495,14 @@
                     "were refused within a second.",
                     "")
 
+HIBISCUSFERRY_EVENT(
+    1833, warning, configuration_missing,
+    "Another host has had a newer configuration for some time that this host "
+    "has not received. `age_ms`: the age of what it has; `received_bytes`: how "
+    "much of an update has arrived.",
+    "Compare `read_unanswered` and `updates_given_up` on the host: its link or "
+    "its processor may be too small for the configuration.")
+
 // 1900-1999 platform adapters
 HIBISCUSFERRY_EVENT(
     1900, alarm, store_lost,
@@ -523,3 +531,13 @@
                     "A response of the table service holds rows whose keys "
                     "cannot be read; the other rows remain in use.",
                     "")
+HIBISCUSFERRY_EVENT(
+    1908, warning, read_unanswered,
+    "A read of a table has not been answered in time, and is sent once more. "
+    "`received_bytes`: how much of the response has arrived; `loop_delay_ms`: "
+    "how much later than planned the process noticed it.",
+    "With a large loop_delay_ms the host is overloaded. Otherwise check the "
+    "link to the table service.")
+HIBISCUSFERRY_EVENT(
+    1909, info, updates_given_up,
+    "Updates of the tables were not received from another host in time.", "")
--- a/modules/gateway/state/fake_store.hpp
+++ b/modules/gateway/state/fake_store.hpp
@@ -21,21 +21,23 @@
     }
 
     result<table_changes> snapshot(const std::string& table,
-                                   std::chrono::milliseconds timeout,
+                                   const table_read_limits& limits,
                                    boost::asio::yield_context yield) override
     {
         record_read(table);
         ++snapshots[table];
         const table_changes all = tables[table];
-        return answer(table, all, timeout, yield);
+        return answer(table, all, limits.total_timeout, yield);
     }
 
     result<table_changes> changes(const std::string& table,
                                   const store_position& after,
                                   std::chrono::milliseconds max_wait,
-                                  std::chrono::milliseconds timeout,
+                                  const table_read_limits& limits,
                                   boost::asio::yield_context yield) override
     {
+        const std::chrono::milliseconds timeout =
+            max_wait + limits.total_timeout;
         record_read(table);
         if (tables[table].era != after.era)
             return make_error_code(platform_error::history_expired);
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -105,6 +105,11 @@
     return configuration_confirmed_at_;
 }
 
+configuration_lag& fleet_state::newer_configuration()
+{
+    return newer_configuration_;
+}
+
 bool fleet_state::will_refuse_credentials(time_point now) const
 {
     return routes_ && routes_->configuration().workspaces &&
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/protocol/host_settings.hpp"
 #include "gateway/protocol/target_protocol.hpp"
+#include "gateway/state/configuration_lag.hpp"
 #include "gateway/state/target_list_confirmation.hpp"
 #include "process/process.hpp"
 #include "serving/serving.hpp"
@@ -61,6 +62,9 @@
         been the newest one; none if it never was. */
     std::optional<time_point> configuration_confirmed_at() const;
 
+    /** Since when this host has lacked a configuration that others have. */
+    configuration_lag& newer_configuration();
+
     /** Whether requests with valid keys will soon be refused, because this host
         cannot tell whether the keys are still valid. */
     bool will_refuse_credentials(time_point now) const;
@@ -172,6 +176,7 @@
     host_settings settings_;
     std::shared_ptr<const route_table> routes_;
     std::optional<time_point> configuration_confirmed_at_;
+    configuration_lag newer_configuration_;
     std::vector<former_routes> former_routes_;
     target_catalogue catalogue_;
     target_registry registry_;
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -23,35 +23,12 @@
 /** Interval between checks whether this host has to read a table. */
 constexpr std::chrono::milliseconds due_check_period{50};
 
-constexpr std::chrono::milliseconds pull_timeout{500};
-constexpr std::size_t max_pull_response_bytes = 8U << 20;
 constexpr std::chrono::milliseconds maintenance_period{100};
 /** Minimum interval between writes of a missing own row. A shorter one would
     write the row again before the previous write could be read back. */
 constexpr std::chrono::milliseconds own_row_retry_interval{3000};
 
 const std::string host_table = "hosts";
-const std::string updates_path = "/news";
-constexpr std::array<const char*, fleet_table_count> position_parameters{
-    "configuration", "targets", "hosts"};
-
-/** Encodes a position as "ERA.VERSION". */
-std::string encode_position(const store_position& position)
-{
-    return std::to_string(position.era) + "." +
-           std::to_string(position.version);
-}
-
-/** Decodes the form that encode_position() produces. Any other text yields
-    version 0, which requests the whole table. */
-store_position decode_position(const std::string& text)
-{
-    const std::size_t separator = text.find('.');
-    if (separator == std::string::npos)
-        return {};
-    return {std::strtoull(text.c_str(), nullptr, 10),
-            std::strtoull(text.c_str() + separator + 1, nullptr, 10)};
-}
 
 std::string table_of(const std::string& key)
 {
@@ -85,8 +62,14 @@
     , sources_(sources)
     , monitor_(core, fleet)
     , reader_(core, sources.feed,
-              [this](const std::string& table_name)
-              { record_silence(table_name); })
+              [this](const unanswered_read& read) { record_silence(read); })
+    , fetcher_(core,
+               [this](const std::vector<table_update>& updates,
+                      const update_source& source)
+               {
+                   for (const table_update& update : updates)
+                       apply_relay_update(update, source);
+               })
     , replicas_(content_hash_of_targets(sources.records))
 {
 }
@@ -115,6 +98,7 @@
                      fleet_.apply(fleet_.catalogue().tick(core_.now()),
                                   "outage_grace");
                      maintain_own_row();
+                     log_missing_configuration();
                  });
     return outcome::success();
 }
@@ -250,13 +234,49 @@
     return schedule(table).max_wait(replicas_.age(table, core_.now()));
 }
 
-void state_follower::record_silence(const std::string& table_name)
+void state_follower::record_silence(const unanswered_read& read)
 {
+    core_.metrics()
+        .counter_of("hibiscusferry_transfers_given_up_total", "from=\"store\"")
+        .add();
+    core_.journal().record(
+        event_number::read_unanswered,
+        {{"table", read.table},
+         {"elapsed_ms", std::to_string(read.elapsed.count())},
+         {"received_bytes", std::to_string(read.received_bytes)},
+         {"loop_delay_ms", std::to_string(read.loop_delay.count())},
+         {"reads", std::to_string(read.reads)}});
     // The reads of all tables become silent together, and count once.
-    if (table_name == store_table(fleet_table::configuration))
+    if (read.table == store_table(fleet_table::configuration))
         monitor_.record_failure(std::make_error_code(std::errc::timed_out));
 }
 
+void state_follower::log_missing_configuration()
+{
+    const time_point now = core_.now();
+    const configuration_lag& lag = fleet_.newer_configuration();
+    core_.metrics()
+        .gauge_of("hibiscusferry_configuration_missing_seconds")
+        .set(std::chrono::duration<double>(lag.duration(now)).count());
+    const bool is_late = lag.duration(now) >
+                         schedule(fleet_table::configuration).response_delay();
+    if (!is_late || lag.missing_since() == logged_missing_since_)
+        return;
+    logged_missing_since_ = lag.missing_since();
+    core_.journal().record(
+        event_number::configuration_missing,
+        {{"missing_ms", std::to_string(lag.duration(now).count())},
+         {"version",
+          fleet_.routes()
+              ? std::to_string(fleet_.routes()->configuration().version)
+              : "none"},
+         {"fetching", fetcher_.is_fetching() ? "yes" : "no"},
+         {"received_bytes", std::to_string(fetcher_.received_bytes())},
+         {"age_ms",
+          std::to_string(
+              replicas_.age(fleet_table::configuration, now).count())}});
+}
+
 result<bool> state_follower::read(fleet_table table,
                                   std::chrono::milliseconds wait,
                                   boost::asio::yield_context yield)
@@ -363,6 +383,8 @@
                                               : replica.apply(update.changes);
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
         applied_changes, source);
+    if (update.table == fleet_table::configuration)
+        fleet_.newer_configuration().record_own(replica.as_of());
     if (update.table == fleet_table::targets)
         fleet_.mark_target_list_received();
     return true;
@@ -504,15 +526,21 @@
         if (!is_equal)
         {
             is_behind = true;
+            if (table == fleet_table::configuration &&
+                replica.as_of() < position.as_of)
+                fleet_.newer_configuration().record_newer(position.as_of,
+                                                          as_of);
             continue;
         }
         replica.advance(position.as_of);
+        if (table == fleet_table::configuration)
+            fleet_.newer_configuration().record_own(replica.as_of());
         needs_snapshot_[static_cast<std::size_t>(table)] = false;
         confirm(table, as_of - position.age);
     }
     monitor_.record_relay_update(relay.host, as_of - min_age);
-    if (is_behind && !is_pulling_)
-        pull(relay);
+    if (is_behind)
+        fetcher_.fetch(relay, wanted_positions());
     return is_fresh;
 }
 
@@ -525,39 +553,16 @@
         { return replicas_.age(table, now) > schedule(table).max_age(); });
 }
 
-void state_follower::pull(const host_record& relay)
+known_positions state_follower::wanted_positions() const
 {
-    is_pulling_ = true;
-    http_request request;
-    request.target = updates_path + "?";
+    known_positions known{};
     for (const fleet_table table : all_fleet_tables)
     {
         const std::size_t index = static_cast<std::size_t>(table);
-        const store_position known_position =
-            needs_snapshot_[index] ? store_position{}
-                                   : replicas_.replica(table).as_of();
-        request.target += std::string(position_parameters[index]) + "=" +
-                          encode_position(known_position) + "&";
+        if (!needs_snapshot_[index])
+            known[index] = replicas_.replica(table).as_of();
     }
-    const update_source source{"relay " + relay.host, core_.now()};
-    http_call(core_.context(), core_.connections(), {relay.address, relay.port},
-              request, pull_timeout, max_pull_response_bytes,
-              [this, source](const result<http_response>& response)
-              {
-                  is_pulling_ = false;
-                  if (!response || response.value().status != 200)
-                      return;
-                  const result<std::vector<table_update>> updates =
-                      decode_updates(response.value().body);
-                  if (!updates)
-                  {
-                      core_.journal().record(event_number::peer_news_unreadable,
-                                             {{"source", source.name}});
-                      return;
-                  }
-                  for (const table_update& update : updates.value())
-                      apply_relay_update(update, source);
-              });
+    return known;
 }
 
 void state_follower::apply_relay_update(const table_update& update,
@@ -578,20 +583,16 @@
                                 boost::asio::yield_context yield)
 {
     http_response response;
-    if (exchange.request().path() != updates_path)
+    if (exchange.request().path() != update_fetcher::path)
     {
         const result<void> ignored =
             exchange.respond(json_response(404, "{}"), yield);
         static_cast<void>(ignored);
         return;
     }
-    std::array<store_position, fleet_table_count> known_positions{};
-    for (std::size_t index = 0; index < known_positions.size(); ++index)
-        known_positions[index] = decode_position(
-            exchange.request().query(position_parameters[index]));
     response.headers.set("Content-Type", "application/cbor");
-    response.body =
-        encode_updates(replicas_.changes_since(known_positions, core_.now()));
+    response.body = encode_updates(replicas_.changes_since(
+        update_fetcher::positions_of(exchange.request()), core_.now()));
     const result<void> ignored = exchange.respond(response, yield);
     static_cast<void>(ignored);
 }
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -6,6 +6,7 @@
 #include "gateway/state/host_directory.hpp"
 #include "gateway/state/store_monitor.hpp"
 #include "gateway/state/table_reader.hpp"
+#include "gateway/state/update_fetcher.hpp"
 #include "sharing/sharing.hpp"
 #include <memory>
 
@@ -73,7 +74,9 @@
     result<bool> read(fleet_table table, std::chrono::milliseconds wait,
                       boost::asio::yield_context yield);
     /** Records that a read has not been answered in time. */
-    void record_silence(const std::string& table_name);
+    void record_silence(const unanswered_read& read);
+    /** Logs that a newer configuration has been missing for some time. */
+    void log_missing_configuration();
     /** Time until this host should read the table, or check again whether it
         should; not positive if it should now. */
     std::chrono::nanoseconds time_to_store_read(fleet_table table) const;
@@ -83,14 +86,6 @@
     std::chrono::milliseconds max_wait(fleet_table table) const;
     std::chrono::milliseconds min_target_read_interval() const;
 
-    /** Where an update came from. */
-    struct update_source
-    {
-        std::string name;
-        /** When it was asked for. */
-        time_point asked_at{};
-    };
-
     /** Applies changes to a replica.
         @returns false for a snapshot that is older than the replica */
     bool apply_update(const table_update& update, const update_source& source);
@@ -116,7 +111,8 @@
         hosts. */
     void apply_targets_at_hosts(const update_source& source);
 
-    void pull(const host_record& relay);
+    /** The positions after which updates are wanted from other hosts. */
+    known_positions wanted_positions() const;
     void serve_peer(http_exchange& exchange, boost::asio::yield_context yield);
     void maintain_own_row();
     void write_own_row();
@@ -126,13 +122,13 @@
     source_set sources_;
     store_monitor monitor_;
     table_reader reader_;
+    update_fetcher fetcher_;
     fleet_replicas replicas_;
     host_directory directory_;
     std::unique_ptr<http_server> peer_server_;
     bool is_relay_ = false;
     /** Whether the newest configuration could be parsed. */
     bool is_configuration_readable_ = true;
-    bool is_pulling_ = false;
     /** Tables to be read whole, because the changes received from a relay did
         not lead to the same digest. Until then the replica may lack rows. */
     std::array<bool, fleet_table_count> needs_snapshot_{};
@@ -141,6 +137,8 @@
     /** The largest number of rows of each table that were left out of a
         response of the table service. */
     std::array<std::size_t, fleet_table_count> unreadable_rows_{};
+    /** Since when the newer configuration has been missing that was logged. */
+    std::optional<time_point> logged_missing_since_;
     bool is_serving_ = true;
     bool is_stopping_ = false;
     std::optional<time_point> own_row_written_at_;
--- a/modules/gateway/state/table_reader.cpp
+++ b/modules/gateway/state/table_reader.cpp
@@ -27,6 +27,14 @@
     return outcome && (outcome->has_value() || pending == 0);
 }
 
+std::size_t table_reader::awaited_reads::received_bytes() const
+{
+    std::size_t bytes = 0;
+    for (const std::shared_ptr<transfer_progress>& read : progress)
+        bytes += read->received_bytes;
+    return bytes;
+}
+
 table_reader::table_reader(process_core& core, table_feed& feed,
                            silence_handler on_silence)
     : core_(core)
@@ -45,6 +53,7 @@
     table_query next_query = query;
     for (unsigned sent = 1;; ++sent)
     {
+        const time_point sent_at = core_.now();
         start(reads, next_query);
         if (sent < max_reads)
             reads->timer.expires_after(
@@ -57,7 +66,16 @@
         reads->timer.async_wait(yield[ignored]);
         if (reads->is_complete())
             return *reads->outcome;
-        on_silence_(query.table);
+        const boost::asio::steady_timer::duration loop_delay =
+            boost::asio::steady_timer::clock_type::now() -
+            reads->timer.expiry();
+        on_silence_(
+            {query.table,
+             std::chrono::duration_cast<std::chrono::milliseconds>(core_.now() -
+                                                                   sent_at),
+             reads->received_bytes(),
+             std::chrono::duration_cast<std::chrono::milliseconds>(loop_delay),
+             sent});
         feed_.forget_connections();
         next_query.wait = std::chrono::milliseconds(0);
     }
@@ -67,10 +85,14 @@
                          const table_query& query)
 {
     ++reads->pending;
+    table_read_limits limits(response_timeout);
+    limits.progress = std::make_shared<transfer_progress>();
+    reads->progress.push_back(limits.progress);
     start_task(core_.context(),
-               [this, reads, query](boost::asio::yield_context yield)
+               [this, reads, query, limits](boost::asio::yield_context yield)
                {
-                   result<table_reading> outcome = read_once(query, yield);
+                   result<table_reading> outcome =
+                       read_once(query, limits, yield);
                    --reads->pending;
                    if (!reads->outcome || !reads->outcome->has_value())
                        reads->outcome = std::move(outcome);
@@ -80,6 +102,7 @@
 }
 
 result<table_reading> table_reader::read_once(table_query query,
+                                              const table_read_limits& limits,
                                               boost::asio::yield_context yield)
 {
     table_reading reading;
@@ -88,8 +111,7 @@
     if (query.after)
     {
         result<table_changes> changes =
-            feed_.changes(query.table, *query.after, query.wait,
-                          query.wait + response_timeout, yield);
+            feed_.changes(query.table, *query.after, query.wait, limits, yield);
         if (changes)
         {
             reading.changes = std::move(changes.value());
@@ -100,8 +122,7 @@
     }
     reading.is_snapshot = true;
     reading.asked_at = core_.now();
-    result<table_changes> rows =
-        feed_.snapshot(query.table, response_timeout, yield);
+    result<table_changes> rows = feed_.snapshot(query.table, limits, yield);
     if (!rows)
         return rows.error();
     reading.changes = std::move(rows.value());
--- a/modules/gateway/state/table_reader.hpp
+++ b/modules/gateway/state/table_reader.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hibiscusferry
 {
@@ -35,6 +36,20 @@
     std::chrono::milliseconds wait{0};
 };
 
+/** A read that has not been answered in time. */
+struct unanswered_read
+{
+    std::string table;
+    /** Time since the read was sent. */
+    std::chrono::milliseconds elapsed{0};
+    /** Bytes of responses that have arrived all the same. */
+    std::size_t received_bytes = 0;
+    /** Time from the end of the time limit until this process noticed it. */
+    std::chrono::milliseconds loop_delay{0};
+    /** How many reads of the table have not been answered. */
+    unsigned reads = 0;
+};
+
 /** Reads tables of the table service over several connections if need be.
 
     An open connection may have become silent, which shows only by a response
@@ -46,7 +61,7 @@
 {
 public:
     /** Called when a read of a table has not been answered in time. */
-    using silence_handler = std::function<void(const std::string& table)>;
+    using silence_handler = std::function<void(const unanswered_read& read)>;
 
     /** The core and the feed must outlive the reader. */
     table_reader(process_core& core, table_feed& feed,
@@ -69,6 +84,9 @@
 
         boost::asio::steady_timer timer;
         unsigned pending = 0;
+        /** Of all reads. */
+        std::size_t received_bytes() const;
+        std::vector<std::shared_ptr<transfer_progress>> progress;
         /** The first reading, or the last error until there is one. */
         std::optional<result<table_reading>> outcome;
     };
@@ -76,6 +94,7 @@
     void start(const std::shared_ptr<awaited_reads>& reads,
                const table_query& query);
     result<table_reading> read_once(table_query query,
+                                    const table_read_limits& limits,
                                     boost::asio::yield_context yield);
 
     process_core& core_;
--- /dev/null
+++ b/modules/gateway/state/update_fetcher.cpp
@@ -0,0 +1,122 @@
+#include "gateway/state/update_fetcher.hpp"
+
+namespace hibiscusferry
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds fetch_timeout{500};
+constexpr std::size_t max_response_bytes = 8U << 20;
+
+constexpr std::array<const char*, fleet_table_count> position_parameters{
+    "configuration", "targets", "hosts"};
+
+/** Encodes a position as "ERA.VERSION". */
+std::string encode_position(const store_position& position)
+{
+    return std::to_string(position.era) + "." +
+           std::to_string(position.version);
+}
+
+/** Decodes the form that encode_position() produces. Any other text yields
+    version 0, which requests the whole table. */
+store_position decode_position(const std::string& text)
+{
+    const std::size_t separator = text.find('.');
+    if (separator == std::string::npos)
+        return {};
+    return {std::strtoull(text.c_str(), nullptr, 10),
+            std::strtoull(text.c_str() + separator + 1, nullptr, 10)};
+}
+
+} // namespace
+
+update_fetcher::update_fetcher(process_core& core, updates_handler on_updates)
+    : core_(core)
+    , on_updates_(std::move(on_updates))
+{
+}
+
+void update_fetcher::fetch(const host_record& host,
+                           const known_positions& known)
+{
+    if (is_fetching())
+        return;
+    http_request request;
+    request.target = std::string(path) + "?";
+    for (std::size_t index = 0; index < known.size(); ++index)
+        request.target += std::string(position_parameters[index]) + "=" +
+                          encode_position(known[index]) + "&";
+    progress_ = std::make_shared<transfer_progress>();
+    const update_source source{"relay " + host.host, core_.now()};
+    start_task(core_.context(),
+               [this, request, source,
+                endpoint = http_endpoint{host.address, host.port}](
+                   boost::asio::yield_context yield)
+               {
+                   receive(http_transfer(core_.connections(), endpoint, request,
+                                         {fetch_timeout, fetch_timeout,
+                                          fetch_timeout, max_response_bytes},
+                                         progress_, yield),
+                           source);
+               });
+}
+
+void update_fetcher::receive(const result<http_response>& response,
+                             const update_source& source)
+{
+    if (!response)
+        return record_failure(response.error(), source);
+    progress_ = nullptr;
+    if (response.value().status != 200)
+        return;
+    result<std::vector<table_update>> updates =
+        decode_updates(response.value().body);
+    if (!updates)
+    {
+        core_.journal().record(event_number::peer_news_unreadable,
+                               {{"source", source.name}});
+        return;
+    }
+    on_updates_(std::move(updates.value()), source);
+}
+
+void update_fetcher::record_failure(std::error_code problem,
+                                    const update_source& source)
+{
+    core_.metrics()
+        .counter_of("hibiscusferry_transfers_given_up_total", "from=\"host\"")
+        .add();
+    core_.journal().record(
+        event_number::updates_given_up,
+        {{"source", source.name},
+         {"problem", problem.message()},
+         {"elapsed_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             core_.now() - source.asked_at)
+                             .count())},
+         {"received_bytes", std::to_string(received_bytes())}});
+    progress_ = nullptr;
+}
+
+bool update_fetcher::is_fetching() const
+{
+    return progress_ != nullptr;
+}
+
+std::size_t update_fetcher::received_bytes() const
+{
+    return progress_ ? progress_->received_bytes : 0;
+}
+
+known_positions update_fetcher::positions_of(const http_request& request)
+{
+    known_positions known{};
+    for (std::size_t index = 0; index < known.size(); ++index)
+        known[index] =
+            decode_position(request.query(position_parameters[index]));
+    return known;
+}
+
+} // namespace hibiscusferry
--- a/modules/http/client/http_call.hpp
+++ b/modules/http/client/http_call.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_HTTP_CLIENT_HTTP_CALL_HPP
 
 #include "http/client/http_connection_pool.hpp"
+#include "http/client/transfer_progress.hpp"
 #include <chrono>
 #include <functional>
 
@@ -33,6 +34,33 @@
                                 std::size_t max_body_bytes,
                                 boost::asio::yield_context yield);
 
+/** Limits of a call whose response may be large. */
+struct transfer_limits
+{
+    /** Maximum time until the first bytes of the response, including the time
+        to connect. */
+    std::chrono::milliseconds response_timeout;
+    /** Maximum time from any bytes of the response to the next ones. */
+    std::chrono::milliseconds max_silence;
+    /** Maximum time for the whole exchange. */
+    std::chrono::milliseconds total_timeout;
+    /** Maximum size of the response body. */
+    std::size_t max_body_bytes;
+};
+
+/** Sends a request and reads the complete response, however long that takes, as
+    long as bytes of it arrive.
+
+    @param progress  records what arrives; may be null
+    @returns the response, or an http_error: http_error::timed_out if a limit is
+             exceeded
+*/
+result<http_response>
+http_transfer(http_connection_pool& pool, const http_endpoint& endpoint,
+              const http_request& request, const transfer_limits& limits,
+              const std::shared_ptr<transfer_progress>& progress,
+              boost::asio::yield_context yield);
+
 /** Sends a request and passes the result to a handler.
 
     For callers that are not coroutines. The handler is called exactly once,
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -335,6 +335,36 @@
     return chunk;
 }
 
+result<std::string>
+http_connection::read_available(std::size_t max_bytes,
+                                std::chrono::milliseconds timeout,
+                                boost::asio::yield_context yield)
+{
+    result<std::string> bytes = read_some(timeout, yield);
+    if (!bytes || bytes.value().empty())
+        return bytes;
+    implementation::response_parser& parser = *implementation_->parser;
+    while (!parser.is_done() && bytes.value().size() < max_bytes &&
+           has_unread_data())
+    {
+        std::string chunk(read_buffer_bytes, '\0');
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        boost::system::error_code error;
+        // Does not wait, as there is unread data.
+        beast_http::read_some(implementation_->stream.socket(),
+                              implementation_->buffer, parser, error);
+        if (error && error != beast_http::error::need_buffer)
+            return to_http_error(error);
+        chunk.resize(chunk.size() - parser.get().body().size);
+        bytes.value() += chunk;
+    }
+    if (parser.is_done())
+        implementation_->is_reusable =
+            parser.keep_alive() && implementation_->buffer.size() == 0;
+    return bytes;
+}
+
 bool http_connection::ends_with_connection() const
 {
     return implementation_->parser && implementation_->parser->need_eof();
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -71,6 +71,17 @@
     result<std::string> read_some(std::chrono::milliseconds timeout,
                                   boost::asio::yield_context yield);
 
+    /** Reads the next bytes of the body, and all those that have arrived by
+        then. A busy process reads a large body in fewer passes of the event
+        loop than with read_some().
+
+        @param max_bytes  number of bytes after which it returns
+        @returns an empty string at the end of the body
+    */
+    result<std::string> read_available(std::size_t max_bytes,
+                                       std::chrono::milliseconds timeout,
+                                       boost::asio::yield_context yield);
+
     /** Whether the body of the response has neither a length nor chunks, so
        that it ends with the connection. Valid after read_head(). */
     bool ends_with_connection() const;
--- /dev/null
+++ b/modules/http/client/transfer_progress.cpp
@@ -0,0 +1,14 @@
+#include "http/client/transfer_progress.hpp"
+
+namespace hibiscusferry
+{
+
+bool transfer_progress::is_moving(time_point now,
+                                  std::chrono::milliseconds max_silence) const
+{
+    const bool has_arrived_lately =
+        last_received_at && now - *last_received_at < max_silence;
+    return has_arrived_lately || (has_unread_data && has_unread_data());
+}
+
+} // namespace hibiscusferry
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -4,6 +4,7 @@
 #include "http/client/http_call.cpp"
 #include "http/client/http_connection.cpp"
 #include "http/client/http_connection_pool.cpp"
+#include "http/client/transfer_progress.cpp"
 #include "http/errors/http_error.cpp"
 #include "http/message/event_stream_parser.cpp"
 #include "http/message/http_message.cpp"
--- a/modules/http/http.hpp
+++ b/modules/http/http.hpp
@@ -15,6 +15,7 @@
 #include "http/client/http_call.hpp"
 #include "http/client/http_connection.hpp"
 #include "http/client/http_connection_pool.hpp"
+#include "http/client/transfer_progress.hpp"
 #include "http/errors/http_error.hpp"
 #include "http/message/event_stream_parser.hpp"
 #include "http/message/http_message.hpp"
--- a/modules/storage/table_store/table_feed.hpp
+++ b/modules/storage/table_store/table_feed.hpp
@@ -2,10 +2,12 @@
 #define HIBISCUSFERRY_STORAGE_TABLE_STORE_TABLE_FEED_HPP
 
 #include "foundation/foundation.hpp"
+#include "http/http.hpp"
 #include "storage/errors/platform_error.hpp"
 #include "storage/table_store/table_transaction.hpp"
 #include <boost/asio/spawn.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,28 @@
     }
 };
 
+/** Limits of a read of a table, whose response may be large. */
+struct table_read_limits
+{
+    /** Sets all limits to the same time, and records no progress. */
+    table_read_limits(std::chrono::milliseconds timeout)
+        : response_timeout(timeout)
+        , max_silence(timeout)
+        , total_timeout(timeout)
+    {
+    }
+
+    /** Maximum time until the first bytes of a response, in addition to the
+        time that the store is asked to wait. */
+    std::chrono::milliseconds response_timeout;
+    /** Maximum time from any bytes of a response to the next ones. */
+    std::chrono::milliseconds max_silence;
+    /** Maximum time for each response, in addition to that wait. */
+    std::chrono::milliseconds total_timeout;
+    /** Records what arrives; may be null. */
+    std::shared_ptr<transfer_progress> progress;
+};
+
 /** The change feed of the table service.
 
     The functions are called from coroutines and suspend them. The table of a
@@ -43,7 +67,7 @@
 
     /** Reads a snapshot of all rows of a table. */
     virtual result<table_changes>
-    snapshot(const std::string& table, std::chrono::milliseconds timeout,
+    snapshot(const std::string& table, const table_read_limits& limits,
              boost::asio::yield_context yield) = 0;
 
     /** Reads the changes of a table after a position.
@@ -54,7 +78,7 @@
     virtual result<table_changes> changes(const std::string& table,
                                           const store_position& after,
                                           std::chrono::milliseconds max_wait,
-                                          std::chrono::milliseconds timeout,
+                                          const table_read_limits& limits,
                                           boost::asio::yield_context yield) = 0;
 
     /** Sends further reads over new connections, as the open ones may have
