Wait for transfers that make progress instead of repeating them

Hosts on links of 10 Mbit/s never received a configuration of some size and served callers by versions that were minutes old (CONFIG). An update of another host was dropped after 500 ms whatever had arrived, a read of the store was sent again beside itself after 13 % of the bound and began anew after 1,500 ms, and each attempt took the link from the others.

Bytes that arrive now decide: a response may take long to begin or stop for the response delay of the propagation schedule at most, and as long as it goes on, nothing else transfers the same configuration to that host. Bytes that wait in the socket of a busy process count as arrived. 30 s end a response that goes on for ever.

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -167,8 +167,9 @@
     const bool is_target_table = table == fleet_table::targets;
     const bool is_awaited =
         is_target_table && fleet_.target_list().is_awaited();
+    const bool is_old = replicas_.age(table, now) > schedule(table).max_age();
     const bool is_due = is_relay_ || is_awaited ||
-                        replicas_.age(table, now) > schedule(table).max_age();
+                        (is_old && !is_receiving_configuration(table));
     if (!is_due)
         return due_check_period;
     if (!is_target_table)
@@ -181,6 +182,12 @@
                                               due_check_period);
 }
 
+bool state_follower::is_receiving_configuration(fleet_table table) const
+{
+    return table == fleet_table::configuration &&
+           fetcher_.is_receiving(schedule(table).response_delay());
+}
+
 void state_follower::follow(fleet_table table, boost::asio::yield_context yield)
 {
     bool was_wait_ended = false;
@@ -539,8 +546,12 @@
         confirm(table, as_of - position.age);
     }
     monitor_.record_relay_update(relay.host, as_of - min_age);
-    if (is_behind)
-        fetcher_.fetch(relay, wanted_positions());
+    const std::chrono::milliseconds max_silence =
+        schedule(fleet_table::configuration).response_delay();
+    // Two transfers of the same configuration would slow down each other.
+    if (is_behind && !reader_.is_receiving(
+                         store_table(fleet_table::configuration), max_silence))
+        fetcher_.fetch(relay, wanted_positions(), max_silence);
     return is_fresh;
 }
 
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -77,6 +77,9 @@
     void record_silence(const unanswered_read& read);
     /** Logs that a newer configuration has been missing for some time. */
     void log_missing_configuration();
+    /** Whether a response with changes of this table is arriving from another
+        host. Only that of the configuration may be large. */
+    bool is_receiving_configuration(fleet_table table) const;
     /** Time until this host should read the table, or check again whether it
         should; not positive if it should now. */
     std::chrono::nanoseconds time_to_store_read(fleet_table table) const;
--- a/modules/gateway/state/table_reader.hpp
+++ b/modules/gateway/state/table_reader.hpp
@@ -5,6 +5,7 @@
 #include "storage/storage.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,7 +56,8 @@
     An open connection may have become silent, which shows only by a response
     that does not arrive. A read that is not answered in time is therefore sent
     once more over a new connection, without a wait, while the former one may
-    still be answered. The first response counts.
+    still be answered. The first response counts. As long as bytes of a
+    response arrive, the read is not sent again.
 */
 class table_reader
 {
@@ -68,19 +70,27 @@
                  silence_handler on_silence);
 
     /** Reads a table.
-        @param response_delay  how long a response may take, in addition to the
-                               wait, before the next read is sent
+        @param response_delay  how long a response may take to begin, in
+       addition to the wait, or may stop, before the next read is sent
         @returns the error of the last read if all of them failed */
     result<table_reading> read(const table_query& query,
                                std::chrono::milliseconds response_delay,
                                boost::asio::yield_context yield);
 
+    /** Whether a response with rows of a table is arriving.
+        @param max_silence  maximum time since the last bytes of it */
+    bool is_receiving(const std::string& table,
+                      std::chrono::milliseconds max_silence) const;
+
 private:
     /** Reads of which the first response is awaited. */
     struct awaited_reads
     {
         explicit awaited_reads(boost::asio::io_context& context);
         bool is_complete() const;
+        /** Whether one of the reads makes progress. */
+        bool is_moving(time_point now,
+                       std::chrono::milliseconds max_silence) const;
 
         boost::asio::steady_timer timer;
         unsigned pending = 0;
@@ -91,6 +101,11 @@
         std::optional<result<table_reading>> outcome;
     };
 
+    /** Waits for the timer, and then until the reads are complete or none of
+        them makes progress. */
+    void wait_for_silence(awaited_reads& reads,
+                          std::chrono::milliseconds response_delay,
+                          boost::asio::yield_context yield);
     void start(const std::shared_ptr<awaited_reads>& reads,
                const table_query& query);
     result<table_reading> read_once(table_query query,
@@ -100,6 +115,8 @@
     process_core& core_;
     table_feed& feed_;
     silence_handler on_silence_;
+    /** The latest reads of each table. */
+    std::map<std::string, std::weak_ptr<awaited_reads>> reads_;
 };
 
 } // namespace hibiscusferry
--- a/modules/gateway/state/update_fetcher.cpp
+++ b/modules/gateway/state/update_fetcher.cpp
@@ -1,12 +1,16 @@
 #include "gateway/state/update_fetcher.hpp"
 
+#include <algorithm>
+
 namespace hibiscusferry
 {
 
 namespace
 {
 
-constexpr std::chrono::milliseconds fetch_timeout{500};
+/** A shorter silence is common on a busy host. */
+constexpr std::chrono::milliseconds min_silence{200};
+constexpr std::chrono::milliseconds max_transfer_time{30000};
 constexpr std::size_t max_response_bytes = 8U << 20;
 
 constexpr std::array<const char*, fleet_table_count> position_parameters{
@@ -39,10 +43,13 @@
 }
 
 void update_fetcher::fetch(const host_record& host,
-                           const known_positions& known)
+                           const known_positions& known,
+                           std::chrono::milliseconds max_silence)
 {
     if (is_fetching())
         return;
+    const std::chrono::milliseconds silence_limit =
+        std::max(max_silence, min_silence);
     http_request request;
     request.target = std::string(path) + "?";
     for (std::size_t index = 0; index < known.size(); ++index)
@@ -51,15 +58,16 @@
     progress_ = std::make_shared<transfer_progress>();
     const update_source source{"relay " + host.host, core_.now()};
     start_task(core_.context(),
-               [this, request, source,
+               [this, request, source, silence_limit,
                 endpoint = http_endpoint{host.address, host.port}](
                    boost::asio::yield_context yield)
                {
-                   receive(http_transfer(core_.connections(), endpoint, request,
-                                         {fetch_timeout, fetch_timeout,
-                                          fetch_timeout, max_response_bytes},
-                                         progress_, yield),
-                           source);
+                   receive(
+                       http_transfer(core_.connections(), endpoint, request,
+                                     {silence_limit, silence_limit,
+                                      max_transfer_time, max_response_bytes},
+                                     progress_, yield),
+                       source);
                });
 }
 
@@ -105,6 +113,11 @@
     return progress_ != nullptr;
 }
 
+bool update_fetcher::is_receiving(std::chrono::milliseconds max_silence) const
+{
+    return progress_ && progress_->is_moving(core_.now(), max_silence);
+}
+
 std::size_t update_fetcher::received_bytes() const
 {
     return progress_ ? progress_->received_bytes : 0;
--- a/modules/gateway/state/update_fetcher.hpp
+++ b/modules/gateway/state/update_fetcher.hpp
@@ -36,11 +36,18 @@
     /** The core must outlive the fetcher. */
     update_fetcher(process_core& core, updates_handler on_updates);
 
-    /** Asks a host for updates, unless a response is being fetched. */
-    void fetch(const host_record& host, const known_positions& known);
+    /** Asks a host for updates, unless a response is being fetched. The
+        response may take long, as long as bytes of it arrive.
+        @param max_silence  maximum time without any */
+    void fetch(const host_record& host, const known_positions& known,
+               std::chrono::milliseconds max_silence);
 
     bool is_fetching() const;
 
+    /** Whether a response is arriving.
+        @param max_silence  maximum time since the last bytes of it */
+    bool is_receiving(std::chrono::milliseconds max_silence) const;
+
     /** The size of the part of a response that has arrived. */
     std::size_t received_bytes() const;
 
