Send changes of large rows between hosts as their differences

A configuration of 4,000 routes crossed the link of each follower whole for each change of one route: 0.5 to 1 MB at 10 Mbit/s, and as often again from the relay's link. Changes that came faster than that were late (CONFIG), on links that nothing else used.

Relays send rows of 4 KB or more as Zstandard frames with the value that the follower has as their prefix, made once for each such value and shared by all followers; without a known value the row is compressed by itself. A digest shows whether a row was restored; if not, it is asked for whole. Hosts of former versions do not ask for compressed rows and get plain ones. Digests of rows are XXH3 and are kept, so that a change does not hash the value before again.

--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -63,13 +63,13 @@
     , monitor_(core, fleet)
     , reader_(core, sources.feed,
               [this](const unanswered_read& read) { record_silence(read); })
-    , fetcher_(core,
-               [this](const std::vector<table_update>& updates,
-                      const update_source& source)
-               {
-                   for (const table_update& update : updates)
-                       apply_relay_update(update, source);
-               })
+    , fetcher_(
+          core,
+          [this](std::vector<table_update> updates, const update_source& source)
+          {
+              for (table_update& update : updates)
+                  apply_relay_update(std::move(update), source);
+          })
     , replicas_(content_hash_of_targets(sources.records))
 {
 }
@@ -351,7 +351,7 @@
 // ========================================================================
 // Applying updates
 
-bool state_follower::apply_update(const table_update& update,
+bool state_follower::apply_update(table_update update,
                                   const update_source& source)
 {
     using apply_function =
@@ -385,9 +385,9 @@
              {"era", std::to_string(update.changes.era)},
              {"age_ms", std::to_string(update.age.count())},
              {"source", source.name}});
-    const table_changes applied_changes = update.is_snapshot
-                                              ? replica.replace(update.changes)
-                                              : replica.apply(update.changes);
+    table_changes applied_changes =
+        update.is_snapshot ? replica.replace(std::move(update.changes))
+                           : replica.apply(std::move(update.changes));
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
         applied_changes, source);
     if (update.table == fleet_table::configuration)
@@ -519,8 +519,8 @@
     std::chrono::milliseconds min_age = positions.front().age;
     for (const fleet_table table : all_fleet_tables)
     {
-        const replica_position& position =
-            positions[static_cast<std::size_t>(table)];
+        const std::size_t index = static_cast<std::size_t>(table);
+        const replica_position& position = positions[index];
         min_age = std::min(min_age, position.age);
         if (position.age > schedule(table).max_age())
             is_fresh = false;
@@ -532,7 +532,7 @@
                               position.as_of.era == replica.as_of().era;
         if (!is_equal)
         {
-            is_behind = true;
+            is_behind = is_behind || core_.now() >= next_fetch_at_[index];
             if (table == fleet_table::configuration &&
                 replica.as_of() < position.as_of)
                 fleet_.newer_configuration().record_newer(position.as_of,
@@ -542,7 +542,7 @@
         replica.advance(position.as_of);
         if (table == fleet_table::configuration)
             fleet_.newer_configuration().record_own(replica.as_of());
-        needs_snapshot_[static_cast<std::size_t>(table)] = false;
+        needs_snapshot_[index] = false;
         confirm(table, as_of - position.age);
     }
     monitor_.record_relay_update(relay.host, as_of - min_age);
@@ -576,18 +576,31 @@
     return known;
 }
 
-void state_follower::apply_relay_update(const table_update& update,
+void state_follower::apply_relay_update(table_update update,
                                         const update_source& source)
 {
-    apply_update(update, source);
-    const table_replica& replica = replicas_.replica(update.table);
-    const bool is_ahead = update.changes.position() < replica.as_of();
+    const fleet_table table = update.table;
+    const std::size_t index = static_cast<std::size_t>(table);
+    if (!replicas_.restore_rows(update))
+    {
+        needs_snapshot_[index] = true;
+        return;
+    }
+    const store_position position = update.changes.position();
+    const std::uint64_t digest = update.digest;
+    const std::chrono::milliseconds age = update.age;
+    const bool is_snapshot = update.is_snapshot;
+    apply_update(std::move(update), source);
+    const table_replica& replica = replicas_.replica(table);
+    const bool is_ahead = position < replica.as_of();
     if (is_ahead)
         return;
-    const bool is_equal = replica.digest() == update.digest;
-    needs_snapshot_[static_cast<std::size_t>(update.table)] = !is_equal;
+    const bool is_equal = replica.digest() == digest;
+    needs_snapshot_[index] = !is_equal;
     if (is_equal)
-        confirm(update.table, source.asked_at - update.age);
+        confirm(table, source.asked_at - age);
+    else if (is_snapshot)
+        next_fetch_at_[index] = core_.now() + schedule(table).max_age();
 }
 
 void state_follower::serve_peer(http_exchange& exchange,
@@ -602,8 +615,12 @@
         return;
     }
     response.headers.set("Content-Type", "application/cbor");
-    response.body = encode_updates(replicas_.changes_since(
-        update_fetcher::positions_of(exchange.request()), core_.now()));
+    const known_positions known =
+        update_fetcher::positions_of(exchange.request());
+    response.body = encode_updates(
+        update_fetcher::accepts_compressed_rows(exchange.request())
+            ? replicas_.compressed_changes_since(known, core_.now())
+            : replicas_.changes_since(known, core_.now()));
     const result<void> ignored = exchange.respond(response, yield);
     static_cast<void>(ignored);
 }
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -91,9 +91,8 @@
 
     /** Applies changes to a replica.
         @returns false for a snapshot that is older than the replica */
-    bool apply_update(const table_update& update, const update_source& source);
-    void apply_relay_update(const table_update& update,
-                            const update_source& source);
+    bool apply_update(table_update update, const update_source& source);
+    void apply_relay_update(table_update update, const update_source& source);
     /** Records that a replica is complete as of a time. This is not the time at
         which a response was processed, as the process may have stood still
         since the response was sent. */
@@ -141,6 +140,10 @@
         response of the table service. */
     std::array<std::size_t, fleet_table_count> unreadable_rows_{};
     /** Since when the newer configuration has been missing that was logged. */
+    /** Until when updates of each table are not asked for, because a whole
+       table has not led to the digest of its sender, and would not do so again.
+     */
+    std::array<time_point, fleet_table_count> next_fetch_at_{};
     std::optional<time_point> logged_missing_since_;
     bool is_serving_ = true;
     bool is_stopping_ = false;
--- a/modules/gateway/state/update_fetcher.cpp
+++ b/modules/gateway/state/update_fetcher.cpp
@@ -16,6 +16,9 @@
 constexpr std::array<const char*, fleet_table_count> position_parameters{
     "configuration", "targets", "hosts"};
 
+/** Its presence states that the host restores compressed rows. */
+const std::string compression_parameter = "compressed";
+
 /** Encodes a position as "ERA.VERSION". */
 std::string encode_position(const store_position& position)
 {
@@ -55,6 +58,7 @@
     for (std::size_t index = 0; index < known.size(); ++index)
         request.target += std::string(position_parameters[index]) + "=" +
                           encode_position(known[index]) + "&";
+    request.target += compression_parameter + "=1";
     progress_ = std::make_shared<transfer_progress>();
     const update_source source{"relay " + host.host, core_.now()};
     start_task(core_.context(),
@@ -124,6 +128,11 @@
 }
 
 known_positions update_fetcher::positions_of(const http_request& request)
+bool update_fetcher::accepts_compressed_rows(const http_request& request)
+{
+    return !request.query(compression_parameter).empty();
+}
+
 {
     known_positions known{};
     for (std::size_t index = 0; index < known.size(); ++index)
--- a/modules/gateway/state/update_fetcher.hpp
+++ b/modules/gateway/state/update_fetcher.hpp
@@ -53,6 +53,10 @@
 
     /** Reads the positions from a request of fetch(). */
     static known_positions positions_of(const http_request& request);
+    /** Whether the sender of a request restores compressed rows. Hosts of
+       former versions do not. */
+    static bool accepts_compressed_rows(const http_request& request);
+
 
 private:
     void receive(const result<http_response>& response,
--- a/modules/sharing/replication/fleet_replicas.cpp
+++ b/modules/sharing/replication/fleet_replicas.cpp
@@ -1,6 +1,7 @@
 #include "sharing/replication/fleet_replicas.hpp"
 
 #include "sharing/message/nested_cbor.hpp"
+#include "sharing/message/text_delta.hpp"
 #include <algorithm>
 #include <stdexcept>
 
@@ -14,7 +15,7 @@
 
 std::uint64_t hash_of_value(const table_row& row)
 {
-    return stable_hash(row.value);
+    return text_digest(row.value);
 }
 
 std::size_t index_of(fleet_table table)
@@ -48,6 +49,10 @@
         nlohmann::json rows = nlohmann::json::array();
         for (const table_row& row : update.changes.rows)
             rows.push_back({row.key, row.value, row.version});
+        nlohmann::json compressed = nlohmann::json::array();
+        for (const compressed_row& row : update.compressed_rows)
+            compressed.push_back(
+                {row.key, row.version, row.has_base, row.digest, row.bytes});
         tables.push_back(
             {{"table", index_of(update.table)},
              {"whole", update.is_snapshot},
@@ -56,6 +61,7 @@
              {"digest", update.digest},
              {"age_ms", std::max<std::int64_t>(update.age.count(), 0)},
              {"rows", std::move(rows)},
+             {"compressed", std::move(compressed)},
              {"deleted", update.changes.deleted}});
     }
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(tables);
@@ -74,6 +80,22 @@
     return number.get<std::uint64_t>();
 }
 
+/** An element that is a non-negative integer; throws for any other value. */
+std::uint64_t unsigned_at(const nlohmann::json& array, std::size_t index)
+{
+    const nlohmann::json& number = array.at(index);
+    if (!number.is_number_unsigned())
+        throw std::invalid_argument("not a non-negative integer");
+    return number.get<std::uint64_t>();
+}
+
+compressed_row decode_compressed_row(const nlohmann::json& row)
+{
+    return {row.at(0).get<std::string>(), unsigned_at(row, 1),
+            row.at(2).get<bool>(), unsigned_at(row, 3),
+            row.at(4).get<std::string>()};
+}
+
 table_update decode_table_update(const nlohmann::json& object)
 {
     table_update update;
@@ -84,12 +106,14 @@
     update.digest = number_of(object, "digest");
     update.age = to_replica_age(number_of(object, "age_ms"));
     for (const nlohmann::json& row : object.at("rows"))
-    {
-        if (!row.at(2).is_number_unsigned())
-            throw std::invalid_argument("not the version of a row");
         update.changes.rows.push_back({row.at(0).get<std::string>(),
                                        row.at(1).get<std::string>(),
-                                       row.at(2).get<row_version>()});
+                                       unsigned_at(row, 2)});
+    // Hosts of former versions send all rows in the list above.
+    if (object.contains("compressed"))
+    {
+        for (const nlohmann::json& row : object.at("compressed"))
+            update.compressed_rows.push_back(decode_compressed_row(row));
     }
     update.changes.deleted =
         object.at("deleted").get<std::vector<std::string>>();
@@ -193,4 +217,64 @@
     return updates;
 }
 
+std::vector<table_update> fleet_replicas::compressed_changes_since(
+    const std::array<store_position, fleet_table_count>& known_positions,
+    time_point now)
+{
+    std::vector<table_update> updates;
+    for (const fleet_table table : all_fleet_tables)
+    {
+        const table_replica& local_replica = replica(table);
+        const store_position& after = known_positions[index_of(table)];
+        const bool has_changes =
+            local_replica.as_of().version > 0 && after < local_replica.as_of();
+        if (!has_changes)
+            continue;
+        std::optional<table_replica::row_selection> selection =
+            local_replica.select_since(after);
+        table_update update;
+        update.table = table;
+        update.is_snapshot = !selection;
+        update.digest = local_replica.digest();
+        update.age = age(table, now);
+        update.changes.version = local_replica.as_of().version;
+        update.changes.era = local_replica.as_of().era;
+        if (!selection)
+            selection = local_replica.select_all();
+        update.changes.deleted = std::move(selection->deleted);
+        for (const table_row* const row : selection->rows)
+        {
+            const compressed_row* const compressed =
+                row->value.size() < former_rows::min_value_bytes
+                    ? nullptr
+                    : compressor_.compress(*row, update.is_snapshot
+                                                     ? nullptr
+                                                     : local_replica.former_row(
+                                                           row->key, after));
+            if (compressed != nullptr)
+                update.compressed_rows.push_back(*compressed);
+            else
+                update.changes.rows.push_back(*row);
+        }
+        updates.push_back(std::move(update));
+    }
+    return updates;
+}
+
+result<void> fleet_replicas::restore_rows(table_update& update) const
+{
+    const std::map<std::string, table_row>& rows = replica(update.table).rows();
+    for (const compressed_row& compressed : update.compressed_rows)
+    {
+        const auto base = rows.find(compressed.key);
+        result<table_row> row = restore_row(
+            compressed, base == rows.end() ? nullptr : &base->second.value);
+        if (!row)
+            return row.error();
+        update.changes.rows.push_back(std::move(row.value()));
+    }
+    update.compressed_rows.clear();
+    return outcome::success();
+}
+
 } // namespace hibiscusferry
--- a/modules/sharing/replication/fleet_replicas.hpp
+++ b/modules/sharing/replication/fleet_replicas.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_SHARING_REPLICATION_FLEET_REPLICAS_HPP
 
 #include "foundation/foundation.hpp"
+#include "sharing/replication/row_compressor.hpp"
 #include "sharing/replication/table_replica.hpp"
 #include <array>
 #include <chrono>
@@ -52,6 +53,8 @@
     std::uint64_t digest = 0;
     /** Time since the sender's replica was last known to be current. */
     std::chrono::milliseconds age{0};
+    /** Rows that belong to `changes`, but are compressed. */
+    std::vector<compressed_row> compressed_rows;
 };
 
 /** Converts an age that another host has stated. Any longer age is as long as
@@ -93,6 +96,18 @@
         const std::array<store_position, fleet_table_count>& known_positions,
         time_point now) const;
 
+    /** The same with large rows in compressed form, which the other host
+        restores with restore_rows(). */
+    std::vector<table_update> compressed_changes_since(
+        const std::array<store_position, fleet_table_count>& known_positions,
+        time_point now);
+
+    /** Moves the compressed rows of an update to its changes. Their bases are
+        the rows of this host.
+        @returns std::errc::bad_message if one cannot be restored, as this host
+                 has another base */
+    result<void> restore_rows(table_update& update) const;
+
 private:
     struct replicated_table
     {
@@ -101,6 +116,7 @@
     };
 
     std::array<replicated_table, fleet_table_count> tables_;
+    row_compressor compressor_;
 };
 
 } // namespace hibiscusferry
--- a/modules/sharing/replication/propagation_schedule.cpp
+++ b/modules/sharing/replication/propagation_schedule.cpp
@@ -18,9 +18,12 @@
                              const propagation_shares& shares)
 {
     const std::chrono::milliseconds divided_time = std::max(time, min_time);
-    return of(divided_time * shares.relay_interval / 100,
-              divided_time * shares.max_age / 100,
-              divided_time * shares.response_delay / 100);
+    propagation_schedule schedule =
+        of(divided_time * shares.relay_interval / 100,
+           divided_time * shares.max_age / 100,
+           divided_time * shares.response_delay / 100);
+    schedule.time_ = divided_time;
+    return schedule;
 }
 
 propagation_schedule
@@ -32,6 +35,7 @@
     schedule.relay_interval_ = relay_interval;
     schedule.max_age_ = max_age;
     schedule.response_delay_ = response_delay;
+    schedule.time_ = schedule.longest_delay();
     return schedule;
 }
 
@@ -62,4 +66,9 @@
     return max_age_ + unanswered_reads * response_delay_;
 }
 
+std::chrono::milliseconds propagation_schedule::max_transfer_time() const
+{
+    return time_ - longest_delay();
+}
+
 } // namespace hibiscusferry
--- a/modules/sharing/replication/propagation_schedule.hpp
+++ b/modules/sharing/replication/propagation_schedule.hpp
@@ -40,7 +40,7 @@
     static propagation_schedule divide(std::chrono::milliseconds time,
                                        const propagation_shares& shares);
 
-    /** A schedule of given steps. */
+    /** A schedule of given steps, which take the whole time together. */
     static propagation_schedule of(std::chrono::milliseconds relay_interval,
                                    std::chrono::milliseconds max_age,
                                    std::chrono::milliseconds response_delay);
@@ -58,9 +58,14 @@
         if two of them get no response. */
     std::chrono::milliseconds longest_delay() const;
 
+    /** What is left of the time for the transfer and the processing of a change
+        after longest_delay(). */
+    std::chrono::milliseconds max_transfer_time() const;
+
 private:
     propagation_schedule() = default;
 
+    std::chrono::milliseconds time_{0};
     std::chrono::milliseconds relay_interval_{0};
     std::chrono::milliseconds max_age_{0};
     std::chrono::milliseconds response_delay_{0};
--- a/modules/sharing/replication/propagation_schedule_test.cpp
+++ b/modules/sharing/replication/propagation_schedule_test.cpp
@@ -34,6 +34,16 @@
     }
 }
 
+BOOST_DATA_TEST_CASE(what_the_steps_leave_is_for_the_transfer,
+                     boost::unit_test::data::make(times), time)
+{
+    const propagation_schedule schedule = propagation_schedule::divide(
+        milliseconds(time), propagation_schedule::watched_table);
+    BOOST_TEST(
+        (schedule.longest_delay() + schedule.max_transfer_time()).count() ==
+        time);
+}
+
 // Otherwise hosts read the store although their relay has only just done so.
 BOOST_DATA_TEST_CASE(a_relay_that_waits_is_not_too_old,
                      boost::unit_test::data::make(times), time)
--- a/modules/sharing/replication/table_replica.hpp
+++ b/modules/sharing/replication/table_replica.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_SHARING_REPLICATION_TABLE_REPLICA_HPP
 
 #include "foundation/foundation.hpp"
+#include "sharing/replication/former_rows.hpp"
 #include "storage/storage.hpp"
 #include <cstdint>
 #include <functional>
@@ -31,12 +32,12 @@
         newer than this position are kept, unless they are of an older era. A
         position of an older era has no effect.
         @returns the rows whose content changed, and the deleted rows */
-    table_changes replace(const table_changes& all);
+    table_changes replace(table_changes all);
 
     /** Applies the changes that follow as_of(). Has no effect if they are of
         another era.
         @returns the rows whose content changed, and the deleted rows */
-    table_changes apply(const table_changes& changes);
+    table_changes apply(table_changes changes);
 
     /** Records that there were no changes up to a later position. */
     void advance(const store_position& as_of);
@@ -60,18 +61,41 @@
     /** The whole table. */
     table_changes snapshot() const;
 
+    /** What changes_since() returns, without copies of the rows, which are
+       valid until the replica changes. */
+    struct row_selection
+    {
+        std::vector<const table_row*> rows;
+        std::vector<std::string> deleted;
+    };
+
+    std::optional<row_selection>
+    select_since(const store_position& after) const;
+
+    /** All rows. */
+    row_selection select_all() const;
+
+    /** The value of a large row that a replica has which includes all changes
+        up to a position; null if it is not retained or has not changed. */
+    const table_row* former_row(const std::string& key,
+                                const store_position& position) const;
+
     const std::map<std::string, table_row>& rows() const;
 
 private:
-    bool put(const table_row& row);
-    bool set(const table_row& row);
+    bool put(table_row row);
+    bool set(table_row row);
     bool remove(const std::string& key, row_version version);
     void begin_era(const store_position& position);
+    table_changes copy_of(const row_selection& selection) const;
     std::uint64_t hash_of(const table_row& row) const;
 
     content_hash content_hash_;
     /** Rows by key, each with the version at which its content last changed. */
     std::map<std::string, table_row> rows_;
+    /** The hash of each row, by its key. */
+    std::map<std::string, std::uint64_t> row_hashes_;
+    former_rows former_rows_;
     /** Keys of deleted rows, by the version at which the deletion was seen. */
     std::multimap<row_version, std::string> deletions_;
     /** Deletions at or before this version are no longer retained. */
--- a/modules/sharing/sharing.hpp
+++ b/modules/sharing/sharing.hpp
@@ -11,6 +11,9 @@
     With the loads, hosts exchange what they send to targets that have stated a
     limit on their requests, and would send without it.
 
+    Large rows are compressed, with the value that the receiving host has as the
+    dictionary, so that a transfer takes as long as the change is large.
+
     The host that begins a resumable stream sends the software version of its
     target to a few hosts, which other hosts ask when the stream is resumed.
 
@@ -38,9 +41,12 @@
 #include "sharing/load/in_flight_load.hpp"
 #include "sharing/load/load_aggregator.hpp"
 #include "sharing/message/sharing_message.hpp"
+#include "sharing/message/text_delta.hpp"
 #include "sharing/relay/relay_selector.hpp"
 #include "sharing/replication/fleet_replicas.hpp"
+#include "sharing/replication/former_rows.hpp"
 #include "sharing/replication/propagation_schedule.hpp"
+#include "sharing/replication/row_compressor.hpp"
 #include "sharing/replication/table_replica.hpp"
 #include "sharing/streams/record_host_selector.hpp"
 #include "sharing/streams/stream_version_message.hpp"
