Parse only the routes of a configuration that have changed

Each version was parsed twice by the tree of a general parser and its routes were indexed anew, on the thread that serves requests; with 0.09 cores, 4,000 routes took 0.2 s and more a version. A request looked through all routes of its hostname.

The text of a version is compared with that of the version before, and only entries that differ are parsed, one by one and with simdjson; odd ones still by the parser that was there, so that what is accepted does not change, but that a route that is no JSON is left out like other malformed ones. Versions share the routes that are the same, and the index by prefix is made from the former one: a sorted list in which each prefix refers to the longest one that it begins with.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -16,6 +16,7 @@
         ${decision_modules} gflags hibiscusferry_options)
 endforeach()
 target_link_libraries(streams_bench PRIVATE gateway)
+target_link_libraries(large_configuration_bench PRIVATE platform_adapter)
 
 # ------------------------------------------------------------------------
 # Stand-ins for the platform and the targets; never linked into the daemons.
--- a/modules/gateway/state/fake_store.hpp
+++ b/modules/gateway/state/fake_store.hpp
@@ -202,8 +202,10 @@
         return "targets";
     }
 
+    using fleet_records::read_configuration;
+
     result<fleet_configuration>
-    read_configuration(const std::string& value) const override
+    read_configuration(std::string value, configuration_text&) const override
     {
         if (value == "unreadable")
             return std::make_error_code(std::errc::bad_message);
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -79,7 +79,9 @@
          {"role", delay.is_relay ? "relay" : "follower"},
          {"age_before_ms", std::to_string(delay.age_before.count())},
          {"call_ms", std::to_string(delay.call_duration.count())},
-         {"failed_calls", std::to_string(delay.failed_calls)}});
+         {"failed_calls", std::to_string(delay.failed_calls)},
+         {"bytes", std::to_string(delay.row_bytes)},
+         {"parse_ms", std::to_string(delay.parse_duration.count())}});
     if (configuration.workspaces)
     {
         core_.metrics()
@@ -91,7 +93,8 @@
             .set(static_cast<double>(configuration.workspaces->key_count()));
     }
     retire_routes();
-    routes_ = std::make_shared<const route_table>(std::move(configuration));
+    routes_ = std::make_shared<const route_table>(std::move(configuration),
+                                                  routes_.get());
 }
 
 void fleet_state::confirm_configuration(time_point as_of)
@@ -128,10 +131,11 @@
     if (!routes_)
         return;
     std::chrono::milliseconds time_limit{0};
-    for (const route& entry : routes_->configuration().routes)
+    for (const std::shared_ptr<const route>& entry :
+         routes_->configuration().routes)
     {
-        if (entry.is_resumable)
-            time_limit = std::max(time_limit, entry.time_limit);
+        if (entry->is_resumable)
+            time_limit = std::max(time_limit, entry->time_limit);
     }
     former_routes_.push_back(
         {routes_, now + settings_.max_configuration_delay + time_limit});
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -27,6 +27,9 @@
     std::chrono::milliseconds call_duration{0};
     /** The calls to the store that failed in a row before. */
     unsigned failed_calls = 0;
+    /** The size of the row of the configuration. */
+    std::size_t row_bytes = 0;
+    std::chrono::milliseconds parse_duration{0};
 };
 
 /** This host's view of the fleet: the configuration in force, the targets and
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -407,17 +407,18 @@
         fleet_.confirm_target_list(as_of);
 }
 
-void state_follower::apply_configuration(const table_changes& changes,
+void state_follower::apply_configuration(table_changes changes,
                                          const update_source& source)
 {
     const std::string key = sources_.records.configuration_key();
     const time_point now = core_.now();
-    for (const table_row& row : changes.rows)
+    for (table_row& row : changes.rows)
     {
         if (row.key != key)
             continue;
         result<fleet_configuration> configuration =
-            sources_.records.read_configuration(row.value);
+            sources_.records.read_configuration(std::move(row.value),
+                                                configuration_text_);
         is_configuration_readable_ = configuration.has_value();
         if (configuration)
         {
@@ -425,11 +426,16 @@
                 std::move(configuration.value()), source.name,
                 {is_relay_, replicas_.age(fleet_table::configuration, now),
                  std::chrono::ceil<std::chrono::milliseconds>(now -
+        const std::size_t row_bytes = row.value.size();
+        const time_point read_at = core_.now();
                                                               source.asked_at),
                  monitor_.consecutive_failures()});
             continue;
         }
         core_.journal().record(event_number::configuration_unreadable,
+            const std::chrono::milliseconds parse_duration =
+                std::chrono::ceil<std::chrono::milliseconds>(core_.now() -
+                                                             read_at);
                                {{"row_version", std::to_string(row.version)},
                                 {"problem", configuration.error().message()},
                                 {"source", source.name}});
@@ -492,11 +498,10 @@
         if (record && is_used == is_listener_of_host(record.value().endpoint))
             changes.rows.push_back(row);
     }
-    apply_targets(changes, source);
+    apply_targets(std::move(changes), source);
 }
 
-void state_follower::apply_hosts(const table_changes&,
-                                 const update_source& source)
+void state_follower::apply_hosts(table_changes, const update_source& source)
 {
     const std::set<std::string> former_addresses = directory_.addresses();
     directory_.set_rows(replicas_.replica(fleet_table::hosts).rows(),
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -99,11 +99,10 @@
     void confirm(fleet_table table, time_point as_of);
     /** Logs that rows were left out, unless as many were before. */
     void log_unreadable_rows(fleet_table table, std::size_t rows);
-    void apply_configuration(const table_changes& changes,
+    void apply_configuration(table_changes changes,
                              const update_source& source);
-    void apply_targets(const table_changes& changes,
-                       const update_source& source);
-    void apply_hosts(const table_changes& changes, const update_source& source);
+    void apply_targets(table_changes changes, const update_source& source);
+    void apply_hosts(table_changes changes, const update_source& source);
 
     /** Parses the row of a target, which has to be another machine's than one
         of the hosts: what a host sends to itself comes back. */
@@ -134,6 +133,8 @@
     /** Tables to be read whole, because the changes received from a relay did
         not lead to the same digest. Until then the replica may lack rows. */
     std::array<bool, fleet_table_count> needs_snapshot_{};
+    /** The newest configuration that could be parsed. */
+    configuration_text configuration_text_;
     /** When the target rows were last asked for; zero after a failure. */
     time_point targets_read_at_{};
     /** The largest number of rows of each table that were left out of a
--- a/modules/gateway/state/update_fetcher.cpp
+++ b/modules/gateway/state/update_fetcher.cpp
@@ -127,7 +127,6 @@
     return progress_ ? progress_->received_bytes : 0;
 }
 
-known_positions update_fetcher::positions_of(const http_request& request)
 bool update_fetcher::accepts_compressed_rows(const http_request& request)
 {
     return !request.query(compression_parameter).empty();
--- a/modules/gateway/state/update_fetcher.hpp
+++ b/modules/gateway/state/update_fetcher.hpp
@@ -51,14 +51,14 @@
     /** The size of the part of a response that has arrived. */
     std::size_t received_bytes() const;
 
-    /** Reads the positions from a request of fetch(). */
-    static known_positions positions_of(const http_request& request);
     /** Whether the sender of a request restores compressed rows. Hosts of
        former versions do not. */
     static bool accepts_compressed_rows(const http_request& request);
 
 
 private:
+    /** Reads the positions from a request of fetch(). */
+    static known_positions positions_of(const http_request& request);
     void receive(const result<http_response>& response,
                  const update_source& source);
     void record_failure(std::error_code problem, const update_source& source);
--- a/modules/serving/model/fleet_configuration.cpp
+++ b/modules/serving/model/fleet_configuration.cpp
@@ -34,12 +34,12 @@
 fleet_configuration::strictest_latency_objective() const
 {
     std::optional<std::chrono::milliseconds> strictest;
-    for (const route& candidate : routes)
+    for (const std::shared_ptr<const route>& candidate : routes)
     {
-        const bool has_objective = candidate.latency_objective.count() > 0;
+        const bool has_objective = candidate->latency_objective.count() > 0;
         if (has_objective &&
-            (!strictest || candidate.latency_objective < *strictest))
-            strictest = candidate.latency_objective;
+            (!strictest || candidate->latency_objective < *strictest))
+            strictest = candidate->latency_objective;
     }
     return strictest;
 }
--- a/modules/serving/model/fleet_configuration.hpp
+++ b/modules/serving/model/fleet_configuration.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -63,6 +64,10 @@
     bool is_safe_to_retry() const;
 };
 
+/** Routes in the order of the configuration. Versions of a configuration share
+    those that are the same in both. */
+using route_list = std::vector<std::shared_ptr<const route>>;
+
 /** Properties that all engines of a service share. */
 struct engine_properties
 {
@@ -117,7 +122,7 @@
 struct fleet_configuration
 {
     std::uint64_t version = 0;
-    std::vector<route> routes;
+    route_list routes;
     std::vector<service_properties> services;
     caller_limits limits;
     /** The workspaces whose callers are served; none if callers need no key. */
--- a/modules/serving/model/route_table.hpp
+++ b/modules/serving/model/route_table.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_SERVING_MODEL_ROUTE_TABLE_HPP
 
 #include "serving/model/fleet_configuration.hpp"
+#include "serving/model/prefix_index.hpp"
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -11,12 +12,17 @@
 
 /** Looks up the routes of one version of the configuration.
 
-    Immutable; shared by all requests that started under this version.
+    Immutable; shared by all requests that started under this version. Versions
+    share the routes and the indexes of hosts that are the same in both.
 */
 class route_table
 {
 public:
-    explicit route_table(fleet_configuration configuration);
+    /** @param former  the table of the version before, from which the new one
+                       is made if they have most routes in common; null for
+                       none */
+    explicit route_table(fleet_configuration configuration,
+                         const route_table* former = nullptr);
 
     const fleet_configuration& configuration() const;
 
@@ -31,9 +37,17 @@
                                              std::string_view request_id);
 
 private:
+    using host_index =
+        std::unordered_map<std::string, std::shared_ptr<const prefix_index>>;
+
+    /** The index of the configuration's routes. */
+    host_index make_index() const;
+    /** The same, made from that of another version.
+        @returns none if it differs too much */
+    std::optional<host_index> changed_index(const route_table& former) const;
+
     fleet_configuration configuration_;
-    /** Routes by host, ordered by descending prefix length. */
-    std::unordered_map<std::string, std::vector<const route*>> by_host_;
+    host_index by_host_;
 };
 
 } // namespace hibiscusferry
--- a/modules/serving/model/route_table_test.cpp
+++ b/modules/serving/model/route_table_test.cpp
@@ -24,8 +24,9 @@
 BOOST_AUTO_TEST_CASE(the_longest_matching_prefix_of_the_host_wins)
 {
     fleet_configuration configuration;
-    configuration.routes = {make_route("short", "/a/"),
-                            make_route("long", "/a/b/")};
+    configuration.routes = {
+        std::make_shared<const route>(make_route("short", "/a/")),
+        std::make_shared<const route>(make_route("long", "/a/b/"))};
     const route_table table(configuration);
     BOOST_TEST(table.find("shop.example", "/a/b/c")->name == "long");
     BOOST_TEST(table.find("shop.example:80", "/a/x")->name == "short");
--- a/modules/serving/serving.cpp
+++ b/modules/serving/serving.cpp
@@ -12,6 +12,7 @@
 #include "serving/limits/shared_request_limit.cpp"
 #include "serving/model/fleet_configuration.cpp"
 #include "serving/model/prompt_info.cpp"
+#include "serving/model/prefix_index.cpp"
 #include "serving/model/route_table.cpp"
 #include "serving/model/target_record.cpp"
 #include "serving/model/workspace_directory.cpp"
--- a/modules/serving/serving.hpp
+++ b/modules/serving/serving.hpp
@@ -27,6 +27,7 @@
 #include "serving/limits/shared_request_limit.hpp"
 #include "serving/model/fleet_configuration.hpp"
 #include "serving/model/prompt_info.hpp"
+#include "serving/model/prefix_index.hpp"
 #include "serving/model/route_table.hpp"
 #include "serving/model/target_record.hpp"
 #include "serving/model/workspace_directory.hpp"
