Log configurations that are too large for the bound

The schedule of a configuration's way divides the bound over steps, and nobody could tell that a configuration needs more than the rest that it leaves.

Hosts measure the time from the first bytes of a version to the last and the time to process it, and log configuration_too_large beyond that, with both times, beside a counter.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -502,6 +502,13 @@
     "much of an update has arrived.",
     "Compare `read_unanswered` and `updates_given_up` on the host: its link or "
     "its processor may be too small for the configuration.")
+HIBISCUSFERRY_EVENT(
+    1834, warning, configuration_too_large,
+    "The transfer and the processing of a configuration have taken longer than "
+    "the bound on its delay leaves for them.",
+    "Use fewer routes, or hosts with a faster link or processor; "
+    "`transfer_ms` and `processing_ms` show which. docs/CAPACITY.md says what "
+    "to expect.")
 
 // 1900-1999 platform adapters
 HIBISCUSFERRY_EVENT(
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -323,7 +323,7 @@
     const bool is_applied = apply_update(
         {table, is_snapshot, std::move(changes), 0,
          std::chrono::ceil<std::chrono::milliseconds>(core_.now() - as_of)},
-        {"store", asked_at});
+        {"store", asked_at, reading.value().transfer_duration});
     if (is_applied && is_snapshot)
         needs_snapshot = false;
     const bool is_row_unreadable =
@@ -429,7 +429,11 @@
         const std::size_t row_bytes = row.value.size();
         const time_point read_at = core_.now();
                                                               source.asked_at),
-                 monitor_.consecutive_failures()});
+                 monitor_.consecutive_failures(), row_bytes, parse_duration});
+            log_large_configuration(
+                row_bytes, source.transfer_duration,
+                std::chrono::ceil<std::chrono::milliseconds>(core_.now() -
+                                                             read_at));
             continue;
         }
         core_.journal().record(event_number::configuration_unreadable,
@@ -442,7 +446,26 @@
     }
 }
 
-void state_follower::apply_targets(const table_changes& changes,
+void state_follower::log_large_configuration(
+    std::size_t bytes, std::chrono::milliseconds transfer_duration,
+    std::chrono::milliseconds processing_duration)
+{
+    const std::chrono::milliseconds limit =
+        schedule(fleet_table::configuration).max_transfer_time();
+    if (transfer_duration + processing_duration <= limit)
+        return;
+    core_.metrics()
+        .counter_of("hibiscusferry_configurations_too_large_total")
+        .add();
+    core_.journal().record(
+        event_number::configuration_too_large,
+        {{"bytes", std::to_string(bytes)},
+         {"transfer_ms", std::to_string(transfer_duration.count())},
+         {"processing_ms", std::to_string(processing_duration.count())},
+         {"limit_ms", std::to_string(limit.count())}});
+}
+
+void state_follower::apply_targets(table_changes changes,
                                    const update_source& source)
 {
     const time_point now = core_.now();
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -97,6 +97,11 @@
         which a response was processed, as the process may have stood still
         since the response was sent. */
     void confirm(fleet_table table, time_point as_of);
+    /** Logs that a configuration takes longer than the time that the schedule
+        leaves for it. */
+    void log_large_configuration(std::size_t bytes,
+                                 std::chrono::milliseconds transfer_duration,
+                                 std::chrono::milliseconds processing_duration);
     /** Logs that rows were left out, unless as many were before. */
     void log_unreadable_rows(fleet_table table, std::size_t rows);
     void apply_configuration(table_changes changes,
--- a/modules/gateway/state/table_reader.cpp
+++ b/modules/gateway/state/table_reader.cpp
@@ -157,6 +157,7 @@
         if (changes)
         {
             reading.changes = std::move(changes.value());
+            reading.transfer_duration = limits.progress->duration(core_.now());
             return reading;
         }
         if (changes.error() != platform_error::history_expired)
@@ -168,6 +169,7 @@
     if (!rows)
         return rows.error();
     reading.changes = std::move(rows.value());
+    reading.transfer_duration = limits.progress->duration(core_.now());
     return reading;
 }
 
--- a/modules/gateway/state/table_reader.hpp
+++ b/modules/gateway/state/table_reader.hpp
@@ -35,6 +35,8 @@
     time_point asked_at{};
     /** How long the store was asked to wait for a change. */
     std::chrono::milliseconds wait{0};
+    /** Time from the first bytes of the response to the last. */
+    std::chrono::milliseconds transfer_duration{0};
 };
 
 /** A read that has not been answered in time. */
--- a/modules/gateway/state/update_fetcher.cpp
+++ b/modules/gateway/state/update_fetcher.cpp
@@ -76,10 +76,11 @@
 }
 
 void update_fetcher::receive(const result<http_response>& response,
-                             const update_source& source)
+                             update_source source)
 {
     if (!response)
         return record_failure(response.error(), source);
+    source.transfer_duration = progress_->duration(core_.now());
     progress_ = nullptr;
     if (response.value().status != 200)
         return;
--- a/modules/gateway/state/update_fetcher.hpp
+++ b/modules/gateway/state/update_fetcher.hpp
@@ -16,6 +16,8 @@
     std::string name;
     /** When it was asked for. */
     time_point asked_at{};
+    /** Time from its first bytes to the last. */
+    std::chrono::milliseconds transfer_duration{0};
 };
 
 /** The positions after which updates are wanted; version 0 for a whole table.
@@ -59,8 +61,9 @@
 private:
     /** Reads the positions from a request of fetch(). */
     static known_positions positions_of(const http_request& request);
-    void receive(const result<http_response>& response,
-                 const update_source& source);
+
+private:
+    void receive(const result<http_response>& response, update_source source);
     void record_failure(std::error_code problem, const update_source& source);
 
     process_core& core_;
--- a/modules/http/client/http_call.cpp
+++ b/modules/http/client/http_call.cpp
@@ -110,6 +110,8 @@
     for (;;)
     {
         progress.last_received_at = boot_clock::now();
+        if (!progress.first_received_at)
+            progress.first_received_at = progress.last_received_at;
         const std::chrono::milliseconds timeout =
             std::min(limits.max_silence, remaining_time(deadline));
         const result<std::string> bytes =
--- a/modules/http/client/transfer_progress.cpp
+++ b/modules/http/client/transfer_progress.cpp
@@ -11,4 +11,11 @@
     return has_arrived_lately || (has_unread_data && has_unread_data());
 }
 
+std::chrono::milliseconds transfer_progress::duration(time_point now) const
+{
+    return first_received_at ? std::chrono::ceil<std::chrono::milliseconds>(
+                                   now - *first_received_at)
+                             : std::chrono::milliseconds(0);
+}
+
 } // namespace hibiscusferry
--- a/modules/http/client/transfer_progress.hpp
+++ b/modules/http/client/transfer_progress.hpp
@@ -16,6 +16,8 @@
 {
     /** Bytes of the bodies of all responses, if there were several. */
     std::size_t received_bytes = 0;
+    /** When the first bytes of a response arrived; none before. */
+    std::optional<time_point> first_received_at;
     /** When the last bytes of a response arrived; none before the first. */
     std::optional<time_point> last_received_at;
     /** Returns whether bytes have arrived that have not been read, as this
@@ -26,6 +28,9 @@
         have not been read.
         @param max_silence  maximum time since the last bytes */
     bool is_moving(time_point now, std::chrono::milliseconds max_silence) const;
+
+    /** Time since the first bytes arrived; zero before. */
+    std::chrono::milliseconds duration(time_point now) const;
 };
 
 } // namespace hibiscusferry
