Refuse requests while a known newer configuration stays missing

A host that could not fetch a configuration handled requests as an older one says for as long as that lasted, also when it knew from another host that a newer one was in force. Callers got answers of services that their routes had left, or 404, which no client repeats.

While the store is away no host knows of a newer one, and all go on serving.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -250,6 +250,7 @@
 {
     return !is_draining_ && services_.fleet.routes() != nullptr &&
            services_.fleet.has_target_list() &&
+           !services_.fleet.is_configuration_overdue(services_.core.now()) &&
            !services_.fleet.will_refuse_credentials(services_.core.now());
 }
 
@@ -264,6 +265,10 @@
          {"draining", is_draining_ ? "yes" : "no"},
          {"has_configuration", services_.fleet.routes() ? "yes" : "no"},
          {"knows_targets", services_.fleet.has_target_list() ? "yes" : "no"},
+         {"configuration_overdue",
+          services_.fleet.is_configuration_overdue(services_.core.now())
+              ? "yes"
+              : "no"},
          {"verifies_keys",
           services_.fleet.will_refuse_credentials(services_.core.now())
               ? "no"
--- a/modules/gateway/protocol/caller_protocol.cpp
+++ b/modules/gateway/protocol/caller_protocol.cpp
@@ -7,7 +7,7 @@
 
 std::string_view to_text(refusal_cause reason)
 {
-    constexpr std::array<std::string_view, 17> names{"no_configuration",
+    constexpr std::array<std::string_view, 18> names{"no_configuration",
                                                      "no_route",
                                                      "bad_request",
                                                      "no_target",
@@ -23,7 +23,8 @@
                                                      "target_limit",
                                                      "request_suspected",
                                                      "unknown_credentials",
-                                                     "credentials_unverified"};
+                                                     "credentials_unverified",
+                                                     "configuration_outdated"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/modules/gateway/protocol/caller_protocol.hpp
+++ b/modules/gateway/protocol/caller_protocol.hpp
@@ -57,7 +57,8 @@
     target_limit,           ///< the limits that targets state are used up
     request_suspected,      ///< targets crashed under the same request
     unknown_credentials,    ///< no workspace has the key of the request
-    credentials_unverified  ///< this host cannot be sure that the key is valid
+    credentials_unverified, ///< this host cannot be sure that the key is valid
+    configuration_outdated ///< this host lacks a configuration that others have
 };
 
 /** Returns the name under which a cause is reported to callers, in the log and
--- a/modules/gateway/request/request_forwarder.cpp
+++ b/modules/gateway/request/request_forwarder.cpp
@@ -76,6 +76,11 @@
         refuse(refusal_cause::no_configuration, no_target_backlog, yield);
         return false;
     }
+    if (services_.fleet.is_configuration_overdue(services_.core.now()))
+    {
+        refuse(refusal_cause::configuration_outdated, no_target_backlog, yield);
+        return false;
+    }
     context_.matched_route = context_.routes->find(
         context_.request.host, context_.request.message.path());
     if (context_.matched_route == nullptr)
--- a/modules/gateway/state/fleet_state.cpp
+++ b/modules/gateway/state/fleet_state.cpp
@@ -113,6 +113,14 @@
     return newer_configuration_;
 }
 
+bool fleet_state::is_configuration_overdue(time_point now) const
+{
+    return newer_configuration_.duration(now) >
+           propagation_schedule::divide(settings_.max_configuration_delay,
+                                        propagation_schedule::watched_table)
+               .longest_delay();
+}
+
 bool fleet_state::will_refuse_credentials(time_point now) const
 {
     return routes_ && routes_->configuration().workspaces &&
--- a/modules/gateway/state/fleet_state.hpp
+++ b/modules/gateway/state/fleet_state.hpp
@@ -68,6 +68,10 @@
     /** Since when this host has lacked a configuration that others have. */
     configuration_lag& newer_configuration();
 
+    /** Whether a configuration that others have has been missing for so long
+        that requests are refused rather than handled as an older one says. */
+    bool is_configuration_overdue(time_point now) const;
+
     /** Whether requests with valid keys will soon be refused, because this host
         cannot tell whether the keys are still valid. */
     bool will_refuse_credentials(time_point now) const;
