Compare the targets of a relay with the store every ten seconds

Relays read the list of targets whole every ten seconds now, one or two calls to the store each, and pass on what differs.

a_relay_finds_a_target_that_the_store_does_not_have is new; without the interval nothing reads the list again.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -519,10 +519,12 @@
     "automatically.")
 HIBISCUSFERRY_EVENT(1901, info, store_regained,
                     "The table service responds to this host again.", "")
-HIBISCUSFERRY_EVENT(1902, info, snapshot_taken,
-                    "A table was read completely, at startup or because the "
-                    "store no longer has the required history.",
-                    "")
+HIBISCUSFERRY_EVENT(
+    1902, info, snapshot_taken,
+    "A table was read completely: at startup, because the store "
+    "no longer has the required history, or by a relay to "
+    "compare its replica with the store.",
+    "")
 // 1903 (peer_state_taken) and 1904 (snapshot_stale) are retired.
 HIBISCUSFERRY_EVENT(1905, warning, peer_news_unreadable,
                     "A fleet update from another host could not be read; the "
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds due_check_period{50};
 
 constexpr std::chrono::milliseconds maintenance_period{100};
+/** Interval at which a relay compares the targets with the store. */
+constexpr std::chrono::seconds verification_interval{10};
 /** Minimum interval between writes of a missing own row. A shorter one would
     write the row again before the previous write could be read back. */
 constexpr std::chrono::milliseconds own_row_retry_interval{3000};
@@ -291,7 +293,12 @@
     const store_position known_position = replicas_.replica(table).as_of();
     bool& needs_snapshot = needs_snapshot_[static_cast<std::size_t>(table)];
     table_query query{store_table(table), known_position, wait};
-    if (known_position.version == 0 || needs_snapshot)
+    // Hosts compare their replicas with each other only, so that an error of a
+    // relay would be copied and never found.
+    const bool is_verification_due =
+        table == fleet_table::targets && is_relay_ &&
+        core_.now() - targets_verified_at_ >= verification_interval;
+    if (known_position.version == 0 || needs_snapshot || is_verification_due)
         query.after.reset();
     result<table_reading> reading =
         reader_.read(query, schedule(table).response_delay(), yield);
@@ -326,6 +333,8 @@
         {"store", asked_at, reading.value().transfer_duration});
     if (is_applied && is_snapshot)
         needs_snapshot = false;
+    if (is_applied && is_snapshot && table == fleet_table::targets)
+        targets_verified_at_ = core_.now();
     const bool is_row_unreadable =
         unreadable_rows > 0 && table == fleet_table::configuration;
     if (is_applied && !needs_snapshot && !is_row_unreadable)
@@ -355,7 +364,7 @@
                                   const update_source& source)
 {
     using apply_function =
-        void (state_follower::*)(const table_changes&, const update_source&);
+        void (state_follower::*)(table_changes, const update_source&);
     constexpr std::array<apply_function, fleet_table_count> apply_functions{
         &state_follower::apply_configuration, &state_follower::apply_targets,
         &state_follower::apply_hosts};
@@ -389,7 +398,7 @@
         update.is_snapshot ? replica.replace(std::move(update.changes))
                            : replica.apply(std::move(update.changes));
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
-        applied_changes, source);
+        std::move(applied_changes), source);
     if (update.table == fleet_table::configuration)
         fleet_.newer_configuration().record_own(replica.as_of());
     if (update.table == fleet_table::targets)
@@ -416,18 +425,21 @@
     {
         if (row.key != key)
             continue;
+        const std::size_t row_bytes = row.value.size();
+        const time_point read_at = core_.now();
         result<fleet_configuration> configuration =
             sources_.records.read_configuration(std::move(row.value),
                                                 configuration_text_);
         is_configuration_readable_ = configuration.has_value();
         if (configuration)
         {
+            const std::chrono::milliseconds parse_duration =
+                std::chrono::ceil<std::chrono::milliseconds>(core_.now() -
+                                                             read_at);
             fleet_.update_configuration(
                 std::move(configuration.value()), source.name,
                 {is_relay_, replicas_.age(fleet_table::configuration, now),
                  std::chrono::ceil<std::chrono::milliseconds>(now -
-        const std::size_t row_bytes = row.value.size();
-        const time_point read_at = core_.now();
                                                               source.asked_at),
                  monitor_.consecutive_failures(), row_bytes, parse_duration});
             log_large_configuration(
@@ -437,9 +449,6 @@
             continue;
         }
         core_.journal().record(event_number::configuration_unreadable,
-            const std::chrono::milliseconds parse_duration =
-                std::chrono::ceil<std::chrono::milliseconds>(core_.now() -
-                                                             read_at);
                                {{"row_version", std::to_string(row.version)},
                                 {"problem", configuration.error().message()},
                                 {"source", source.name}});
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -133,23 +133,25 @@
     host_directory directory_;
     std::unique_ptr<http_server> peer_server_;
     bool is_relay_ = false;
+    /** The newest configuration that could be parsed. */
+    configuration_text configuration_text_;
     /** Whether the newest configuration could be parsed. */
     bool is_configuration_readable_ = true;
     /** Tables to be read whole, because the changes received from a relay did
         not lead to the same digest. Until then the replica may lack rows. */
     std::array<bool, fleet_table_count> needs_snapshot_{};
-    /** The newest configuration that could be parsed. */
-    configuration_text configuration_text_;
+    /** Until when updates of each table are not asked for, because a whole
+       table has not led to the digest of its sender, and would not do so again.
+     */
+    std::array<time_point, fleet_table_count> next_fetch_at_{};
     /** When the target rows were last asked for; zero after a failure. */
     time_point targets_read_at_{};
+    /** When all targets were last read from the store. */
+    time_point targets_verified_at_{};
     /** The largest number of rows of each table that were left out of a
         response of the table service. */
     std::array<std::size_t, fleet_table_count> unreadable_rows_{};
     /** Since when the newer configuration has been missing that was logged. */
-    /** Until when updates of each table are not asked for, because a whole
-       table has not led to the digest of its sender, and would not do so again.
-     */
-    std::array<time_point, fleet_table_count> next_fetch_at_{};
     std::optional<time_point> logged_missing_since_;
     bool is_serving_ = true;
     bool is_stopping_ = false;
--- a/modules/gateway/state/state_follower_test.cpp
+++ b/modules/gateway/state/state_follower_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/state/fake_store.hpp"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
@@ -236,6 +237,23 @@
     BOOST_TEST((confirmed_at() > confirmed_before));
 }
 
+// Replicas are compared with each other, so nothing else finds it.
+BOOST_AUTO_TEST_CASE(a_relay_finds_a_target_that_the_store_does_not_have)
+{
+    feed.put("targets/i-2", "v1");
+    start();
+    run(milliseconds(300));
+    BOOST_REQUIRE(fleet.catalogue().targets().count("i-2") == 1U);
+    std::vector<table_row>& rows = feed.tables["targets"].rows;
+    rows.erase(std::remove_if(rows.begin(), rows.end(),
+                              [](const table_row& row)
+                              { return row.key == "targets/i-2"; }),
+               rows.end());
+    run(std::chrono::milliseconds(11000));
+    BOOST_TEST(fleet.catalogue().targets().count("i-1") == 1U);
+    BOOST_TEST(fleet.catalogue().targets().count("i-2") == 0U);
+}
+
 // Another host may know a target whose row the store has lost.
 BOOST_AUTO_TEST_CASE(a_restored_store_starts_the_observation_of_versions_anew)
 {
--- a/modules/gateway/state/update_fetcher.cpp
+++ b/modules/gateway/state/update_fetcher.cpp
@@ -133,6 +133,7 @@
     return !request.query(compression_parameter).empty();
 }
 
+known_positions update_fetcher::positions_of(const http_request& request)
 {
     known_positions known{};
     for (std::size_t index = 0; index < known.size(); ++index)
--- a/modules/gateway/state/update_fetcher.hpp
+++ b/modules/gateway/state/update_fetcher.hpp
@@ -57,8 +57,6 @@
        former versions do not. */
     static bool accepts_compressed_rows(const http_request& request);
 
-
-private:
     /** Reads the positions from a request of fetch(). */
     static known_positions positions_of(const http_request& request);
 
