--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -140,9 +140,8 @@
     /** Tables to be read whole, because the changes received from a relay did
         not lead to the same digest. Until then the replica may lack rows. */
     std::array<bool, fleet_table_count> needs_snapshot_{};
-    /** Until when updates of each table are not asked for, because a whole
-       table has not led to the digest of its sender, and would not do so again.
-     */
+    /** Until when updates of each table are not asked for, as a whole table has
+        not led to the digest of its sender. */
     std::array<time_point, fleet_table_count> next_fetch_at_{};
     /** When the target rows were last asked for; zero after a failure. */
     time_point targets_read_at_{};
--- a/modules/gateway/state/table_reader.hpp
+++ b/modules/gateway/state/table_reader.hpp
@@ -72,8 +72,8 @@
                  silence_handler on_silence);
 
     /** Reads a table.
-        @param response_delay  how long a response may take to begin, in
-       addition to the wait, or may stop, before the next read is sent
+        @param response_delay  time without any bytes of a response, in addition
+                               to the wait, before the next read is sent
         @returns the error of the last read if all of them failed */
     result<table_reading> read(const table_query& query,
                                std::chrono::milliseconds response_delay,
@@ -94,10 +94,12 @@
         bool is_moving(time_point now,
                        std::chrono::milliseconds max_silence) const;
 
+        /** The bytes that all reads have brought. */
+        std::size_t received_bytes() const;
+
         boost::asio::steady_timer timer;
         unsigned pending = 0;
-        /** Of all reads. */
-        std::size_t received_bytes() const;
+        /** Of each read. */
         std::vector<std::shared_ptr<transfer_progress>> progress;
         /** The first reading, or the last error until there is one. */
         std::optional<result<table_reading>> outcome;
--- a/modules/gateway/state/update_fetcher.hpp
+++ b/modules/gateway/state/update_fetcher.hpp
@@ -53,8 +53,8 @@
     /** The size of the part of a response that has arrived. */
     std::size_t received_bytes() const;
 
-    /** Whether the sender of a request restores compressed rows. Hosts of
-       former versions do not. */
+    /** Whether the sender of a request restores compressed rows; hosts of
+        former versions do not. */
     static bool accepts_compressed_rows(const http_request& request);
 
     /** Reads the positions from a request of fetch(). */
