--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -364,7 +364,7 @@
                                   const update_source& source)
 {
     using apply_function =
-        void (state_follower::*)(table_changes, const update_source&);
+        void (state_follower::*)(table_changes&, const update_source&);
     constexpr std::array<apply_function, fleet_table_count> apply_functions{
         &state_follower::apply_configuration, &state_follower::apply_targets,
         &state_follower::apply_hosts};
@@ -398,7 +398,7 @@
         update.is_snapshot ? replica.replace(std::move(update.changes))
                            : replica.apply(std::move(update.changes));
     (this->*apply_functions[static_cast<std::size_t>(update.table)])(
-        std::move(applied_changes), source);
+        applied_changes, source);
     if (update.table == fleet_table::configuration)
         fleet_.newer_configuration().record_own(replica.as_of());
     if (update.table == fleet_table::targets)
@@ -416,7 +416,7 @@
         fleet_.confirm_target_list(as_of);
 }
 
-void state_follower::apply_configuration(table_changes changes,
+void state_follower::apply_configuration(table_changes& changes,
                                          const update_source& source)
 {
     const std::string key = sources_.records.configuration_key();
@@ -474,7 +474,7 @@
          {"limit_ms", std::to_string(limit.count())}});
 }
 
-void state_follower::apply_targets(table_changes changes,
+void state_follower::apply_targets(table_changes& changes,
                                    const update_source& source)
 {
     const time_point now = core_.now();
@@ -530,10 +530,10 @@
         if (record && is_used == is_listener_of_host(record.value().endpoint))
             changes.rows.push_back(row);
     }
-    apply_targets(std::move(changes), source);
+    apply_targets(changes, source);
 }
 
-void state_follower::apply_hosts(table_changes, const update_source& source)
+void state_follower::apply_hosts(table_changes&, const update_source& source)
 {
     const std::set<std::string> former_addresses = directory_.addresses();
     directory_.set_rows(replicas_.replica(fleet_table::hosts).rows(),
--- a/modules/gateway/state/state_follower.hpp
+++ b/modules/gateway/state/state_follower.hpp
@@ -104,10 +104,11 @@
                                  std::chrono::milliseconds processing_duration);
     /** Logs that rows were left out, unless as many were before. */
     void log_unreadable_rows(fleet_table table, std::size_t rows);
-    void apply_configuration(table_changes changes,
+    /** Takes the text of the configuration out of the changes. */
+    void apply_configuration(table_changes& changes,
                              const update_source& source);
-    void apply_targets(table_changes changes, const update_source& source);
-    void apply_hosts(table_changes changes, const update_source& source);
+    void apply_targets(table_changes& changes, const update_source& source);
+    void apply_hosts(table_changes& changes, const update_source& source);
 
     /** Parses the row of a target, which has to be another machine's than one
         of the hosts: what a host sends to itself comes back. */
--- a/modules/sharing/replication/fleet_replicas_test.cpp
+++ b/modules/sharing/replication/fleet_replicas_test.cpp
@@ -209,9 +209,12 @@
     fleet_replicas host(content_hash);
     put_configuration(relay, large_text(-1, 0), 10);
     put_configuration(host, large_text(-1, 0), 10);
+    row_version row = 10;
     for (int version = 1; version <= 20; ++version)
-        put_configuration(relay, large_text(version, version),
-                          static_cast<row_version>(10 + 10 * version));
+    {
+        row += 10;
+        put_configuration(relay, large_text(version, version), row);
+    }
     std::size_t bytes = 0;
     std::vector<table_update> updates = receive(relay, {0, 10}, bytes);
     BOOST_REQUIRE(host.restore_rows(updates.front()).has_value());
