--- a/fuzz/table_update_fuzzer.cpp
+++ b/fuzz/table_update_fuzzer.cpp
@@ -15,8 +15,10 @@
     const time_point now{std::chrono::hours(1000)};
     fleet_replicas replicas([](const table_row& row)
                             { return stable_hash(row.value); });
-    for (const table_update& update : decoded.value())
+    for (table_update update : decoded.value())
     {
+        if (!replicas.restore_rows(update))
+            continue;
         table_replica& replica = replicas.replica(update.table);
         if (update.is_snapshot)
             replica.replace(update.changes);
