--- a/modules/gateway/state/configuration_lag.cpp
+++ b/modules/gateway/state/configuration_lag.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-/** Positions that are told apart. Later ones replace the last of them. */
+/** Positions that have a time of their own. Later ones replace the last. */
 constexpr std::size_t max_positions = 16;
 
 } // namespace
