Review: a request inside the body of another one is run

Cause: read_request() does not check Transfer-Encoding, and the parser takes a request whose last coding is not chunked as one without a body. What follows is read as the next request. Change: case 7 of the review, a script, with a stand-in of an application server.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,4 @@
         review/support_2/*.cpp "$2" -o "target/review-2/$1"
 }
 build late_order review/6/late_order.cpp
+build smuggled_request review/7/smuggled_request.cpp
