Review: number the late order as case 8

Cause: the cases are numbered by their gravity, and a graver one comes first. Change: case 6 becomes case 8; the stand-ins start the program of the deploy file only.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,5 +8,5 @@
     "${CXX:-g++}" -std=c++17 -O1 -Wall -Wextra -pthread \
         review/support_2/*.cpp "$2" -o "target/review-2/$1"
 }
-build late_order review/6/late_order.cpp
+build late_order review/8/late_order.cpp
 build smuggled_request review/7/smuggled_request.cpp
--- a/review/support_2/host_process.cpp
+++ b/review/support_2/host_process.cpp
@@ -91,9 +91,7 @@
     const int output =
         ::open(output_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     const std::string variable = "HIBISCUSFERRY_SETTINGS=" + settings_path_;
-    const char* const program = std::getenv("REVIEW_PROGRAM");
-    const std::string path =
-        program != nullptr ? program : "target/hibiscusferry";
+    const std::string path = "target/hibiscusferry";
     const char* const arguments[] = {path.c_str(), nullptr};
     const char* const environment[] = {variable.c_str(), nullptr};
     id_ = ::fork();
