Review: servers that read slowly end a process by its memory

Cause: two places that mean to free a request's body assign an empty string, which keeps the memory with libstdc++, so a request holds its body three times where the budget counts two. Change: case 6 of the review, a script; the application stand-in can read slowly.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,4 @@
 }
 build late_order review/8/late_order.cpp
 build smuggled_request review/7/smuggled_request.cpp
+build slow_servers review/6/slow_servers.cpp
--- a/review/support_2/application.cpp
+++ b/review/support_2/application.cpp
@@ -11,9 +11,25 @@
 
 constexpr std::int64_t beat_ms = 1200;
 constexpr std::int64_t run_ms = 15;
+/** Links have small windows. */
+constexpr int buffer_bytes = 64 << 10;
 
 } // namespace
 
+std::atomic<std::int64_t> application::bytes_per_s{0};
+
+void run_log::add_received(const std::string& id)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    received_.insert(id);
+}
+
+bool run_log::has_received(const std::string& id) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return received_.count(id) > 0;
+}
+
 void run_log::add(const run_request& request)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -30,8 +46,9 @@
                          const std::string& zone, store& rows, run_log& log)
     : id_(id)
     , log_(log)
-    , listener_({ip, 0},
-                [this](tcp_socket socket) { serve(std::move(socket)); })
+    , listener_(
+          {ip, 0}, [this](tcp_socket socket) { serve(std::move(socket)); },
+          buffer_bytes)
 {
     std::thread(
         [this, zone, &rows]
@@ -59,7 +76,13 @@
 {
     std::string buffer;
     http_message request;
-    while (read_message(socket, buffer, request, now_ms() + 600000, false))
+    socket.limit_reading(bytes_per_s);
+    const auto on_head = [this](const http_message& head)
+    {
+        log_.add_received(head.value("X-Request-Id"));
+    };
+    while (read_message(socket, buffer, request, now_ms() + 600000, false,
+                        on_head))
     {
         const std::string id = request.value("X-Request-Id");
         const std::string expected = request.value("X-Expect-Instance");
@@ -71,7 +94,8 @@
             answer = response_text(400, "", {{"X-Not-Executed", "1"}});
         else
         {
-            log_.add({id, request.method(), request.target(), request.body});
+            log_.add({id, request.method(), request.target(),
+                      request.body.substr(0, 1000)});
             record("server " + id_ + " runs " + request.method() + " " +
                    request.target() + " id " + id + ", body of " +
                    std::to_string(request.body.size()) + " bytes");
@@ -95,7 +119,10 @@
            R"("max-attempts":1},{"name":"lookup","hostname":"h.example",)"
            R"("prefix":"/lookup/","kind":"idempotent","timeout-ms":1000,)"
            R"("target-latency-ms":100,"priority":2,"service":"desk",)"
-           R"("max-attempts":2}],"services":[{"name":"desk",)"
+           R"("max-attempts":2},{"name":"upload","hostname":"h.example",)"
+           R"("prefix":"/upload/","kind":"non_idempotent","timeout-ms":4000,)"
+           R"("target-latency-ms":100,"priority":2,"service":"desk",)"
+           R"("max-attempts":1}],"services":[{"name":"desk",)"
            R"("health-path":"/health","max-connections":96,"protocol":"h1",)"
            R"("tls":false}],"limits":{"max-header-bytes":16384,)"
            R"("max-body-bytes":4194304,"header-timeout-ms":5000,)"
--- a/review/support_2/application.hpp
+++ b/review/support_2/application.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_REVIEW_SUPPORT_2_APPLICATION_HPP
 
 #include "store.hpp"
+#include <set>
 
 namespace review
 {
@@ -22,9 +23,14 @@
     void add(const run_request& request);
     std::vector<run_request> requests() const;
 
+    /** The head of a request has arrived. */
+    void add_received(const std::string& id);
+    bool has_received(const std::string& id) const;
+
 private:
     mutable std::mutex mutex_;
     std::vector<run_request> requests_;
+    std::set<std::string> received_;
 };
 
 /** A sound application server. */
@@ -35,6 +41,10 @@
     application(const std::string& ip, const std::string& id,
                 const std::string& zone, store& rows, run_log& log);
 
+    /** How many bytes a second all application servers read from each
+        connection; 0 for no limit. */
+    static std::atomic<std::int64_t> bytes_per_s;
+
 private:
     void serve(tcp_socket socket);
 
--- a/review/support_2/sockets.cpp
+++ b/review/support_2/sockets.cpp
@@ -138,12 +138,14 @@
 
 tcp_socket::tcp_socket(tcp_socket&& other) noexcept
     : descriptor_(std::exchange(other.descriptor_, -1))
+    , bytes_per_s_(other.bytes_per_s_)
 {
 }
 
 tcp_socket& tcp_socket::operator=(tcp_socket&& other) noexcept
 {
     std::swap(descriptor_, other.descriptor_);
+    std::swap(bytes_per_s_, other.bytes_per_s_);
     return *this;
 }
 
@@ -203,9 +205,19 @@
     if (count < 0)
         return -2;
     bytes.append(chunk, static_cast<std::size_t>(count));
+    const std::int64_t rate =
+        bytes_per_s_ != nullptr ? bytes_per_s_->load() : 0;
+    if (rate > 0)
+        std::this_thread::sleep_for(
+            std::chrono::microseconds(1000000 * count / rate));
     return static_cast<int>(count);
 }
 
+void tcp_socket::limit_reading(const std::atomic<std::int64_t>& bytes_per_s)
+{
+    bytes_per_s_ = &bytes_per_s;
+}
+
 void tcp_socket::shutdown_write()
 {
     ::shutdown(descriptor_, SHUT_WR);
@@ -259,7 +271,8 @@
 
 bool read_message(tcp_socket& socket, std::string& buffer,
                   http_message& message, std::int64_t deadline_ms,
-                  bool is_response)
+                  bool is_response,
+                  const std::function<void(const http_message&)>& on_head)
 {
     message = {};
     if (!read_line(socket, buffer, message.start_line, deadline_ms))
@@ -276,6 +289,8 @@
             message.fields.emplace_back(line.substr(0, colon),
                                         trimmed(line.substr(colon + 1)));
     }
+    if (on_head)
+        on_head(message);
     const std::string length = message.value("Content-Length");
     if (::strcasecmp(message.value("Transfer-Encoding").c_str(), "chunked") ==
         0)
@@ -314,12 +329,15 @@
 // ========================================================================
 // listener
 
-listener::listener(const address& at, handler serve)
+listener::listener(const address& at, handler serve, int buffer_bytes)
     : at_(at)
     , descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     const int one = 1;
     ::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (buffer_bytes > 0)
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                     sizeof buffer_bytes);
     sockaddr_in local = to_sockaddr(at);
     if (::bind(descriptor_, reinterpret_cast<const sockaddr*>(&local),
                sizeof local) != 0 ||
--- a/review/support_2/sockets.hpp
+++ b/review/support_2/sockets.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_REVIEW_SUPPORT_2_SOCKETS_HPP
 #define HIBISCUSFERRY_REVIEW_SUPPORT_2_SOCKETS_HPP
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -53,6 +54,10 @@
                  connection, -1 on a timeout, -2 on a reset */
     int read(std::string& bytes, int timeout_ms);
 
+    /** Reads this many bytes a second from now on, while the number isn't 0.
+        @param bytes_per_s  must outlive the socket */
+    void limit_reading(const std::atomic<std::int64_t>& bytes_per_s);
+
     void shutdown_write();
     /** Closes the connection with a reset. */
     void reset();
@@ -60,6 +65,7 @@
 
 private:
     int descriptor_;
+    const std::atomic<std::int64_t>* bytes_per_s_ = nullptr;
 };
 
 /** A request or a response. */
@@ -78,10 +84,12 @@
 };
 
 /** Reads a message; `buffer` holds what was read beyond it.
+    @param on_head  is called when the head has been read
     @returns whether a head was read. The body may be incomplete. */
 bool read_message(tcp_socket& socket, std::string& buffer,
                   http_message& message, std::int64_t deadline_ms,
-                  bool is_response);
+                  bool is_response,
+                  const std::function<void(const http_message&)>& on_head = {});
 
 /** The text of a response with a body of known length. */
 std::string
@@ -94,8 +102,9 @@
 public:
     using handler = std::function<void(tcp_socket)>;
 
-    /** @param at  port 0 selects a free one */
-    listener(const address& at, handler serve);
+    /** @param at             port 0 selects a free one
+        @param buffer_bytes  the size of the receive buffers; 0 leaves them */
+    listener(const address& at, handler serve, int buffer_bytes = 0);
 
     const address& at() const;
 
