Refuse requests whose length is not certain

What callers saw: a client sent one request with a transfer coding that does not end in "chunked"; its body held another request.

Cause: the parser leaves codings that it does not know to its user, and takes a request without a length and without chunks as one without a body. Nothing checked the framing, so the body was read as the next request. The same cause: "gzip" before Content-Length was accepted, with any length; "gzip, chunked" was forwarded as coded bytes without the field; HTTP/1.0 with a coding.

Change: check_framing() states the rule once (RFC 9112, 6.1 to 6.3), and read_request() applies it when the head is complete, before 100 (Continue) and before a byte of the body. The answer is 400, or 501 where "chunked" follows another coding; the connection is closed. Metric and event with their own causes.

--- a/modules/gateway/process/gateway_service.cpp
+++ b/modules/gateway/process/gateway_service.cpp
@@ -41,7 +41,9 @@
            cause == exchange_failure_cause::write_timeout ||
            cause == exchange_failure_cause::response_incomplete ||
            cause == exchange_failure_cause::handler_exception ||
-           cause == exchange_failure_cause::server_closed;
+           cause == exchange_failure_cause::server_closed ||
+           cause == exchange_failure_cause::request_length_unknown ||
+           cause == exchange_failure_cause::request_coding_unknown;
 }
 
 } // namespace
--- a/modules/http/errors/http_error.cpp
+++ b/modules/http/errors/http_error.cpp
@@ -42,6 +42,10 @@
             return "too little memory for the HTTP message";
         case http_error::address_in_use:
             return "address is in use";
+        case http_error::unknown_length:
+            return "length of the HTTP message is not certain";
+        case http_error::unknown_coding:
+            return "transfer coding of the HTTP message is not supported";
         }
         return "unknown http error";
     }
--- a/modules/http/errors/http_error.hpp
+++ b/modules/http/errors/http_error.hpp
@@ -19,7 +19,9 @@
     connection_refused, ///< nothing listens at the address; nothing was sent
     too_many_fields,    ///< the header has more fields than allowed
     memory_short,       ///< the memory for clients is used up
-    address_in_use      ///< another socket listens at the address
+    address_in_use,     ///< another socket listens at the address
+    unknown_length,     ///< the head leaves in doubt where the body ends
+    unknown_coding      ///< the body has a transfer coding besides "chunked"
 };
 
 const std::error_category& http_error_category();
--- a/modules/http/http.cpp
+++ b/modules/http/http.cpp
@@ -8,6 +8,7 @@
 #include "http/errors/http_error.cpp"
 #include "http/message/event_stream_parser.cpp"
 #include "http/message/http_message.cpp"
+#include "http/message/message_framing.cpp"
 #include "http/message/url_encoding.cpp"
 #include "http/server/exchange_failure.cpp"
 #include "http/server/http_exchange.cpp"
--- a/modules/http/server/beast_support.hpp
+++ b/modules/http/server/beast_support.hpp
@@ -27,6 +27,9 @@
         error == beast_http::error::header_limit ||
         error == beast_http::error::buffer_overflow)
         return make_error_code(http_error::too_large);
+    if (error == beast_http::error::bad_content_length ||
+        error == beast_http::error::bad_transfer_encoding)
+        return make_error_code(http_error::unknown_length);
     const bool is_end = error == beast_http::error::end_of_stream ||
                         error == beast_http::error::partial_message;
     if (!is_end &&
--- a/modules/http/server/exchange_failure.hpp
+++ b/modules/http/server/exchange_failure.hpp
@@ -27,7 +27,9 @@
     too_many_fields,     ///< the header has more fields than allowed
     memory_short,        ///< refused: the memory for clients is used up
     slow_client_dropped, ///< its memory was needed for other clients
-    connection_dropped   ///< its descriptor was needed for a new connection
+    connection_dropped,  ///< its descriptor was needed for a new connection
+    request_length_unknown, ///< its head leaves in doubt where its body ends
+    request_coding_unknown  ///< its body has an unsupported transfer coding
 };
 
 /** Returns the name of a cause, such as "write_timeout". */
--- a/modules/http/server/http_server.cpp
+++ b/modules/http/server/http_server.cpp
@@ -312,6 +312,10 @@
         failure.cause = exchange_failure_cause::too_many_fields;
     else if (reason == http_error::memory_short)
         failure.cause = exchange_failure_cause::memory_short;
+    else if (reason == http_error::unknown_length)
+        failure.cause = exchange_failure_cause::request_length_unknown;
+    else if (reason == http_error::unknown_coding)
+        failure.cause = exchange_failure_cause::request_coding_unknown;
     failure.client = remote_endpoint(connection);
     report(failure, started);
 }
--- a/modules/http/server/request_reader.cpp
+++ b/modules/http/server/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/server/request_reader.hpp"
 
+#include "http/message/message_framing.hpp"
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
@@ -245,6 +246,12 @@
     const field_sizes fields = measure_fields(parser.get());
     if (!error && fields.count > max_fields)
         return make_error_code(http_error::too_many_fields);
+    const result<void> framing =
+        error || connection.drop_cause
+            ? outcome::success()
+            : check_framing(parser.get().version(), parser.get());
+    if (!framing)
+        return framing.error();
     const std::size_t fixed_bytes = connection_bytes + max_buffered +
                                     fields.count * received_field_bytes +
                                     fields.bytes;
@@ -297,6 +304,8 @@
         status = 431;
     else if (reason == http_error::memory_short)
         status = 503;
+    else if (reason == http_error::unknown_coding)
+        status = 501;
 
     server_exchange exchange(connection, {}, boot_clock::now(), false);
     http_response response =
