Refuse bytes that are no valid response

What callers saw: an answer of a target with status 000 was passed on, with the target's signature (MIXED). So were 099, 600 and 999, and a 200 whose body was the frames of chunks ("chunked, gzip", "xchunked") or lacked its last bytes ("gzip", then Content-Length: 4).

Cause: http_connection::read_head() passed on whatever the parser accepts: any three digits as status, all of 1xx as interim, also 101, and codings that it does not know as a body up to the end of the connection.

Change: check_response_head() decides for targets, streams, the store, other hosts, duty calls and orders, as all of them read through http_connection. What fails is a broken attempt: nothing in it is believed, the connection is closed, and no later byte of it is read. Counted by cause and logged as response_invalid, from the pool of connections. 204 and 1xx that announce a body are refused as well, since the body would be read as the next response.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -103,6 +103,12 @@
     "The host received more requests than its processor can handle, and "
     "refused the given number of them without processing them.",
     "")
+HIBISCUSFERRY_EVENT(
+    1115, warning, response_invalid,
+    "A target, the store or another host sent bytes that are no valid "
+    "response; "
+    "the connection was closed. They do not show whether the request ran.",
+    "")
 
 // 1200-1299 claims (at most once)
 HIBISCUSFERRY_EVENT(1200, warning, claim_not_written,
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/client/http_connection.hpp"
 
+#include "http/message/message_framing.hpp"
 #include "http/server/beast_support.hpp"
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -157,8 +158,13 @@
     std::optional<std::chrono::seconds> keep_alive_timeout;
     /** Hashes of the ids of all exchanges. */
     std::vector<std::uint64_t> exchange_ids;
+    invalid_response_observer on_invalid_response;
+    bool has_invalid_response = false;
 
     void begin_response();
+    /** Handles the error of a read. If the response is not valid, no later
+       bytes are read, as nothing tells where the next response begins. */
+    std::error_code fail_read(std::error_code error);
     bool is_interim_response() const;
     /** Whether the response has ended with its connection, which may have been
         reset. */
@@ -174,6 +180,21 @@
     parser->skip(is_head_request);
 }
 
+std::error_code
+http_connection::implementation::fail_read(std::error_code error)
+{
+    if (!is_invalid_message(error))
+        return error;
+    has_invalid_response = true;
+    is_reusable = false;
+    parser = nullptr;
+    buffer.clear();
+    stream.close();
+    if (on_invalid_response)
+        on_invalid_response(endpoint, error);
+    return error;
+}
+
 bool http_connection::implementation::is_interim_response() const
 {
     return beast_http::to_status_class(parser->get().result_int()) ==
@@ -277,11 +298,16 @@
                                       implementation_->buffer,
                                       *implementation_->parser, yield[error]);
         if (error)
-            return limit.to_error(error);
+            return implementation_->fail_read(limit.to_error(error));
+        const result<void> validity =
+            check_response_head(implementation_->parser->get());
+        if (!validity)
+            return implementation_->fail_read(validity.error());
         if (!implementation_->is_interim_response())
             break;
         if (++implementation_->interim_responses > max_interim_responses)
-            return make_error_code(http_error::bad_message);
+            return implementation_->fail_read(
+                make_error_code(http_error::bad_message));
         implementation_->begin_response();
     }
 
@@ -295,7 +321,8 @@
     for (const beast_http::fields::value_type& field : message)
     {
         if (head.headers.fields().size() == max_response_fields)
-            return make_error_code(http_error::too_large);
+            return implementation_->fail_read(
+                make_error_code(http_error::too_large));
         head.headers.add(std::string(field.name_string()),
                          std::string(field.value()));
     }
@@ -324,7 +351,7 @@
                                     yield[error]);
         const bool is_buffer_full = error == beast_http::error::need_buffer;
         if (error && !is_buffer_full)
-            return limit.to_error(error);
+            return implementation_->fail_read(limit.to_error(error));
         chunk.resize(chunk.size() - parser.get().body().size);
     }
     if (chunk.empty() && implementation_->has_ambiguous_end())
@@ -355,7 +382,7 @@
         beast_http::read_some(implementation_->stream.socket(),
                               implementation_->buffer, parser, error);
         if (error && error != beast_http::error::need_buffer)
-            return to_http_error(error);
+            return implementation_->fail_read(to_http_error(error));
         chunk.resize(chunk.size() - parser.get().body().size);
         bytes.value() += chunk;
     }
@@ -395,6 +422,11 @@
     }
 }
 
+void http_connection::on_invalid_response(invalid_response_observer observer)
+{
+    implementation_->on_invalid_response = std::move(observer);
+}
+
 void http_connection::add_exchange_id(std::string_view id)
 {
     implementation_->exchange_ids.push_back(stable_hash(id));
@@ -439,7 +471,8 @@
 
 bool http_connection::has_received() const
 {
-    return implementation_->buffer.size() > 0 ||
+    return implementation_->has_invalid_response ||
+           implementation_->buffer.size() > 0 ||
            (implementation_->parser && implementation_->parser->got_some());
 }
 
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,11 @@
 namespace hibiscusferry
 {
 
+/** Called for each response that is not valid, with the endpoint that sent it
+   and the reason; see is_invalid_message(). */
+using invalid_response_observer =
+    std::function<void(const http_endpoint&, std::error_code)>;
+
 /** A client connection that carries one exchange at a time.
 
     Call send(), then read_head(), then read_some() until it returns an empty
@@ -57,9 +63,16 @@
         After http_error::timed_out the connection is still open, and the read
         can be continued with another call; this also holds for read_some().
 
+        The connection is closed if what has arrived is no valid response;
+        is_invalid_message() tells such errors. They say nothing on whether the
+        request has run.
+
         @param timeout  maximum time until the head is complete
-        @returns http_error::bad_message if interim responses do not end, or
-                 http_error::too_large if the head exceeds 32 KB or 256 fields
+        @returns http_error::bad_message if the head is malformed or interim
+                 responses do not end, http_error::too_large if the head exceeds
+                 32 KB or 256 fields, http_error::unknown_status if the status
+       is 101 or not from 100 to 599, http_error::unknown_length if the length
+       of the body is not certain, or http_error::unknown_coding if it is coded
     */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
@@ -94,6 +107,9 @@
                                        std::chrono::milliseconds timeout,
                                        boost::asio::yield_context yield);
 
+    /** Sets a function that is called if a response is not valid. */
+    void on_invalid_response(invalid_response_observer observer);
+
     /** Maximum number of exchanges with an id over one connection, so that the
         memory for the ids is limited. */
     static constexpr std::size_t max_identified_exchanges = 512;
--- a/modules/http/client/http_connection_pool.cpp
+++ b/modules/http/client/http_connection_pool.cpp
@@ -20,6 +20,12 @@
 {
 }
 
+void http_connection_pool::on_invalid_response(
+    invalid_response_observer observer)
+{
+    on_invalid_response_ = std::move(observer);
+}
+
 result<std::unique_ptr<http_connection>>
 http_connection_pool::take(const http_endpoint& endpoint,
                            std::chrono::milliseconds timeout,
@@ -74,7 +80,11 @@
                            std::chrono::milliseconds timeout,
                            boost::asio::yield_context yield)
 {
-    return http_connection::connect(context_, endpoint, timeout, yield);
+    result<std::unique_ptr<http_connection>> connection =
+        http_connection::connect(context_, endpoint, timeout, yield);
+    if (connection)
+        connection.value()->on_invalid_response(on_invalid_response_);
+    return connection;
 }
 
 void http_connection_pool::release(std::unique_ptr<http_connection> connection)
--- a/modules/http/client/http_connection_pool.hpp
+++ b/modules/http/client/http_connection_pool.hpp
@@ -22,6 +22,10 @@
 
     explicit http_connection_pool(boost::asio::io_context& context);
 
+    /** Sets a function that is called for each response that is not valid, over
+        connections that are opened from now on. */
+    void on_invalid_response(invalid_response_observer observer);
+
     /** Returns a usable idle connection, or opens a new one. */
     result<std::unique_ptr<http_connection>>
     take(const http_endpoint& endpoint, std::chrono::milliseconds timeout,
@@ -74,6 +78,7 @@
     };
 
     boost::asio::io_context& context_;
+    invalid_response_observer on_invalid_response_;
     std::map<http_endpoint, std::deque<idle_connection>> idle_;
 };
 
--- a/modules/http/errors/http_error.cpp
+++ b/modules/http/errors/http_error.cpp
@@ -1,5 +1,6 @@
 #include "http/errors/http_error.hpp"
 
+#include <array>
 #include <string>
 
 namespace hibiscusferry
@@ -46,6 +47,8 @@
             return "length of the HTTP message is not certain";
         case http_error::unknown_coding:
             return "transfer coding of the HTTP message is not supported";
+        case http_error::unknown_status:
+            return "status of the HTTP response is not valid";
         }
         return "unknown http error";
     }
@@ -64,4 +67,37 @@
     return {static_cast<int>(error), http_error_category()};
 }
 
+namespace
+{
+
+struct invalid_message
+{
+    http_error error;
+    std::string_view cause;
+};
+
+constexpr std::array<invalid_message, 5> invalid_messages{
+    {{http_error::bad_message, "malformed"},
+     {http_error::too_large, "too_large"},
+     {http_error::unknown_length, "length_unknown"},
+     {http_error::unknown_coding, "coding_unknown"},
+     {http_error::unknown_status, "status_unknown"}}};
+
+} // namespace
+
+bool is_invalid_message(std::error_code error)
+{
+    return !invalid_message_cause(error).empty();
+}
+
+std::string_view invalid_message_cause(std::error_code error)
+{
+    for (const invalid_message& candidate : invalid_messages)
+    {
+        if (error == candidate.error)
+            return candidate.cause;
+    }
+    return {};
+}
+
 } // namespace hibiscusferry
--- a/modules/http/errors/http_error.hpp
+++ b/modules/http/errors/http_error.hpp
@@ -1,6 +1,7 @@
 #ifndef HIBISCUSFERRY_HTTP_ERRORS_HTTP_ERROR_HPP
 #define HIBISCUSFERRY_HTTP_ERRORS_HTTP_ERROR_HPP
 
+#include <string_view>
 #include <system_error>
 
 namespace hibiscusferry
@@ -21,12 +22,21 @@
     memory_short,       ///< the memory for clients is used up
     address_in_use,     ///< another socket listens at the address
     unknown_length,     ///< the head leaves in doubt where the body ends
-    unknown_coding      ///< the body has a transfer coding besides "chunked"
+    unknown_coding,     ///< the body has a transfer coding besides "chunked"
+    unknown_status      ///< the response has a status that is no answer
 };
 
 const std::error_category& http_error_category();
 std::error_code make_error_code(http_error error);
 
+/** Whether an error means that the received bytes are no valid message, rather
+    than that bytes are missing. */
+bool is_invalid_message(std::error_code error);
+
+/** The short name of such an error for metrics and events, such as
+    "length_unknown". */
+std::string_view invalid_message_cause(std::error_code error);
+
 } // namespace hibiscusferry
 
 template <>
--- a/modules/http/message/message_framing.cpp
+++ b/modules/http/message/message_framing.cpp
@@ -13,6 +13,12 @@
 constexpr std::string_view chunked_coding = "chunked";
 constexpr unsigned http_1_1 = 11;
 
+constexpr unsigned min_status = 100;
+constexpr unsigned min_final_status = 200;
+constexpr unsigned max_status = 599;
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned no_content = 204;
+
 bool is_digit(char character)
 {
     return character >= '0' && character <= '9';
@@ -103,4 +109,24 @@
                                            : http_error::unknown_length);
 }
 
+result<void> check_response_head(const beast_http::response_header<>& head)
+{
+    const unsigned status = head.result_int();
+    if (status < min_status || status > max_status ||
+        status == switching_protocols)
+        return make_error_code(http_error::unknown_status);
+    const result<void> framing = check_framing(head.version(), head);
+    if (!framing)
+        return framing;
+    // Such a response has no body, so that the bytes of one would be read as
+    // the next response.
+    const bool announces_body =
+        head.count(beast_http::field::transfer_encoding) > 0 ||
+        (head.count(beast_http::field::content_length) > 0 &&
+         head[beast_http::field::content_length] != "0");
+    if (announces_body && (status < min_final_status || status == no_content))
+        return make_error_code(http_error::unknown_length);
+    return outcome::success();
+}
+
 } // namespace hibiscusferry
--- a/modules/process/core/process_core.cpp
+++ b/modules/process/core/process_core.cpp
@@ -23,6 +23,19 @@
     , journal_(clock_, settings_.timeline_events)
     , connections_(context_)
 {
+    connections_.on_invalid_response(
+        [this](const http_endpoint& peer, std::error_code problem)
+        {
+            const std::string cause(invalid_message_cause(problem));
+            metrics_
+                .counter_of("hibiscusferry_invalid_responses_total",
+                            "cause=\"" + cause + "\"")
+                .add();
+            journal_.record(event_number::response_invalid,
+                            {{"peer", peer.text()},
+                             {"cause", cause},
+                             {"problem", problem.message()}});
+        });
 }
 
 const std::string& process_core::id() const
