--- a/extras/soak/fault_set.cpp
+++ b/extras/soak/fault_set.cpp
@@ -14,7 +14,7 @@
 const std::vector<std::string> default_names{
     // Targets, for one request.
     "reset", "cut", "refuse", "idless_refusal", "late_copy", "own_error",
-    "own_promise", "early", "silence", "pause", "close", "unframed",
+    "own_promise", "early", "silence", "pause", "close", "unframed", "invalid",
     // Targets as a whole.
     "crash", "drain", "release",
     // Processes of the system.
@@ -22,7 +22,7 @@
     // The platform.
     "config", "target_proxy", "store_proxy",
     // Callers.
-    "leave", "large"};
+    "leave", "large", "framing"};
 
 /** Beyond what PROTOCOL.md says of targets, or not decided by it. */
 const std::vector<std::string> extra_names{
--- a/extras/soak/response_reader.cpp
+++ b/extras/soak/response_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdlib>
+#include <cstring>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -15,6 +16,83 @@
 namespace
 {
 
+bool is_digit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
+bool is_hex_digit(char character)
+{
+    return character != '\0' &&
+           std::strchr("0123456789abcdefABCDEF", character) != nullptr;
+}
+
+bool is_name_character(char character)
+{
+    return is_digit(character) || (character >= 'a' && character <= 'z') ||
+           (character >= 'A' && character <= 'Z') || character == '-';
+}
+
+bool is_value_character(char character)
+{
+    return character >= ' ' && character <= '~';
+}
+
+/** Returns what is wrong with a line of fields; empty if nothing is. */
+std::string problem_of_field(const std::string& line)
+{
+    const std::size_t colon = line.find(':');
+    const std::string name = line.substr(0, colon);
+    if (colon == std::string::npos || name.empty() ||
+        !std::all_of(name.begin(), name.end(), is_name_character))
+        return "name of a field in '" + line + "'";
+    if (!std::all_of(line.begin(), line.end(), is_value_character))
+        return "value of a field in '" + line + "'";
+    return {};
+}
+
+/** Returns what is wrong with the head of a response. Final responses with a
+    length, with chunks or up to the end of the connection are all that a
+   correct server sends here. */
+std::string problem_of_head(const std::string& text, const message_head& head)
+{
+    constexpr std::size_t status_begin = 9;
+    const std::string status = head.start_line.substr(
+        std::min(status_begin, head.start_line.size()), 4);
+    const bool is_status =
+        head.start_line.rfind("HTTP/1.1 ", 0) == 0 && status.size() == 4 &&
+        std::all_of(status.begin(), status.end() - 1, is_digit) &&
+        status[3] == ' ' && status[0] >= '2' && status[0] <= '5';
+    if (!is_status)
+        return "status line '" + head.start_line + "'";
+    std::size_t start = text.find("\r\n");
+    while (start != std::string::npos)
+    {
+        start += 2;
+        const std::size_t end = text.find("\r\n", start);
+        const std::string problem =
+            problem_of_field(text.substr(start, end - start));
+        if (!problem.empty())
+            return problem;
+        start = end;
+    }
+    const auto count = [&head](const std::string& name)
+    {
+        return std::count_if(head.fields.begin(), head.fields.end(),
+                             [&name](const review::header& field)
+                             { return field.name == name; });
+    };
+    const std::string length = head.value("Content-Length");
+    const bool is_framed =
+        count("Transfer-Encoding") + count("Content-Length") <= 1 &&
+        (count("Transfer-Encoding") == 0 ||
+         head.value("Transfer-Encoding") == "chunked") &&
+        (count("Content-Length") == 0 ||
+         (!length.empty() &&
+          std::all_of(length.begin(), length.end(), is_digit)));
+    return is_framed ? std::string() : "framing of '" + text + "'";
+}
+
 message_head parse_head(const std::string& text)
 {
     message_head head;
@@ -79,8 +157,12 @@
         if (!fill(deadline))
             return std::nullopt;
     }
-    const message_head head = parse_head(buffer_.substr(0, end));
+    const std::string text = buffer_.substr(0, end);
+    const message_head head = parse_head(text);
     buffer_.erase(0, end + 4);
+    problem_ = problem_of_head(text, head);
+    if (!problem_.empty())
+        return std::nullopt;
     framing_ = head.value("Transfer-Encoding") == "chunked" ? framing::chunked
                : head.value("Content-Length").empty()       ? framing::unframed
                                                             : framing::length;
@@ -127,6 +209,16 @@
             if (!fill(deadline))
                 return failure();
         }
+        const bool is_size =
+            end > 0 &&
+            std::all_of(buffer_.begin(),
+                        buffer_.begin() + static_cast<std::ptrdiff_t>(end),
+                        is_hex_digit);
+        if (!is_size)
+        {
+            problem_ = "size of a chunk '" + buffer_.substr(0, end) + "'";
+            return progress::broken;
+        }
         remaining_ = std::strtoul(buffer_.c_str(), nullptr, 16) + 2;
         buffer_.erase(0, end + 2);
         is_within_chunk_ = true;
@@ -137,6 +229,11 @@
         if (!fill(deadline))
             return failure();
     }
+    if (buffer_.compare(remaining_ - 2, 2, "\r\n") != 0)
+    {
+        problem_ = "end of a chunk";
+        return progress::broken;
+    }
     body.append(buffer_, 0, remaining_ - 2);
     buffer_.erase(0, remaining_);
     is_within_chunk_ = false;
@@ -148,4 +245,9 @@
     return is_ended_;
 }
 
+const std::string& response_reader::problem() const
+{
+    return problem_;
+}
+
 } // namespace hibiscusferry::soak
--- a/extras/soak/response_reader.hpp
+++ b/extras/soak/response_reader.hpp
@@ -23,7 +23,9 @@
 
     explicit response_reader(review::connection& peer);
 
-    /** @returns none if the connection ended or the time is over */
+    /** Accepts no more than a correct server sends: see problem().
+        @returns none if the connection ended, the time is over or the head is
+                 invalid */
     std::optional<review::message_head>
     read_head(review::steady_clock::time_point deadline);
     /** Appends the next bytes of the body of the last head to `body`. */
@@ -31,6 +33,8 @@
                        review::steady_clock::time_point deadline);
     /** Whether the connection was closed or reset, rather than silent. */
     bool is_ended() const;
+    /** What is wrong with the bytes received; empty if nothing is. */
+    const std::string& problem() const;
 
 private:
     enum class framing
@@ -52,6 +56,7 @@
     bool is_within_chunk_ = false;
     bool is_ended_ = false;
     bool is_reset_ = false;
+    std::string problem_;
 };
 
 } // namespace hibiscusferry::soak
--- a/extras/soak/soak_caller.cpp
+++ b/extras/soak/soak_caller.cpp
@@ -48,7 +48,9 @@
 {
     const request_type& type = request_types()[static_cast<std::size_t>(
         random_.between(0, static_cast<int>(request_types().size()) - 1))];
-    if (type.is_stream)
+    if (faults_.has("framing") && random_.chance(0.03))
+        send_hidden_request(type);
+    else if (type.is_stream)
         ask_for_stream(type);
     else
         exchange(make_request(type), nullptr);
@@ -83,6 +85,52 @@
     }
 }
 
+void soak_caller::send_hidden_request(const request_type& type)
+{
+    constexpr milliseconds timeout{3000};
+    const std::vector<std::string> framings{
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip\r\nContent-Length: 0",
+        "Content-Length: 0\r\nTransfer-Encoding: chunked",
+        "Content-Length: 0\r\nContent-Length: 12"};
+    const std::string& framing = framings[static_cast<std::size_t>(
+        random_.between(0, static_cast<int>(framings.size()) - 1))];
+    const request outer = make_request(type);
+    const auto head = [&](const std::string& id, const std::string& fields)
+    {
+        return "POST " + std::string(type.prefix) +
+               "2f HTTP/1.1\r\nHost: " + route_host() +
+               "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 1000\r\n" +
+               fields + "\r\n\r\n";
+    };
+    const std::unique_ptr<review::connection> peer = review::connection::open(
+        outer.host->address(), outer.host->port(), connect_timeout);
+    if (!peer || !peer->write(head(outer.id + "-outer", framing) +
+                              head(outer.id + "-inner", "Content-Length: 0")))
+        return;
+    response_reader reader(*peer);
+    const steady_clock::time_point deadline = steady_clock::now() + timeout;
+    const std::optional<review::message_head> refusal =
+        reader.read_head(deadline);
+    std::string body;
+    if (!reader.problem().empty())
+        ledger_.report("MIXED", outer.id, reader.problem());
+    if (!refusal)
+        return;
+    if (refusal->status() < 400)
+        ledger_.report("MIXED", outer.id,
+                       std::to_string(refusal->status()) + " for " + framing);
+    response_reader::progress progress = response_reader::progress::data;
+    while (progress == response_reader::progress::data)
+        progress = reader.read_some(body, deadline);
+    if (reader.read_head(deadline))
+        ledger_.report("MIXED", outer.id, "a second answer for " + framing);
+}
+
 soak_caller::request soak_caller::make_request(const request_type& type)
 {
     request current;
@@ -185,9 +233,10 @@
     const std::optional<review::message_head> head =
         reader.read_head(current.gives_up_at);
     if (!head)
-        return unfinished(current, reader.is_ended()
-                                       ? response_reader::progress::broken
-                                       : response_reader::progress::timed_out);
+        return unfinished(current, reader,
+                          reader.is_ended()
+                              ? response_reader::progress::broken
+                              : response_reader::progress::timed_out);
     ledger_.answered(current.id, head->status());
     const std::string id = head->value("X-Request-Id");
     if (!id.empty() && id != current.id)
@@ -214,7 +263,7 @@
     while (progress == response_reader::progress::data)
         progress = reader.read_some(body, current.gives_up_at);
     if (progress != response_reader::progress::complete)
-        return unfinished(current, progress);
+        return unfinished(current, reader, progress);
     const int status = head.status();
     if (status != 200)
         return status == 503 || status == 429 || status == 421 || status == 408
@@ -255,13 +304,16 @@
         if (progress == response_reader::progress::complete)
             return current.resumption.empty() ? "served" : "resumed";
         if (progress != response_reader::progress::data)
-            return unfinished(current, progress);
+            return unfinished(current, reader, progress);
     }
 }
 
 std::string soak_caller::unfinished(const request& current,
-                                    response_reader::progress progress) const
+                                    const response_reader& reader,
+                                    response_reader::progress progress)
 {
+    if (!reader.problem().empty())
+        ledger_.report("MIXED", current.id, reader.problem());
     if (progress == response_reader::progress::broken)
         return "cut";
     return current.leaves_early ? "left" : "late";
--- a/extras/soak/soak_caller.hpp
+++ b/extras/soak/soak_caller.hpp
@@ -56,6 +56,11 @@
     std::string message(const request& current);
     void ask();
     void ask_for_stream(const request_type& type);
+    /** Sends a request whose length is not certain, with another request in its
+        body, over a connection of its own. The ledger reports either if it
+       runs.
+    */
+    void send_hidden_request(const request_type& type);
     /** @param stream  null for a response with a body
         @returns the outcome */
     std::string exchange(const request& current, stream_reader* stream);
@@ -66,8 +71,11 @@
                           response_reader& reader);
     std::string read_stream(const request& current, response_reader& reader,
                             stream_reader& stream);
+    /** Returns the outcome of a response that is not complete, and reports one
+        that is invalid. */
     std::string unfinished(const request& current,
-                           response_reader::progress progress) const;
+                           const response_reader& reader,
+                           response_reader::progress progress);
     channel* connect(const request& current);
 
     int number_;
--- a/extras/soak/target_exchange.cpp
+++ b/extras/soak/target_exchange.cpp
@@ -61,7 +61,8 @@
         {"unframed", 60, true, true, &self::answer_unframed},
         {"unframed_fin", 20, true, true, &self::end_unframed_early},
         {"idless_late", 60, false, true, &self::refuse_late},
-        {"contradiction", 20, true, true, &self::contradict}};
+        {"contradiction", 20, true, true, &self::contradict},
+        {"invalid", 30, true, true, &self::answer_invalidly}};
     return table;
 }
 
@@ -343,6 +344,50 @@
     return peer_.write(message(504, plan.fields + response_fields(), "failed"));
 }
 
+bool target_exchange::answer_invalidly()
+{
+    struct defect
+    {
+        const char* status;
+        const char* field;
+    };
+    static const std::vector<defect> defects{
+        {"000", ""},
+        {"099", ""},
+        {"600", ""},
+        {"999", ""},
+        {"101", "Upgrade: h2c"},
+        {"200", "Field Name: a"},
+        {"200", "Field\x01: a"},
+        {"200", "Field : a"},
+        {"503", "Field\tName: a"},
+        {"200", "Transfer-Encoding: gzip"},
+        {"200", "Transfer-Encoding: identity"},
+        {"200", "Transfer-Encoding: gzip, chunked"},
+        {"429", "Transfer-Encoding: chunked, gzip"},
+        {"200", "Content-Length: 3"}};
+    const defect& chosen = defects[static_cast<std::size_t>(
+        random_.between(0, static_cast<int>(defects.size()) - 1))];
+    if (!read_body())
+        return false;
+    if (random_.chance(0.5))
+        run();
+    if (!wait(random_.between(milliseconds(5), milliseconds(80))))
+        return false;
+    // It names the request, is signed and claims that the request has not run.
+    // A sound response to the request may follow.
+    const std::string fields =
+        "X-Response-Signature: invalid\r\nX-Not-Executed: 1\r\n";
+    std::string bytes =
+        "HTTP/1.1 " + std::string(chosen.status) +
+        " X\r\nX-Request-Id: " + id_ + "\r\n" + fields +
+        (*chosen.field != '\0' ? std::string(chosen.field) + "\r\n" : "") +
+        "Content-Length: 4\r\n\r\ndone";
+    if (random_.chance(0.5))
+        bytes += message(200, "X-Response-Signature: invalid\r\n", "next");
+    return peer_.write(bytes);
+}
+
 // ========================================================================
 // Parts of an exchange
 
--- a/extras/soak/target_exchange.hpp
+++ b/extras/soak/target_exchange.hpp
@@ -86,6 +86,7 @@
     bool end_unframed_early();
     bool refuse_late();
     bool contradict();
+    bool answer_invalidly();
 
     bool read_body();
     void run();
