Release the memory of bodies that are no longer needed

Cause: an assignment of an empty string or message keeps the memory of the body, so a request held its body three times until it was answered, where the budget counts two, and a kept connection held the last body sent over it.

Change: discard_request_body() and continue_send() release the memory; the claim registry does so for the body of a stored answer (by reading; no test of its own).

--- a/modules/claims/registry/claim_registry.cpp
+++ b/modules/claims/registry/claim_registry.cpp
@@ -211,7 +211,8 @@
             claim.record.answer.is_body_kept = false;
             claim.record.answer.body_object.clear();
         }
-        claim.record.answer.body.clear();
+        // clear() would keep the memory.
+        std::string().swap(claim.record.answer.body);
         record(row_key, claim, claim_state::settled, now, next_actions);
     }
     schedule(row_key);
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -148,7 +148,8 @@
     http_endpoint endpoint;
     boost::beast::flat_buffer buffer{max_buffered_bytes};
     std::unique_ptr<response_parser> parser;
-    request_message message;
+    /** The request that is being sent. */
+    std::optional<request_message> message;
     /** Set while the request has not been sent completely. */
     std::unique_ptr<request_serializer> serializer;
     bool is_reusable = true;
@@ -256,10 +257,10 @@
     implementation_->has_write_failed = false;
     implementation_->interim_responses = 0;
     implementation_->begin_response();
-    implementation_->message = std::move(message);
+    implementation_->message.emplace(std::move(message));
     implementation_->serializer =
         std::make_unique<implementation::request_serializer>(
-            implementation_->message);
+            *implementation_->message);
     return continue_send(timeout, yield);
 }
 
@@ -276,7 +277,8 @@
     if (error && limit.to_error(error) == http_error::timed_out)
         return make_error_code(http_error::timed_out);
     implementation_->serializer = nullptr;
-    implementation_->message = {};
+    // An assignment would keep the memory of the body.
+    implementation_->message.reset();
     implementation_->has_write_failed = static_cast<bool>(error);
     if (error)
         return limit.to_error(error);
--- a/modules/http/client/http_connection_test.cpp
+++ b/modules/http/client/http_connection_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <malloc.h>
 
 using namespace hibiscusferry;
 using boost::asio::yield_context;
@@ -92,4 +93,46 @@
     BOOST_TEST(body.value() == "whole");
 }
 
+// Guards against kept connections that hold the body of the last request that
+// was sent over them.
+BOOST_AUTO_TEST_CASE(a_body_that_has_been_sent_occupies_no_memory)
+{
+    boost::asio::io_context context;
+    const std::unique_ptr<http_server> server = std::move(
+        http_server::listen(context, {"127.0.0.1", 0}, {},
+                            [](http_exchange& exchange, yield_context yield) {
+                                exchange.respond({200, {}, ""}, yield).value();
+                            })
+            .value());
+    http_connection_pool pool(context);
+    const auto used_bytes = []
+    {
+        const struct mallinfo2 usage = ::mallinfo2();
+        return usage.uordblks + usage.hblkhd;
+    };
+    constexpr std::size_t body_bytes = 4U << 20;
+    std::size_t used_before = 0;
+    std::size_t used_after = 0;
+    start_task(context,
+               [&](yield_context yield)
+               {
+                   for (const bool has_body : {false, true})
+                   {
+                       http_request request{"POST", "/"};
+                       request.body.assign(has_body ? body_bytes : 0, 'x');
+                       BOOST_REQUIRE(http_call(pool, server->endpoint(),
+                                               request, timeout, body_bytes,
+                                               yield));
+                       request = {};
+                       std::string().swap(request.body);
+                       (has_body ? used_after : used_before) = used_bytes();
+                   }
+                   BOOST_TEST(pool.idle_connections() == 1U);
+                   context.stop();
+               });
+    context.run_for(3 * timeout);
+    server->close();
+    BOOST_TEST(used_after < used_before + body_bytes / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/http/server/http_exchange.cpp
+++ b/modules/http/server/http_exchange.cpp
@@ -59,7 +59,8 @@
 
 void server_exchange::discard_request_body()
 {
-    request_.body = std::string();
+    // An assignment of an empty string would keep the memory.
+    std::string().swap(request_.body);
 }
 
 http_endpoint server_exchange::client() const
--- a/modules/http/server/http_server_test.cpp
+++ b/modules/http/server/http_server_test.cpp
@@ -394,6 +394,32 @@
                      });
 }
 
+// Guards against a process that exceeds its memory: an empty string was
+// assigned to the body, which kept its memory until the response was sent.
+BOOST_AUTO_TEST_CASE(a_discarded_body_occupies_no_memory)
+{
+    boost::asio::io_context context;
+    std::size_t capacity = 0;
+    const http_server::handler discard =
+        [&capacity](http_exchange& exchange, yield_context yield)
+    {
+        exchange.discard_request_body();
+        capacity = exchange.request().body.capacity();
+        exchange.respond({200, {}, ""}, yield).value();
+    };
+    run_with_handler(context, {}, discard,
+                     [&context](http_server& server, yield_context yield)
+                     {
+                         const std::string body(1U << 20, 'x');
+                         raw_client client(context, server, yield);
+                         client.upload("POST / HTTP/1.1\r\nContent-Length: " +
+                                       std::to_string(body.size()) +
+                                       "\r\n\r\n" + body);
+                         BOOST_TEST(has_status(client.receive(), "200"));
+                     });
+    BOOST_TEST(capacity == std::string().capacity());
+}
+
 BOOST_AUTO_TEST_CASE(failed_exchanges_are_reported_with_their_cause)
 {
     http_server_limits limits;
