Abort the connections of orders that are given up

Cause: the holder gave the order up after 1.5 s and closed the connection in good order, so that TCP delivered the order when the cut of 12 s had ended. Duty calls abort their connection; orders did not.

Change: orders abort on close, as do the orders and the fences of the native controller (http_call_without_late_arrival()). Such a connection is not reused, as its limit would apply to later requests.

--- a/modules/controller/authority/target_orders.cpp
+++ b/modules/controller/authority/target_orders.cpp
@@ -92,10 +92,7 @@
                                  {"fencing_number", order.fencing_number},
                                  {"action", to_text(order.intent.action)},
                                  {"argument", order.intent.argument}};
-    // Idle connections may be dead, and after an error on one it would be
-    // unknown whether the order arrived.
-    pool_.forget(endpoint);
-    http_call(
+    http_call_without_late_arrival(
         context_, pool_, endpoint, {"POST", "/v1/orders", {}, body.dump()},
         order_call_timeout, max_target_response_bytes,
         [handler = std::move(handler)](const result<http_response>& response)
@@ -107,7 +104,7 @@
     std::function<void(result<std::uint64_t>)> handler)
 {
     const nlohmann::json body = {{"fencing_number", fencing_number}};
-    http_call(
+    http_call_without_late_arrival(
         context_, pool_, endpoint, {"POST", "/v1/fence", {}, body.dump()},
         order_call_timeout, max_target_response_bytes,
         [handler = std::move(handler)](const result<http_response>& response)
--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -182,6 +182,9 @@
     services_.core.journal().record(event_number::order_sent, fields);
     const time_point order_sent_at = services_.core.now();
     target.request_limit.record_request(order_sent_at);
+    // A successor waits for no longer before it issues an order.
+    static_assert(order_timeout < fleet_authority::delivery_margin);
+    connection->abort_on_close(order_timeout);
     const result<http_response> response =
         http_call(services_.core.connections(), std::move(connection),
                   services_.targets.write_order(order), order_timeout,
--- a/modules/http/client/http_call.cpp
+++ b/modules/http/client/http_call.cpp
@@ -184,4 +184,31 @@
                });
 }
 
+void http_call_without_late_arrival(
+    boost::asio::io_context& context, http_connection_pool& pool,
+    const http_endpoint& endpoint, const http_request& request,
+    std::chrono::milliseconds timeout, std::size_t max_body_bytes,
+    std::function<void(result<http_response>)> handler)
+{
+    start_task(context,
+               [&pool, endpoint, request, timeout, max_body_bytes,
+                handler = std::move(handler)](boost::asio::yield_context yield)
+               {
+                   const time_point deadline = boot_clock::now() + timeout;
+                   result<std::unique_ptr<http_connection>> connection =
+                       pool.open(endpoint, timeout, yield);
+                   if (!connection)
+                   {
+                       handler(make_error_code(http_error::connect_failed));
+                       return;
+                   }
+                   const std::chrono::milliseconds remaining =
+                       remaining_time(deadline);
+                   //
+                   handler(http_call(pool, std::move(connection.value()),
+                                     request, remaining, max_body_bytes,
+                                     yield));
+               });
+}
+
 } // namespace hibiscusferry
--- a/modules/http/client/http_call.hpp
+++ b/modules/http/client/http_call.hpp
@@ -71,6 +71,16 @@
                std::chrono::milliseconds timeout, std::size_t max_body_bytes,
                std::function<void(result<http_response>)> handler);
 
+/** Sends a request over a new connection, so that it does not arrive after the
+    timeout: what has not been delivered by then is discarded. For calls whose
+    authority may pass to another process. The handler is called as by
+    http_call(). */
+void http_call_without_late_arrival(
+    boost::asio::io_context& context, http_connection_pool& pool,
+    const http_endpoint& endpoint, const http_request& request,
+    std::chrono::milliseconds timeout, std::size_t max_body_bytes,
+    std::function<void(result<http_response>)> handler);
+
 } // namespace hibiscusferry
 
 #endif
--- a/modules/http/client/http_call_test.cpp
+++ b/modules/http/client/http_call_test.cpp
@@ -180,4 +180,37 @@
     BOOST_TEST(pool.idle_connections() == 2U);
 }
 
+// Guards against an order that a former holder has given up and that TCP
+// delivers later: only a reset discards what the kernel has not delivered.
+BOOST_AUTO_TEST_CASE(a_call_that_must_not_arrive_late_ends_with_a_reset)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::address_v4::loopback(), 0});
+    boost::system::error_code end_of_connection;
+    start_task(context,
+               [&](yield_context yield)
+               {
+                   boost::system::error_code error;
+                   boost::asio::ip::tcp::socket socket(context);
+                   acceptor.async_accept(socket, yield[error]);
+                   std::string bytes(4096, '\0');
+                   while (!error)
+                       socket.async_read_some(boost::asio::buffer(bytes),
+                                              yield[error]);
+                   end_of_connection = error;
+               });
+    http_connection_pool pool(context);
+    result<http_response> received = make_error_code(http_error::not_open);
+    http_call_without_late_arrival(
+        context, pool, {"127.0.0.1", acceptor.local_endpoint().port()}, {},
+        call_timeout, max_body_bytes,
+        [&](const result<http_response>& response) { received = response; });
+    context.run_for(2 * call_timeout);
+    BOOST_REQUIRE(!received);
+    BOOST_TEST((received.error() == http_error::timed_out));
+    BOOST_TEST((end_of_connection == boost::asio::error::connection_reset));
+    BOOST_TEST(pool.idle_connections() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -161,6 +161,7 @@
     std::vector<std::uint64_t> exchange_ids;
     invalid_response_observer on_invalid_response;
     bool has_invalid_response = false;
+    bool is_single_use = false;
 
     void begin_response();
     /** Handles the error of a read. If the response is not valid, no later
@@ -442,7 +443,7 @@
 
 bool http_connection::is_reusable() const
 {
-    return implementation_->is_reusable &&
+    return implementation_->is_reusable && !implementation_->is_single_use &&
            implementation_->exchange_ids.size() < max_identified_exchanges;
 }
 
@@ -485,6 +486,7 @@
 
 void http_connection::abort_on_close(std::chrono::milliseconds delivery_timeout)
 {
+    implementation_->is_single_use = true;
     boost::asio::ip::tcp::socket& socket = implementation_->stream.socket();
     boost::system::error_code ignored;
     socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -151,7 +151,10 @@
 
     /** Makes the end of the connection discard what has not been delivered yet,
         instead of delivering it later. The connection also ends if something is
-        not delivered within a time, even while the process is paused. */
+        not delivered within a time, even while the process is paused. For calls
+        that must not arrive late, as they carry an authority that may be lost.
+        The connection is not reusable, as the time would apply to later
+       requests as well. */
     void abort_on_close(std::chrono::milliseconds delivery_timeout);
 
     /** Closes the connection. Any operation in progress fails with
