Abort the calls of the native controller on close

Cause: lost the line that makes http_call_without_late_arrival() abort its connection, so that orders and fences of the native controller (not those of the gateway) were still delivered late, and its test failed.

Change: the line is back.

--- a/modules/foundation/events/event_table.hpp
+++ b/modules/foundation/events/event_table.hpp
@@ -106,8 +106,8 @@
 HIBISCUSFERRY_EVENT(
     1115, warning, response_invalid,
     "A target, the store or another host sent bytes that are no valid "
-    "response; "
-    "the connection was closed. They do not show whether the request ran.",
+    "response, and the connection was closed. They do not show whether the "
+    "request ran.",
     "")
 
 // 1200-1299 claims (at most once)
--- a/modules/gateway/stages/stage_controller.cpp
+++ b/modules/gateway/stages/stage_controller.cpp
@@ -182,7 +182,7 @@
     services_.core.journal().record(event_number::order_sent, fields);
     const time_point order_sent_at = services_.core.now();
     target.request_limit.record_request(order_sent_at);
-    // A successor waits for no longer before it issues an order.
+    // A successor waits for that margin before it issues an order.
     static_assert(order_timeout < fleet_authority::delivery_margin);
     connection->abort_on_close(order_timeout);
     const result<http_response> response =
--- a/modules/http/client/http_call.cpp
+++ b/modules/http/client/http_call.cpp
@@ -204,7 +204,7 @@
                    }
                    const std::chrono::milliseconds remaining =
                        remaining_time(deadline);
-                   //
+                   connection.value()->abort_on_close(remaining);
                    handler(http_call(pool, std::move(connection.value()),
                                      request, remaining, max_body_bytes,
                                      yield));
--- a/modules/http/client/http_connection.cpp
+++ b/modules/http/client/http_connection.cpp
@@ -165,7 +165,7 @@
 
     void begin_response();
     /** Handles the error of a read. If the response is not valid, no later
-       bytes are read, as nothing tells where the next response begins. */
+        bytes are read, as nothing tells where the next response begins. */
     std::error_code fail_read(std::error_code error);
     bool is_interim_response() const;
     /** Whether the response has ended with its connection, which may have been
--- a/modules/http/client/http_connection.hpp
+++ b/modules/http/client/http_connection.hpp
@@ -17,7 +17,7 @@
 {
 
 /** Called for each response that is not valid, with the endpoint that sent it
-   and the reason; see is_invalid_message(). */
+    and the reason; see is_invalid_message(). */
 using invalid_response_observer =
     std::function<void(const http_endpoint&, std::error_code)>;
 
@@ -70,9 +70,10 @@
         @param timeout  maximum time until the head is complete
         @returns http_error::bad_message if the head is malformed or interim
                  responses do not end, http_error::too_large if the head exceeds
-                 32 KB or 256 fields, http_error::unknown_status if the status
-       is 101 or not from 100 to 599, http_error::unknown_length if the length
-       of the body is not certain, or http_error::unknown_coding if it is coded
+                 32 KB or 256 fields, http_error::unknown_status if the
+                 status is 101 or not from 100 to 599,
+                 http_error::unknown_length if the length of the body is not
+                 certain, or http_error::unknown_coding if the body is coded
     */
     result<http_response_head> read_head(std::chrono::milliseconds timeout,
                                          boost::asio::yield_context yield);
@@ -154,7 +155,7 @@
         not delivered within a time, even while the process is paused. For calls
         that must not arrive late, as they carry an authority that may be lost.
         The connection is not reusable, as the time would apply to later
-       requests as well. */
+        requests as well. */
     void abort_on_close(std::chrono::milliseconds delivery_timeout);
 
     /** Closes the connection. Any operation in progress fails with
--- a/modules/http/message/message_framing.cpp
+++ b/modules/http/message/message_framing.cpp
@@ -60,7 +60,7 @@
 }
 
 /** Splits lists at their commas. Commas in quoted parameters count as well:
-   such a list is refused in any case. */
+    such a list is refused in any case. */
 std::vector<std::string_view>
 split_lists(const std::vector<std::string_view>& lists)
 {
--- a/modules/http/message/message_framing.hpp
+++ b/modules/http/message/message_framing.hpp
@@ -24,7 +24,7 @@
 result<void> check_framing(unsigned version, const beast_http::fields& fields);
 
 /** Checks whether the head of a response, interim ones included, is an answer
-   to a request: its status is of a class that exists (RFC 9110, section 15), it
+    to a request: its status is of a class that exists (RFC 9110, section 15), it
     does not switch to another protocol, for which no request asks, and the
     length of its body is certain.
 
