--- a/modules/http/message/message_framing.hpp
+++ b/modules/http/message/message_framing.hpp
@@ -24,8 +24,8 @@
 result<void> check_framing(unsigned version, const beast_http::fields& fields);
 
 /** Checks whether the head of a response, interim ones included, is an answer
-    to a request: its status is of a class that exists (RFC 9110, section 15), it
-    does not switch to another protocol, for which no request asks, and the
+    to a request: its status is of a class that exists (RFC 9110, section 15),
+    it does not switch to another protocol, for which no request asks, and the
     length of its body is certain.
 
     @returns http_error::unknown_status, or an error of check_framing()
