--- a/review/support_3/server.cpp
+++ b/review/support_3/server.cpp
@@ -37,6 +37,8 @@
     bool is_stream = false;
     bool is_waiting = false;
     bool is_running = false;
+    bool is_head_sent = false;
+    std::size_t first_piece = 0;
     std::size_t piece = 0;
     std::int64_t due = 0;
 };
@@ -176,13 +178,15 @@
             return;
         }
         open.is_stream = head.first.find("/stream/") != std::string::npos;
+        open.first_piece = static_cast<std::size_t>(
+            std::atoi(head.field("last-event-id").c_str()));
         open.is_waiting = true;
         queue_.push_back(open.descriptor);
     }
 
     void send_piece(connection& open)
     {
-        if (open.piece == 0)
+        if (!open.is_head_sent)
         {
             note("begins " + open.request_id);
             send_all(open.descriptor,
@@ -193,12 +197,15 @@
                                          : "application/octet-stream") +
                          "\r\nConnection: close\r\n\r\n");
         }
+        open.is_head_sent = true;
+        open.due = now_ms() + settings_.run_ms / 2;
+        if (open.piece >= pieces)
+            return;
         ++open.piece;
         send_all(open.descriptor,
                  open.is_stream ? "id: " + std::to_string(open.piece) +
                                       "\ndata: " + open.request_id + "\n\n"
                                 : std::string(400, 'a'));
-        open.due = now_ms() + settings_.run_ms / 2;
     }
 
     void advance()
@@ -230,7 +237,7 @@
                     continue;
                 open->is_waiting = false;
                 open->is_running = true;
-                open->piece = 0;
+                open->piece = open->first_piece;
                 send_piece(*open);
                 ++running;
             }
--- a/review/support_3/tool.cpp
+++ b/review/support_3/tool.cpp
@@ -1,5 +1,6 @@
 #include "net.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -52,6 +53,21 @@
     return status == 200 ? 0 : 2;
 }
 
+/** Sends SIGHUP to a process as soon as it runs a program. */
+int hang_up(int process, const std::string& program)
+{
+    const std::string link = "/proc/" + std::to_string(process) + "/exe";
+    const std::int64_t until = now_ms() + 2000;
+    while (now_ms() < until)
+    {
+        char path[4096] = {};
+        const ssize_t size = ::readlink(link.c_str(), path, sizeof path - 1);
+        if (size > 0 && program == path)
+            return ::kill(process, SIGHUP) == 0 ? 0 : 2;
+    }
+    return 2;
+}
+
 } // namespace
 
 int main(int argument_count, char** arguments)
@@ -61,6 +77,8 @@
         return print_ports(std::atoi(arguments[2]));
     if (step == "put" && argument_count == 5)
         return put_row(arguments[2], arguments[3], arguments[4]);
+    if (step == "hang-up" && argument_count == 4)
+        return hang_up(std::atoi(arguments[2]), arguments[3]);
     if (step == "get" && argument_count == 4)
     {
         std::string answer;
@@ -68,6 +86,7 @@
         std::cout << answer << "\n";
         return status == 200 ? 0 : 1;
     }
-    std::cerr << "usage: ports N | put STORE TABLE KEY | get ADDRESS TARGET\n";
+    std::cerr << "usage: ports N | put STORE TABLE KEY | "
+                 "hang-up PID PROGRAM | get ADDRESS TARGET\n";
     return 2;
 }
