--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -42,6 +42,8 @@
     DEPENDS stand_in_support)
 hibiscusferry_program(server_stand_in extras/stand_ins/server
     DEPENDS stand_in_support)
+hibiscusferry_program(duty_receiver extras/stand_ins/duties
+    DEPENDS stand_in_support)
 
 # ------------------------------------------------------------------------
 # Tests of the adapter to the users' platform.
--- a/modules/authority/authority.cpp
+++ b/modules/authority/authority.cpp
@@ -5,6 +5,7 @@
 #include "authority/fence/fence_raiser.cpp"
 #include "authority/lease/lease_holder.cpp"
 #include "authority/lease/lease_record.cpp"
+#include "authority/lease/regional_leases.cpp"
 #include "authority/orders/order_book.cpp"
 #include "authority/orders/order_book_progress.cpp"
 #include "authority/orders/order_record.cpp"
--- a/modules/authority/authority.hpp
+++ b/modules/authority/authority.hpp
@@ -23,6 +23,7 @@
 #include "authority/lease/lease_holder.hpp"
 #include "authority/lease/lease_record.hpp"
 #include "authority/lease/process_identity.hpp"
+#include "authority/lease/regional_leases.hpp"
 #include "authority/orders/order_book.hpp"
 #include "authority/orders/order_record.hpp"
 #include "authority/orders/weight_pacer.hpp"
--- a/modules/authority/lease/lease_holder.cpp
+++ b/modules/authority/lease/lease_holder.cpp
@@ -28,9 +28,20 @@
 {
 }
 
+void lease_holder::replace(regional_leases regions)
+{
+    regions_ = std::move(regions);
+}
+
 // ========================================================================
 // Events
 
+void lease_holder::add_region(const std::string& region)
+{
+    if (regions_)
+        regions_->add_region(region);
+}
+
 void lease_holder::set_live_hosts(const std::vector<std::string>& hosts)
 {
     const std::uint64_t lease = stable_hash(key());
@@ -70,6 +81,8 @@
     is_holder_ = false;
     has_row_ = false;
     next_read_ = now;
+    if (regions_)
+        regions_->forget_rows();
 }
 
 lease_actions lease_holder::tick(time_point now)
@@ -121,6 +134,37 @@
     return tick(now);
 }
 
+lease_actions
+lease_holder::rows_read(const result<std::vector<table_row>>& rows,
+                        time_point now)
+{
+    if (!rows)
+        return row_read(rows.error(), now);
+    const std::string own_key = key();
+    result<table_row> own_row = make_error_code(platform_error::not_found);
+    std::uint64_t era = era_;
+    for (const table_row& row : rows.value())
+    {
+        era = std::max(era, row.era);
+        if (row.key == own_key)
+            own_row = row;
+    }
+    const bool is_of_one_era =
+        std::all_of(rows.value().begin(), rows.value().end(),
+                    [era](const table_row& row) { return row.era == era; });
+    if (!is_of_one_era)
+        return row_read(make_error_code(platform_error::bad_response), now);
+    if (!is_holder_ && !write_ && regions_)
+    {
+        if (era > era_)
+            enter_era(era, now);
+        // The term of a holder of a former version begins with its write.
+        if (regions_->observe(rows.value()))
+            unchanged_since_ = now;
+    }
+    return row_read(own_row, now);
+}
+
 lease_actions
 lease_holder::commit_finished(const std::string& write_id,
                               const result<commit_receipt>& response,
@@ -222,7 +266,19 @@
 
 const process_identity& lease_holder::observed_holder() const
 {
-    return record_.holder;
+    const lease_record* const regional = regional_record();
+    const bool is_newer = regional != nullptr &&
+                          regional->fencing_number > record_.fencing_number;
+    return is_newer ? regional->holder : record_.holder;
+}
+
+std::vector<row_condition> lease_holder::replacement_conditions() const
+{
+    std::vector<row_condition> conditions{
+        {fence_key(region_, service_), fence_version_}};
+    if (regions_)
+        conditions.push_back(regions_->replacement_condition());
+    return conditions;
 }
 
 std::size_t lease_holder::rank() const
@@ -242,8 +298,11 @@
 {
     lease_record record;
     record.holder = self_;
+    std::uint64_t last_number = record_.fencing_number;
+    if (regions_)
+        last_number = std::max(last_number, regions_->fencing_number());
     const std::uint64_t first_number = (era_ << fencing_number_bits) + 1;
-    record.fencing_number = std::max(record_.fencing_number + 1, first_number);
+    record.fencing_number = std::max(last_number + 1, first_number);
     record.term = settings_.term;
     return submit(record, true, now);
 }
@@ -277,6 +336,8 @@
         transaction.writes.push_back(
             {fence_key(region_, service_), record.text()});
     }
+    if (regions_)
+        regions_->append_to(transaction, record, new_holder);
 
     write_.emplace(transaction, key(), settings_.retry_period);
     lease_actions actions;
@@ -288,11 +349,14 @@
 {
     if (is_acquiring_)
     {
-        followed_release_ = version_ == 0 || record_.is_released();
-        former_holder_ = record_.holder;
+        followed_release_ = (version_ == 0 || record_.is_released()) &&
+                            regional_record() == nullptr;
+        former_holder_ = observed_holder();
         fence_version_ = write_->version();
         is_holder_ = true;
     }
+    if (regions_)
+        regions_->transaction_committed(write_->version());
     observe(pending_record_, write_->version(), now);
     if (pending_record_.is_released())
     {
@@ -312,7 +376,8 @@
     has_row_ = false;
     next_read_ = now;
     const std::optional<table_row>& row = write_->conflict();
-    if (row)
+    // Where other leases are replaced, their rows are read again as well.
+    if (row && !regions_)
     {
         const result<lease_record> record = lease_record::parse(row->value);
         if (record)
@@ -332,6 +397,11 @@
     unchanged_since_ = now;
 }
 
+const lease_record* lease_holder::regional_record() const
+{
+    return regions_ ? regions_->held_record() : nullptr;
+}
+
 bool lease_holder::is_candidate() const
 {
     return !retired_ && rank_ < settings_.candidates;
@@ -345,9 +415,14 @@
         settings_.term * (100 + settings_.clock_drift_percent) / 100;
     if (era_entered_at_ && now < *era_entered_at_ + max_term)
         return false;
-    std::chrono::nanoseconds wait = settings_.rank_delay * rank_;
+    std::chrono::milliseconds held_term{0};
     if (version_ != 0 && !record_.is_released())
-        wait += record_.term * (100 + settings_.clock_drift_percent) / 100;
+        held_term = record_.term;
+    if (const lease_record* const regional = regional_record())
+        held_term = std::max(held_term, regional->term);
+    const std::chrono::nanoseconds wait =
+        settings_.rank_delay * rank_ +
+        held_term * (100 + settings_.clock_drift_percent) / 100;
     return now >= unchanged_since_ + wait;
 }
 
--- a/modules/authority/lease/lease_holder.hpp
+++ b/modules/authority/lease/lease_holder.hpp
@@ -2,6 +2,7 @@
 #define HIBISCUSFERRY_AUTHORITY_LEASE_LEASE_HOLDER_HPP
 
 #include "authority/lease/lease_record.hpp"
+#include "authority/lease/regional_leases.hpp"
 #include "authority/store/settled_write.hpp"
 #include "storage/storage.hpp"
 #include <chrono>
@@ -51,7 +52,9 @@
 {
     /** Commit this transaction and pass the result to commit_finished(). */
     std::optional<table_transaction> commit;
-    /** Read the row key() and pass the result to row_read(). */
+    /** Read the row key() and pass the result to row_read(). For a lease that
+        replaces others, read all rows of leases and pass them to rows_read().
+     */
     bool read = false;
     lease_change change = lease_change::none;
 };
@@ -79,9 +82,16 @@
                  process_identity self, const lease_settings& settings,
                  identifier_source& identifiers);
 
+    /** Makes this lease replace those of single regions. To be called before
+       the first event. */
+    void replace(regional_leases regions);
+
     // =================================================================
     // Events
 
+    /** Adds a region whose lease this one replaces. */
+    void add_region(const std::string& region);
+
     /** Sets the ids of the live entry hosts according to membership, including
         this host. */
     void set_live_hosts(const std::vector<std::string>& hosts);
@@ -98,6 +108,10 @@
     /** Passes in the result of a requested read. */
     lease_actions row_read(const result<table_row>& row, time_point now);
 
+    /** Passes in the rows of all leases, for a lease that replaces others. */
+    lease_actions rows_read(const result<std::vector<table_row>>& rows,
+                            time_point now);
+
     /** Passes in the result of a requested commit. */
     lease_actions commit_finished(const std::string& write_id,
                                   const result<commit_receipt>& response,
@@ -151,7 +165,11 @@
         is conditional. Valid only while is_holder(). */
     row_version fence_version() const;
 
-    /** The holder according to the last observed row, for status pages. */
+    /** Hold as long as this process has not been replaced as the holder. Valid
+        only while is_holder(). */
+    std::vector<row_condition> replacement_conditions() const;
+
+    /** The holder according to the last observed rows. */
     const process_identity& observed_holder() const;
 
     /** The position of this host in the ranking; 0 is the first candidate. */
@@ -168,6 +186,9 @@
     void observe(const lease_record& record, row_version version,
                  time_point now);
     void enter_era(std::uint64_t era, time_point now);
+    /** The record of the replaced leases under which a process of a former
+        version may act; null if there is none. */
+    const lease_record* regional_record() const;
     bool is_candidate() const;
     bool can_acquire(time_point now) const;
 
@@ -176,6 +197,8 @@
     process_identity self_;
     lease_settings settings_;
     identifier_source& identifiers_;
+    /** The leases that this one replaces; none if it replaces no others. */
+    std::optional<regional_leases> regions_;
 
     std::size_t rank_ = std::numeric_limits<std::size_t>::max();
     bool retired_ = false;
--- a/modules/authority/lease/lease_record.cpp
+++ b/modules/authority/lease/lease_record.cpp
@@ -13,11 +13,13 @@
 
 std::string lease_record::text() const
 {
-    const nlohmann::json fields = {{"holder", holder.host},
-                                   {"incarnation", holder.incarnation},
-                                   {"fencing_number", fencing_number},
-                                   {"term_ms", term.count()},
-                                   {"write_id", write_id}};
+    nlohmann::json fields = {{"holder", holder.host},
+                             {"incarnation", holder.incarnation},
+                             {"fencing_number", fencing_number},
+                             {"term_ms", term.count()},
+                             {"write_id", write_id}};
+    if (is_closed)
+        fields["closed"] = true;
     return fields.dump();
 }
 
@@ -35,6 +37,7 @@
         record.term =
             std::chrono::milliseconds(fields.at("term_ms").get<long>());
         fields.at("write_id").get_to(record.write_id);
+        record.is_closed = fields.value("closed", false);
         return record;
     }
     catch (const nlohmann::json::exception&)
--- a/modules/authority/lease/lease_record.hpp
+++ b/modules/authority/lease/lease_record.hpp
@@ -21,6 +21,9 @@
     std::chrono::milliseconds term{0};
     /** The id of the write that produced this value. */
     std::string write_id;
+    /** Whether no process may acquire the lease any more, since another lease
+        has replaced it. */
+    bool is_closed = false;
 
     /** Returns true if no process holds the lease. */
     bool is_released() const;
--- a/modules/gateway/authority/fleet_authority.cpp
+++ b/modules/gateway/authority/fleet_authority.cpp
@@ -1,5 +1,7 @@
 #include "gateway/authority/fleet_authority.hpp"
 
+#include <limits>
+
 namespace hibiscusferry
 {
 
@@ -9,14 +11,23 @@
 constexpr std::chrono::milliseconds lease_tick_period{100};
 constexpr std::chrono::milliseconds lease_store_timeout{1000};
 
-/** The lease once covered the stages of engines only. Its name stays, so that
-    hosts of both versions compete for the same lease during an upgrade. */
-constexpr char lease_name[] = "stages";
+/** The lease covers the whole fleet. Its name must not depend on settings,
+   which differ between hosts while regions and zones are added or renamed. */
+constexpr char fleet_name[] = "fleet";
+constexpr char lease_name[] = "duties";
+/** The lease of each region in former versions, in which each region had a
+    holder. */
+constexpr char former_lease_name[] = "stages";
+constexpr char lease_rows[] = "leases/";
+constexpr std::size_t max_lease_rows = 1000;
 
 lease_settings authority_lease()
 {
     lease_settings settings;
     settings.watch_period = std::chrono::milliseconds(2000);
+    // All relays stand in line: the first ones may be in a region that has lost
+    // the store.
+    settings.candidates = std::numeric_limits<std::size_t>::max();
     return settings;
 }
 
@@ -35,9 +46,10 @@
     , follower_(follower)
     , exchange_(exchange)
     , store_(store)
-    , lease_(core.settings().region, lease_name, identity_of(core),
-             authority_lease(), core.identifiers())
+    , lease_(fleet_name, lease_name, identity_of(core), authority_lease(),
+             core.identifiers())
 {
+    lease_.replace(regional_leases(former_lease_name));
 }
 
 result<void> fleet_authority::start()
@@ -63,6 +75,10 @@
         return;
     // Relays are known to be live, and they read the store anyway.
     lease_.set_live_hosts(exchange_.relays());
+    for (const std::string& region : fleet_.settings().regions)
+        lease_.add_region(region);
+    for (const std::string& region : follower_.directory().regions())
+        lease_.add_region(region);
     perform(lease_.store_era_seen(follower_.replicas().era(), core_.now()));
     perform(lease_.tick(core_.now()));
 }
@@ -97,9 +113,9 @@
             });
     }
     if (actions.read)
-        store_.read(lease_.key(), lease_store_timeout,
-                    [this](const result<table_row>& row)
-                    { perform(lease_.row_read(row, core_.now())); });
+        store_.scan(lease_rows, "", max_lease_rows, lease_store_timeout,
+                    [this](const result<std::vector<table_row>>& rows)
+                    { perform(lease_.rows_read(rows, core_.now())); });
 }
 
 bool fleet_authority::may_act(time_point now) const
@@ -131,10 +147,9 @@
     return lease_.fencing_number();
 }
 
-row_condition fleet_authority::replacement_condition() const
+std::vector<row_condition> fleet_authority::replacement_conditions() const
 {
-    return {fence_key(core_.settings().region, lease_name),
-            lease_.fence_version()};
+    return lease_.replacement_conditions();
 }
 
 std::string fleet_authority::holder() const
--- a/modules/gateway/authority/fleet_authority.hpp
+++ b/modules/gateway/authority/fleet_authority.hpp
@@ -6,12 +6,14 @@
 #include "gateway/state/state_follower.hpp"
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hibiscusferry
 {
 
 /** The authority to act for the fleet, which one host at a time holds: to order
-    engines and targets, and to report usage.
+    engines and targets, and to report usage. It covers all regions, as do the
+    receivers of these calls.
 
     Takes part in a lease in the table service. Whoever acts under it calls
     may_act() immediately before the bytes of a call are written, and nothing
@@ -48,9 +50,9 @@
     /** Rises with each change of the holder. Valid while may_act(). */
     std::uint64_t fencing_number() const;
 
-    /** Holds as long as this host has not been replaced as the holder. A write
-        under this condition has no effect after that. */
-    row_condition replacement_condition() const;
+    /** Hold as long as this host has not been replaced as the holder. A write
+        under these conditions has no effect after that. */
+    std::vector<row_condition> replacement_conditions() const;
 
     /** The host that holds the authority, as far as this host knows; empty if
         it does not know. */
--- a/modules/gateway/duties/usage_reporter.cpp
+++ b/modules/gateway/duties/usage_reporter.cpp
@@ -144,7 +144,9 @@
     next.window = window;
     next.commit.emplace();
     next.commit->conditions.push_back({key_of(window), std::nullopt});
-    next.commit->conditions.push_back(current.replacement_condition);
+    next.commit->conditions.insert(next.commit->conditions.end(),
+                                   current.replacement_conditions.begin(),
+                                   current.replacement_conditions.end());
     next.commit->writes.push_back({key_of(window), current_body_});
     if (window >= kept_windows)
         next.commit->writes.push_back(
--- a/modules/gateway/duties/usage_reporter.hpp
+++ b/modules/gateway/duties/usage_reporter.hpp
@@ -57,7 +57,8 @@
         std::optional<std::uint64_t> term;
         /** Whether no host has held the authority before this term. */
         bool is_first_holder = false;
-        row_condition replacement_condition;
+        /** The conditions under which this host has not been replaced. */
+        std::vector<row_condition> replacement_conditions;
         /** The era of the store, and when it began; none in its first one. */
         std::uint64_t era = 0;
         std::optional<fleet_time> era_began_at;
--- a/modules/gateway/duties/usage_reporter_test.cpp
+++ b/modules/gateway/duties/usage_reporter_test.cpp
@@ -100,7 +100,7 @@
         current.agreed_time = fleet_time(now_ms);
         current.term = host.term;
         current.is_first_holder = host.is_first;
-        current.replacement_condition = {"fences/f", host.fence};
+        current.replacement_conditions = {{"fences/f", host.fence}};
         current.era = table.era();
         if (era_began_ms)
             current.era_began_at = fleet_time(*era_began_ms);
--- a/modules/gateway/duties/usage_service.cpp
+++ b/modules/gateway/duties/usage_service.cpp
@@ -325,8 +325,8 @@
     {
         current.term = services_.authority.term();
         current.is_first_holder = services_.authority.is_first_holder();
-        current.replacement_condition =
-            services_.authority.replacement_condition();
+        current.replacement_conditions =
+            services_.authority.replacement_conditions();
     }
     current.era = era_;
     if (era_began_at_)
--- a/modules/gateway/process/settings_watch.cpp
+++ b/modules/gateway/process/settings_watch.cpp
@@ -19,6 +19,7 @@
            left.stop_grace_period == right.stop_grace_period &&
            left.min_order_interval == right.min_order_interval &&
            left.availability_zone == right.availability_zone &&
+           left.region == right.region && left.regions == right.regions &&
            left.key_revocation_time == right.key_revocation_time;
 }
 
--- a/modules/gateway/protocol/host_settings.hpp
+++ b/modules/gateway/protocol/host_settings.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace hibiscusferry
@@ -31,6 +32,9 @@
 {
     std::string host;
     std::string region;
+    /** The regions that the settings name, including that of this host. Hosts
+        may disagree on them while settings change. */
+    std::set<std::string> regions;
     std::string availability_zone;
     /** IP address of the host, on which metrics and peer requests are
         served. */
--- a/modules/gateway/state/host_directory.cpp
+++ b/modules/gateway/state/host_directory.cpp
@@ -50,7 +50,8 @@
                            {"address", address},
                            {"port", port},
                            {"processor_share", processor_cores},
-                           {"serving", is_serving}})
+                           {"serving", is_serving},
+                           {"region", region}})
         .dump();
 }
 
@@ -69,6 +70,7 @@
             record.processor_cores < 0)
             return std::make_error_code(std::errc::bad_message);
         record.port = object.at("port").get<std::uint16_t>();
+        record.region = object.value("region", std::string());
         return record;
     }
     catch (const nlohmann::json::exception&)
@@ -96,8 +98,13 @@
     }
     entries_ = std::move(entries);
     addresses_.clear();
+    regions_.clear();
     for (const auto& [host, entry] : entries_)
+    {
         addresses_.insert(entry.host.address);
+        if (!entry.host.region.empty())
+            regions_.insert(entry.host.region);
+    }
     ++revision_;
 }
 
@@ -150,6 +157,11 @@
     return zone_names;
 }
 
+const std::set<std::string>& host_directory::regions() const
+{
+    return regions_;
+}
+
 std::vector<peer_host> host_directory::serving_hosts() const
 {
     std::vector<peer_host> hosts;
--- a/modules/gateway/state/host_directory.hpp
+++ b/modules/gateway/state/host_directory.hpp
@@ -30,6 +30,8 @@
     double processor_cores = 0;
     /** Whether it serves callers; false while it stops. */
     bool is_serving = true;
+    /** Empty in the rows of former versions. */
+    std::string region;
 
     std::string text() const;
     static result<host_record> parse(const std::string& text);
@@ -63,6 +65,9 @@
     /** The zones that have serving hosts. */
     std::set<std::string> zones() const;
 
+    /** The regions that the rows of hosts name. */
+    const std::set<std::string>& regions() const;
+
     std::vector<peer_host> serving_hosts() const override;
     std::uint64_t revision() const override;
 
@@ -91,6 +96,7 @@
     /** By the name of the host. */
     std::map<std::string, host_entry> entries_;
     std::set<std::string> addresses_;
+    std::set<std::string> regions_;
     std::uint64_t revision_ = 0;
 };
 
--- a/modules/gateway/state/state_follower.cpp
+++ b/modules/gateway/state/state_follower.cpp
@@ -670,7 +670,8 @@
     const host_settings& settings = fleet_.settings();
     const host_record own_record{
         settings.host,      settings.availability_zone, settings.address,
-        settings.peer_port, settings.processor_cores,   is_serving_};
+        settings.peer_port, settings.processor_cores,   is_serving_,
+        settings.region};
     table_transaction transaction;
     transaction.writes.push_back(
         {host_table + "/" + settings.host, own_record.text()});
@@ -685,11 +686,12 @@
 
 void state_follower::maintain_own_row()
 {
-    const host_record* const own_record =
-        directory_.find(fleet_.settings().host);
+    const host_settings& settings = fleet_.settings();
+    const host_record* const own_record = directory_.find(settings.host);
     const bool is_up_to_date = own_record != nullptr &&
                                own_record->is_serving == is_serving_ &&
-                               own_record->address == fleet_.settings().address;
+                               own_record->region == settings.region &&
+                               own_record->address == settings.address;
     const bool may_write =
         !own_row_written_at_ ||
         core_.now() - *own_row_written_at_ > own_row_retry_interval;
