Keep signals until the process can handle them

Cause: SIGHUP, SIGTERM and SIGINT had their default action until a task of the event loop installed a handler, and again after the loop had ended.

Evidence: process_early_signals against failed (SIGHUP at the first statement of main ended the processes; status 129).

Change: the signals are blocked from .preinit_array on and unblocked when their handler is installed; blocked again when the event loop has ended.

Measured: process_early_signals passes, three runs.

--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 #include "platform/platform_adapter.hpp"
+#include <csignal>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
@@ -20,6 +21,17 @@
 constexpr int mapped_block_bytes = 256 << 10;
 constexpr std::uint32_t timeline_capacity = 512;
 
+/** Runs as soon as the program has been loaded, before the constructors of the
+    libraries, which take several milliseconds on a small host. */
+void block_signals_at_start(int, char**, char**)
+{
+    block_signals({SIGHUP, SIGTERM, SIGINT});
+}
+
+using start_function = void (*)(int, char**, char**);
+[[gnu::section(".preinit_array"), gnu::used]] start_function first_function =
+    block_signals_at_start;
+
 process_settings core_settings(const host_settings& host)
 {
     process_settings settings;
--- a/modules/gateway/process/settings_watch.cpp
+++ b/modules/gateway/process/settings_watch.cpp
@@ -39,6 +39,7 @@
                [this](boost::asio::yield_context yield)
                {
                    boost::asio::signal_set signals(core_.context(), SIGHUP);
+                   unblock_signals({SIGHUP});
                    boost::system::error_code error;
                    while (!is_stopping_)
                    {
@@ -54,6 +55,7 @@
 void settings_watch::stop()
 {
     is_stopping_ = true;
+    block_signals({SIGHUP});
 }
 
 void settings_watch::reload(const std::string& cause)
--- a/modules/process/core/process_core.cpp
+++ b/modules/process/core/process_core.cpp
@@ -1,5 +1,6 @@
 #include "process/core/process_core.hpp"
 
+#include "process/core/process_signals.hpp"
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 
@@ -168,6 +169,7 @@
                     {{"process", id_}, {"host", settings_.host}});
     wait_for_signals();
     context_.run();
+    block_signals({SIGTERM, SIGINT});
     kernel_.stop();
 }
 
@@ -177,6 +179,7 @@
                [this](boost::asio::yield_context yield)
                {
                    boost::asio::signal_set signals(context_, SIGTERM, SIGINT);
+                   unblock_signals({SIGTERM, SIGINT});
                    boost::system::error_code error;
                    signals.async_wait(yield[error]);
                    drain();
@@ -185,6 +188,7 @@
                    int signal = SIGTERM;
                    while (signal == SIGTERM && !error)
                        signal = signals.async_wait(yield[error]);
+                   block_signals({SIGTERM, SIGINT});
                    stop_event_loop();
                });
 }
--- a/modules/process/core/process_environment.cpp
+++ b/modules/process/core/process_environment.cpp
@@ -1,5 +1,6 @@
 #include "process/core/process_environment.hpp"
 
+#include "process/core/process_signals.hpp"
 #include <csignal>
 #include <fcntl.h>
 #include <unistd.h>
@@ -9,6 +10,7 @@
 
 void prepare_process_environment()
 {
+    block_signals({SIGTERM, SIGINT});
     std::signal(SIGPIPE, SIG_IGN);
     for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
     {
--- a/modules/process/process.hpp
+++ b/modules/process/process.hpp
@@ -13,5 +13,6 @@
 #include "process/core/daemon_main.hpp"
 #include "process/core/process_core.hpp"
 #include "process/core/process_environment.hpp"
+#include "process/core/process_signals.hpp"
 
 #endif
