Take a response without a length as whole only if its target answers

Cause: target_exchange::confirm_end() took an accepted connection, or one that was not accepted in 250 ms, as proof that the process had ended the response itself. The kernel accepts for a process that is being killed or is frozen.

Change: after the end of such a connection the target has to answer a request, an engine for its report, another target at the health path of its service (now read from the configuration) under its id. Until then the caller waits, at most until its deadline; without an answer the response is broken.

--- a/modules/gateway/protocol/target_protocol.hpp
+++ b/modules/gateway/protocol/target_protocol.hpp
@@ -141,6 +141,16 @@
     virtual http_request
     write_release(const kv_cache_handle& kv_cache) const = 0;
 
+    /** Asks a target whether it is healthy.
+        @param path  service_properties::health_path */
+    virtual http_request
+    write_health_request(const std::string& path,
+                         const target_record& target) const = 0;
+    /** Whether a response to write_health_request() may be of the process that
+        the record describes, whatever it says of its health. */
+    virtual bool is_health_response_of(const http_response_head& head,
+                                       const target_record& target) const = 0;
+
     virtual http_request write_status_request() const = 0;
     virtual result<engine_status>
     read_status(const std::string& body) const = 0;
--- a/modules/gateway/request/target_exchange.cpp
+++ b/modules/gateway/request/target_exchange.cpp
@@ -391,13 +391,64 @@
 {
     if (!connection_->ends_with_connection())
         return true;
-    // The connection is not lost: the next request to the target needs a new
-    // one in any case.
-    result<std::unique_ptr<http_connection>> opened = open_connection(yield);
-    if (opened)
-        services_.core.connections().release(std::move(opened.value()));
-    // A target that is busy accepts no connection in time.
-    return opened || opened.error() != http_error::connection_refused;
+    const bool is_complete = is_target_answering(yield);
+    services_.core.metrics()
+        .counter_of("hibiscusferry_unframed_responses_total",
+                    is_complete ? "end=\"confirmed\"" : "end=\"unknown\"")
+        .add();
+    return is_complete;
+}
+
+bool target_exchange::is_target_answering(boost::asio::yield_context yield)
+{
+    const std::chrono::milliseconds max_duration =
+        context_.matched_route->time_limit;
+    result<std::unique_ptr<http_connection>> opened =
+        services_.core.connections().open(
+            target_->record.endpoint, clamp_to_deadline(max_duration), yield);
+    if (!opened)
+        return false;
+    std::unique_ptr<http_connection> connection = std::move(opened.value());
+    const std::optional<http_request> request = state_request();
+    bool is_answering = !request;
+    if (request)
+    {
+        target_->request_limit.record_request(services_.core.now());
+        context_.active_connection = connection.get();
+        const result<void> sent =
+            connection->send(*request, clamp_to_deadline(max_duration), yield);
+        const result<http_response_head> head =
+            sent ? connection->read_head(clamp_to_deadline(max_duration), yield)
+                 : result<http_response_head>(sent.error());
+        is_answering = head && services_.targets.is_health_response_of(
+                                   head.value(), target_->record);
+        const bool is_read =
+            head &&
+            connection->read_remaining(max_refusal_body_bytes,
+                                       clamp_to_deadline(max_duration), yield);
+        context_.active_connection = connection_.get();
+        if (!is_read)
+            return is_answering;
+    }
+    // The next request to the target needs a new connection in any case.
+    services_.core.connections().release(std::move(connection));
+    return is_answering;
+}
+
+std::optional<http_request> target_exchange::state_request() const
+{
+    const std::shared_ptr<const route_table> routes = services_.fleet.routes();
+    const service_properties* const service =
+        routes ? routes->configuration().service(target_->record.service)
+               : nullptr;
+    if (service == nullptr)
+        return std::nullopt;
+    if (service->engine)
+        return services_.targets.write_status_request();
+    if (service->health_path.empty())
+        return std::nullopt;
+    return services_.targets.write_health_request(service->health_path,
+                                                  target_->record);
 }
 
 bool target_exchange::reserve_memory(std::size_t bytes)
--- a/modules/gateway/request/target_exchange.hpp
+++ b/modules/gateway/request/target_exchange.hpp
@@ -87,8 +87,9 @@
 
     /** Finds out whether a response that has been read to its end is complete.
         The end of the connection alone does not tell: it may also be that of a
-        process that was killed. In that case the target must still be running.
-    */
+        process that was killed. In that case the target has to answer another
+        request, since the kernel still accepts connections for a process that
+        is ending or frozen. */
     bool confirm_end(boost::asio::yield_context yield);
 
     /** Reserves memory for the buffered part of the response.
@@ -105,6 +106,12 @@
     void finish();
 
 private:
+    /** Asks the target for its state.
+        @returns whether its process has answered within the time left */
+    bool is_target_answering(boost::asio::yield_context yield);
+    /** The request that a target answers without a free slot, if possible; none
+        if its service has no such request. */
+    std::optional<http_request> state_request() const;
     attempt_result connect(boost::asio::yield_context yield);
     result<std::unique_ptr<http_connection>>
     open_connection(boost::asio::yield_context yield);
--- a/modules/serving/model/fleet_configuration.hpp
+++ b/modules/serving/model/fleet_configuration.hpp
@@ -103,6 +103,9 @@
     std::string name;
     /** Connections that one target accepts from all hosts together. */
     unsigned connection_limit = 0;
+    /** The path at which targets state whether they are healthy; empty if they
+        have none. */
+    std::string health_path;
     /** Set only for services whose targets are model engines. */
     std::optional<engine_properties> engine;
     /** Set only for services whose targets may be ordered. */
