--- a/extras/soak/soak_host.cpp
+++ b/extras/soak/soak_host.cpp
@@ -31,7 +31,9 @@
     , ready_port_(review::free_port(address_))
 {
     settings_["zones"] = {
-        {"zone-a", "region"}, {"zone-b", "region"}, {"zone-c", "region"}};
+        {"zone-a", "region-1"}, {"zone-b", "region-1"}, {"zone-c", "region-2"}};
+    settings_["region"] =
+        settings_["zones"].value(availability_zone, "region-1");
     settings_["listen"] = {
         {"front", address_ + ":" + std::to_string(port_)},
         {"ready", address_ + ":" + std::to_string(ready_port_)}};
