--- a/daemons/gateway/main.cpp
+++ b/daemons/gateway/main.cpp
@@ -22,7 +22,7 @@
 constexpr std::uint32_t timeline_capacity = 512;
 
 /** Runs as soon as the program has been loaded, before the constructors of the
-    libraries, which take several milliseconds on a small host. */
+    libraries. */
 void block_signals_at_start(int, char**, char**)
 {
     block_signals({SIGHUP, SIGTERM, SIGINT});
